--- /dev/null
+++ b/bench/virtual_loop.py
@@ -0,0 +1,70 @@
+"""asyncio event loop on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import typing
+
+from fuchsiacourse import clock
+
+# Unix time at the start of a virtual run, in seconds.
+START_WALL_S = 1_800_000_000.0
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Selector that advances virtual time instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[typing.Any]:
+        if timeout is None:
+            raise RuntimeError("the virtual loop has nothing left to wait for")
+        if timeout > 0:
+            self.now_s += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time jumps to the next scheduled callback."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Returns virtual seconds since the start of the loop."""
+        return self._jumping.now_s
+
+
+class VirtualClock(clock.Clock):
+    """Clock of the running virtual loop.
+
+    Args:
+        wall_offset_s: Error of this clock's wall time in seconds.
+    """
+
+    __slots__ = ("_wall_offset_s",)
+
+    def __init__(self, *, wall_offset_s: float = 0.0) -> None:
+        self._wall_offset_s = wall_offset_s
+
+    def now(self) -> float:
+        """Returns virtual monotonic time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        """Returns virtual Unix time in seconds."""
+        return START_WALL_S + self._wall_offset_s + self.now()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Waits for a number of virtual seconds."""
+        await asyncio.sleep(delay_s)
+
+
+def run(main: typing.Coroutine[typing.Any, typing.Any, typing.Any]):
+    """Runs a coroutine to its end on a new virtual loop."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
