--- /dev/null
+++ b/fuchsiacourse/grpc_server.py
@@ -0,0 +1,96 @@
+"""gRPC server of a process of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import grpclib.server
+
+from fuchsiacourse import fleet_grpc
+
+Handler = typing.Callable[[typing.Any], typing.Awaitable[typing.Any]]
+
+
+async def _serve(
+    stream: grpclib.server.Stream[typing.Any, typing.Any], handler: Handler
+) -> None:
+    request = await stream.recv_message()
+    if request is None:
+        return
+    # A caller that hangs up cancels this coroutine. The request must run
+    # on, because a half-run booking would be in no known state.
+    reply = await asyncio.shield(
+        asyncio.ensure_future(typing.cast(typing.Coroutine, handler(request)))
+    )
+    await stream.send_message(reply)
+
+
+class _Dispatch(fleet_grpc.DispatchRpcBase):
+    def __init__(self, *, execute: Handler, withdraw: Handler) -> None:
+        self._execute = execute
+        self._withdraw = withdraw
+
+    async def Execute(self, stream: typing.Any) -> None:
+        await _serve(stream, self._execute)
+
+    async def Withdraw(self, stream: typing.Any) -> None:
+        await _serve(stream, self._withdraw)
+
+
+class _Entry(fleet_grpc.EntryRpcBase):
+    def __init__(self, *, relay: Handler, hand_over: Handler) -> None:
+        self._relay = relay
+        self._hand_over = hand_over
+
+    async def Relay(self, stream: typing.Any) -> None:
+        await _serve(stream, self._relay)
+
+    async def HandOver(self, stream: typing.Any) -> None:
+        await _serve(stream, self._hand_over)
+
+
+class _Config(fleet_grpc.ConfigRpcBase):
+    def __init__(self, *, fetch: Handler) -> None:
+        self._fetch = fetch
+
+    async def Fetch(self, stream: typing.Any) -> None:
+        await _serve(stream, self._fetch)
+
+
+class GrpcServer:
+    """Serves the calls of other processes.
+
+    Args:
+        address: Address to listen on, ``ip:port``.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._services: list[typing.Any] = []
+        self._server: grpclib.server.Server | None = None
+
+    def add_dispatch(self, *, execute: Handler, withdraw: Handler) -> None:
+        """Adds the calls of a dispatch process."""
+        self._services.append(_Dispatch(execute=execute, withdraw=withdraw))
+
+    def add_entry(self, *, relay: Handler, hand_over: Handler) -> None:
+        """Adds the calls of an entry process."""
+        self._services.append(_Entry(relay=relay, hand_over=hand_over))
+
+    def add_config(self, *, fetch: Handler) -> None:
+        """Adds the calls of the configuration agent."""
+        self._services.append(_Config(fetch=fetch))
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        ip, _, port = self._address.rpartition(":")
+        self._server = grpclib.server.Server(self._services)
+        await self._server.start(ip, int(port))
+
+    async def stop(self) -> None:
+        """Closes the listener and the connections."""
+        if self._server is None:
+            return
+        self._server.close()
+        await self._server.wait_closed()
--- /dev/null
+++ b/fuchsiacourse/http_server.py
@@ -0,0 +1,95 @@
+"""HTTP server within the process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+import uvicorn
+
+from fuchsiacourse import errors
+from fuchsiacourse import logs
+
+KEEP_ALIVE_S = 75
+DRAIN_TIMEOUT_S = 30
+_START_POLL_S = 0.01
+
+
+class _Server(uvicorn.Server):
+    """uvicorn server that leaves signals to the program."""
+
+    def capture_signals(self) -> typing.Any:
+        return contextlib.nullcontext()
+
+
+class HttpServer:
+    """Serves an ASGI application with uvicorn, without worker processes.
+
+    Args:
+        asgi_app: Application to serve.
+        address: Address to listen on, ``ip:port``.
+        log: Logger.
+        drain_timeout_s: Longest wait for requests in flight at the stop.
+    """
+
+    def __init__(
+        self,
+        *,
+        asgi_app: typing.Any,
+        address: str,
+        log: typing.Any,
+        drain_timeout_s: int = DRAIN_TIMEOUT_S,
+    ) -> None:
+        ip, _, port = address.rpartition(":")
+        self._address = address
+        self._log = log
+        self._task: asyncio.Task | None = None
+        self._server = _Server(
+            uvicorn.Config(
+                asgi_app,
+                host=ip,
+                port=int(port),
+                http="httptools",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                proxy_headers=False,
+                timeout_keep_alive=KEEP_ALIVE_S,
+                timeout_graceful_shutdown=drain_timeout_s,
+            )
+        )
+
+    async def start(self) -> None:
+        """Starts to listen and returns once connections are accepted.
+
+        Raises:
+            SettingsError: The address can't be listened on.
+        """
+        self._task = asyncio.create_task(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                raise errors.SettingsError(
+                    f"can't listen on {self._address}"
+                ) from self._task.exception()
+            await asyncio.sleep(_START_POLL_S)
+        logs.event(self._log, "http_listening", address=self._address)
+
+    async def stop(self) -> None:
+        """Closes the listener and finishes the requests in flight."""
+        if self._task is None:
+            return
+        self._server.should_exit = True
+        await self._task
+        logs.event(self._log, "http_stopped", address=self._address)
+
+    async def _serve(self) -> None:
+        # uvicorn leaves the process with SystemExit if it can't listen.
+        try:
+            await self._server.serve()
+        except SystemExit as error:
+            raise errors.SettingsError(
+                f"can't listen on {self._address}"
+            ) from error
--- a/fuchsiacourse/logs.py
+++ b/fuchsiacourse/logs.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import typing
 
 import structlog
 
+_SHARED_PROCESSORS = (
+    structlog.processors.add_log_level,
+    structlog.processors.TimeStamper(fmt="iso", utc=True),
+    structlog.processors.ExceptionRenderer(),
+)
+_RENDERER = structlog.processors.KeyValueRenderer(
+    key_order=["timestamp", "level", "event"]
+)
+
 
 def configure(*, program: str, host: str = "") -> typing.Any:
     """Sets up the logs of a process and returns its logger.
@@ -16,20 +26,30 @@
         host: Host of the process, on each line.
     """
     structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.ExceptionRenderer(),
-            structlog.processors.KeyValueRenderer(
-                key_order=["timestamp", "level", "event"]
-            ),
-        ],
+        processors=[*_SHARED_PROCESSORS, _RENDERER],
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
+    _configure_libraries()
     return structlog.get_logger(program=program, host=host)
 
 
+def _configure_libraries() -> None:
+    # Libraries log through the standard library; their lines get the same
+    # form, and only warnings and errors are of use to an operator.
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=list(_SHARED_PROCESSORS),
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                _RENDERER,
+            ],
+        )
+    )
+    logging.basicConfig(level=logging.WARNING, handlers=[handler], force=True)
+
+
 def event(log: typing.Any, name: str, **fields: typing.Any) -> None:
     """Logs an event at the level info."""
     log.info(name, **fields)
--- /dev/null
+++ b/fuchsiacourse/status_app.py
@@ -0,0 +1,65 @@
+"""Metrics and health checks of a process over HTTP."""
+
+from __future__ import annotations
+
+import typing
+
+import aioprometheus
+import falcon
+import falcon.asgi
+
+from fuchsiacourse import metrics as metric_tables
+
+Ready = typing.Callable[[], bool]
+Refresh = typing.Callable[[], None]
+
+
+class _Metrics:
+    def __init__(
+        self, *, metrics: metric_tables.Metrics, refresh: Refresh
+    ) -> None:
+        self._metrics = metrics
+        self._refresh = refresh
+
+    async def on_get(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        self._refresh()
+        accepted = request.get_header("Accept")
+        content, headers = aioprometheus.render(
+            self._metrics.registry, [accepted] if accepted else None
+        )
+        for name, value in headers.items():
+            response.set_header(name, value)
+        response.data = content
+
+
+class _Health:
+    def __init__(self, *, check: Ready) -> None:
+        self._check = check
+
+    async def on_get(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        if not self._check():
+            response.status = falcon.HTTP_503
+            response.text = "not ready\n"
+            return
+        response.text = "ok\n"
+
+
+def create(
+    *, metrics: metric_tables.Metrics, ready: Ready, refresh: Refresh
+) -> falcon.asgi.App:
+    """Returns an application with /metrics, /healthz and /readyz.
+
+    Args:
+        metrics: Metrics to serve.
+        ready: Whether the process can serve requests.
+        refresh: Called before the metrics are rendered.
+    """
+    app = falcon.asgi.App()
+    app.add_route("/metrics", _Metrics(metrics=metrics, refresh=refresh))
+    app.add_route("/healthz", _Health(check=lambda: True))
+    app.add_route("/readyz", _Health(check=ready))
+    return app
