--- /dev/null
+++ b/bench/local_fleet.py
@@ -0,0 +1,293 @@
+"""Starts the programs of a small fleet as processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import typing
+
+import aiohttp
+
+GOSSIP_PORT = 7946
+RPC_PORT = 7947
+HTTP_PORT = 8080
+ENTRY_STATUS_PORT = 9090
+DISPATCH_STATUS_PORT = 9091
+DISPATCH_GOSSIP_PORT = 7948
+DISPATCH_RPC_PORT = 7949
+PLATFORM_PORT = 8500
+TARGET_PORT = 9500
+DEPLOYMENT_KEY = "local-fleet-deployment-key"
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def network_of_process() -> str:
+    """Returns the first two octets of a loopback network of our own.
+
+    Two fleets that run on one machine at the same time must not share
+    addresses.
+    """
+    return f"127.{20 + os.getpid() % 200}"
+
+
+class HostPlace:
+    """Where a simulated host stands.
+
+    Args:
+        ip: IP number of the host.
+        availability_zone: Zone of the host.
+        region: Region of the zone.
+    """
+
+    __slots__ = ("ip", "availability_zone", "region")
+
+    def __init__(
+        self, *, ip: str, availability_zone: str, region: str
+    ) -> None:
+        self.ip = ip
+        self.availability_zone = availability_zone
+        self.region = region
+
+
+class LocalProcess:
+    """A program that runs as a process of this machine."""
+
+    __slots__ = ("name", "process", "log_path", "status_address")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        process: asyncio.subprocess.Process,
+        log_path: pathlib.Path,
+        status_address: str = "",
+    ) -> None:
+        self.name = name
+        self.process = process
+        self.log_path = log_path
+        self.status_address = status_address
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal unless the process has ended."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> int:
+        """Waits for the end and returns the exit code.
+
+        Raises:
+            TimeoutError: The process still runs.
+        """
+        async with asyncio.timeout(timeout_s):
+            return await self.process.wait()
+
+
+class LocalFleet:
+    """Processes, settings and logs of one fleet.
+
+    Args:
+        folder: Folder for settings, service files and logs.
+        network: First two octets of the loopback addresses.
+    """
+
+    def __init__(self, *, folder: pathlib.Path, network: str = "") -> None:
+        self.folder = folder
+        self.network = network or network_of_process()
+        self.processes_by_name: dict[str, LocalProcess] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    @property
+    def platform_address(self) -> str:
+        """Address of the platform stub."""
+        return f"{self.network}.0.1:{PLATFORM_PORT}"
+
+    @property
+    def platform_url(self) -> str:
+        """URL of the platform stub."""
+        return f"http://{self.platform_address}"
+
+    def host_ip(self, number: int) -> str:
+        """Returns the address of a host by its number from 1."""
+        return f"{self.network}.1.{number}"
+
+    def target_ip(self, number: int) -> str:
+        """Returns the address of a target by its number from 1."""
+        return f"{self.network}.2.{number}"
+
+    def write_json(self, name: str, content: typing.Any) -> pathlib.Path:
+        """Writes a JSON file into the folder."""
+        path = self.folder / name
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(json.dumps(content, indent=1), encoding="utf-8")
+        return path
+
+    async def start(
+        self, name: str, program: str, *arguments: str, status: str = ""
+    ) -> LocalProcess:
+        """Starts a program of the package.
+
+        Args:
+            name: Name of the process in this fleet.
+            program: Module within the package.
+            *arguments: Command-line arguments.
+            status: Address of its status port, if it has one.
+        """
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                f"fuchsiacourse.{program}",
+                *arguments,
+                stdout=log,
+                stderr=log,
+                stdin=asyncio.subprocess.DEVNULL,
+            )
+        started = LocalProcess(
+            name=name,
+            process=process,
+            log_path=log_path,
+            status_address=status,
+        )
+        self.processes_by_name[name] = started
+        return started
+
+    async def run(
+        self, program: str, *arguments: str, timeout_s: float = 30.0
+    ) -> tuple[int, str]:
+        """Runs a program to its end.
+
+        Returns:
+            The exit code and what was printed.
+        """
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            f"fuchsiacourse.{program}",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            stdin=asyncio.subprocess.DEVNULL,
+        )
+        async with asyncio.timeout(timeout_s):
+            output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
+    def node_settings(self, place: HostPlace, seeds: list[str]) -> dict:
+        """Returns the settings that entry and dispatch share."""
+        return {
+            "host": place.ip,
+            "availability_zone": place.availability_zone,
+            "region": place.region,
+            "seeds": seeds,
+            "deployment_key": DEPLOYMENT_KEY,
+            "platform": {"url": self.platform_url},
+        }
+
+    async def start_entry(
+        self,
+        place: HostPlace,
+        *,
+        seeds: list[str],
+        **changes: typing.Any,
+    ) -> LocalProcess:
+        """Starts an entry; changes override its settings."""
+        status = f"{place.ip}:{ENTRY_STATUS_PORT}"
+        content = self.node_settings(place, seeds) | {
+            "program": "entry",
+            "gossip_address": f"{place.ip}:{GOSSIP_PORT}",
+            "rpc_address": f"{place.ip}:{RPC_PORT}",
+            "http_address": f"{place.ip}:{HTTP_PORT}",
+            "status_address": status,
+        }
+        name = f"entry-{place.ip}"
+        path = self.write_json(f"{name}.json", content | changes)
+        return await self.start(
+            name, "entry", "--settings", str(path), status=status
+        )
+
+    async def start_dispatch(
+        self,
+        place: HostPlace,
+        *,
+        seeds: list[str],
+        **changes: typing.Any,
+    ) -> LocalProcess:
+        """Starts a dispatch; changes override its settings."""
+        status = f"{place.ip}:{DISPATCH_STATUS_PORT}"
+        content = self.node_settings(place, seeds) | {
+            "program": "dispatch",
+            "gossip_address": f"{place.ip}:{DISPATCH_GOSSIP_PORT}",
+            "rpc_address": f"{place.ip}:{DISPATCH_RPC_PORT}",
+            "status_address": status,
+        }
+        name = f"dispatch-{place.ip}"
+        path = self.write_json(f"{name}.json", content | changes)
+        return await self.start(
+            name, "dispatch", "--settings", str(path), status=status
+        )
+
+    async def wait_ready(self, names: typing.Iterable[str]) -> None:
+        """Waits until the status ports of processes report ready.
+
+        Raises:
+            RuntimeError: A process ended or is not ready in time.
+        """
+        async with aiohttp.ClientSession() as session:
+            for name in names:
+                await self._wait_one(session, self.processes_by_name[name])
+
+    async def _wait_one(
+        self, session: aiohttp.ClientSession, process: LocalProcess
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + START_TIMEOUT_S
+        url = f"http://{process.status_address}/readyz"
+        while loop.time() < end:
+            if not process.is_running:
+                raise RuntimeError(
+                    f"{process.name} ended:\n{process.log_path.read_text()}"
+                )
+            try:
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(POLL_S)
+        raise RuntimeError(
+            f"{process.name} is not ready:\n{process.log_path.read_text()}"
+        )
+
+    async def stop(self, *, timeout_s: float = 20.0) -> dict[str, int]:
+        """Ends every process, with SIGTERM first.
+
+        Returns:
+            Exit codes by process name.
+        """
+        running = [
+            item for item in self.processes_by_name.values() if item.is_running
+        ]
+        for item in running:
+            item.signal(signal.SIGCONT)
+            item.signal(signal.SIGTERM)
+        for item in running:
+            try:
+                await item.wait(timeout_s)
+            except TimeoutError:
+                item.signal(signal.SIGKILL)
+                await item.process.wait()
+        return {
+            name: item.process.returncode or 0
+            for name, item in self.processes_by_name.items()
+        }
--- /dev/null
+++ b/fuchsiacourse/careful_caller.py
@@ -0,0 +1,260 @@
+"""A caller that follows the rules of the callers' guide."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import json
+import random
+import typing
+
+import aiohttp
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse import verdict as verdicts
+
+MAX_ATTEMPTS = 6
+RESEND_DELAY_S = 0.1
+CONNECT_TIMEOUT_S = 1.0
+# Time that an entry needs beyond the deadline to withdraw the request.
+GRACE_S = 2.0
+# A list and its keys are renewed this long before they expire.
+RENEW_MARGIN_S = 1.0
+
+
+class CallResult:
+    """End of one request as its caller sees it.
+
+    Args:
+        status: HTTP status of the last answer; 0 without any.
+        verdict: Verdict on the request.
+        body: Body of the last answer.
+        attempts: Number of sendings under all keys.
+        keys: Keys that were used, in order.
+        closed_keys: Keys that were answered not-run.
+    """
+
+    __slots__ = (
+        "status",
+        "verdict",
+        "body",
+        "attempts",
+        "keys",
+        "closed_keys",
+    )
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        verdict: verdicts.Verdict,
+        body: bytes = b"",
+        attempts: int = 1,
+        keys: collections.abc.Sequence[str] = (),
+        closed_keys: collections.abc.Sequence[str] = (),
+    ) -> None:
+        self.status = status
+        self.verdict = verdict
+        self.body = body
+        self.attempts = attempts
+        self.keys = tuple(keys)
+        self.closed_keys = tuple(closed_keys)
+
+
+class _AddressList:
+    """The last address list with its unused keys."""
+
+    __slots__ = ("addresses", "expires_s", "prefix", "left", "keys_expire_s")
+
+    def __init__(self, *, content: typing.Any, now: float) -> None:
+        self.addresses = [item["address"] for item in content["addresses"]]
+        self.expires_s = now + content["ttl_s"]
+        keys = content["keys"]
+        self.prefix = keys["prefix"]
+        self.left = list(range(keys["count"]))
+        self.keys_expire_s = now + keys["expires_in_s"]
+
+
+class CarefulCaller:
+    """Sends requests with keys, and sends again by their verdict.
+
+    Args:
+        session: HTTP client session.
+        start_addresses: Entries to ask for the first list.
+        account: Account of the caller.
+        clock: Source of time.
+        rng: Source of randomness.
+        max_attempts: Longest series of sendings of one request.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        start_addresses: collections.abc.Sequence[str],
+        account: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+        max_attempts: int = MAX_ATTEMPTS,
+    ) -> None:
+        self._session = session
+        self._start_addresses = list(start_addresses)
+        self._account = account
+        self._clock = clock
+        self._rng = rng
+        self._max_attempts = max_attempts
+        self._list: _AddressList | None = None
+        self._refresh: asyncio.Lock = asyncio.Lock()
+
+    async def addresses(self) -> list[str]:
+        """Returns the entries to use now.
+
+        Raises:
+            PeerUnreachable: No entry answered.
+        """
+        return (await self._current_list()).addresses
+
+    async def new_key(self) -> str:
+        """Returns an unused idempotency key.
+
+        Raises:
+            PeerUnreachable: No entry answered.
+        """
+        current = await self._current_list()
+        return f"{current.prefix}-{current.left.pop(0)}"
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        deadline_ms: int,
+        is_idempotent: bool,
+    ) -> CallResult:
+        """Sends a request until its verdict is known or attempts run out.
+
+        Args:
+            method: HTTP method.
+            path: Path with query string.
+            body: Body of the request.
+            deadline_ms: Deadline of each attempt.
+            is_idempotent: Whether the request needs no key.
+        """
+        keys: list[str] = []
+        closed: list[str] = []
+        attempt = 1
+        result = CallResult(status=0, verdict=verdicts.Verdict.NOT_RUN)
+        for turn in range(1, self._max_attempts + 1):
+            try:
+                if not is_idempotent and attempt == 1:
+                    keys.append(await self.new_key())
+                listed = await self.addresses()
+            except errors.PeerUnreachable:
+                await self._clock.sleep(RESEND_DELAY_S)
+                continue
+            result = await self._send_once(
+                listed[(turn - 1) % len(listed)],
+                method,
+                path,
+                body=body,
+                deadline_ms=deadline_ms,
+                key=keys[-1] if keys else "",
+                attempt=attempt,
+            )
+            result.attempts = turn
+            result.keys = tuple(keys)
+            if result.verdict is verdicts.Verdict.RAN:
+                break
+            if result.verdict is verdicts.Verdict.NOT_RUN:
+                closed.extend(keys[-1:])
+                attempt = 1
+            else:
+                attempt += 1
+            await self._clock.sleep(RESEND_DELAY_S)
+        result.closed_keys = tuple(closed)
+        return result
+
+    async def _send_once(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes,
+        deadline_ms: int,
+        key: str,
+        attempt: int,
+    ) -> CallResult:
+        headers = {
+            "Caller-Account": self._account,
+            "Request-Deadline-Ms": str(deadline_ms),
+            "Request-Attempt": str(attempt),
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        timeout = aiohttp.ClientTimeout(
+            total=deadline_ms / 1000 + GRACE_S, connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                data=body or None,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                content = await response.read()
+                return CallResult(
+                    status=response.status,
+                    verdict=_read_verdict(response),
+                    body=content,
+                )
+        except (aiohttp.ClientError, TimeoutError):
+            # Without an answer nothing is known, even if this attempt
+            # never connected: an earlier one may still be running.
+            return CallResult(status=0, verdict=verdicts.Verdict.MAY_HAVE_RUN)
+
+    async def _current_list(self) -> _AddressList:
+        async with self._refresh:
+            if self._list is None or self._is_stale(self._list):
+                self._list = await self._fetch_list()
+            return self._list
+
+    def _is_stale(self, current: _AddressList) -> bool:
+        now = self._clock.now()
+        if not current.left or now >= current.expires_s:
+            return True
+        return now >= current.keys_expire_s - RENEW_MARGIN_S
+
+    async def _fetch_list(self) -> _AddressList:
+        known = self._list.addresses if self._list is not None else []
+        candidates = [*known, *self._start_addresses]
+        for address in candidates:
+            content = await self._ask(address)
+            if content is not None:
+                return _AddressList(content=content, now=self._clock.now())
+        raise errors.PeerUnreachable("no entry gave an address list")
+
+    async def _ask(self, address: str) -> typing.Any:
+        url = f"http://{address}/fleet/addresses"
+        try:
+            async with self._session.get(
+                url,
+                params={"caller": self._account},
+                timeout=aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S),
+            ) as response:
+                if response.status != 200:
+                    return None
+                content = await response.json()
+        except (aiohttp.ClientError, TimeoutError, json.JSONDecodeError):
+            return None
+        return content if content.get("addresses") else None
+
+
+def _read_verdict(response: aiohttp.ClientResponse) -> verdicts.Verdict:
+    try:
+        return verdicts.Verdict(response.headers.get("Request-Verdict", ""))
+    except ValueError:
+        return verdicts.Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/fuchsiacourse/load_mix.py
@@ -0,0 +1,81 @@
+"""What a load run sends."""
+
+from __future__ import annotations
+
+import collections.abc
+import pathlib
+import random
+
+from fuchsiacourse import service_file
+
+SHORT_SHARE = 0.8
+
+
+class LoadItem:
+    """One kind of request in a mix.
+
+    Args:
+        service: Name of the service.
+        kind: Request kind of the service file.
+        weight: Relative frequency.
+    """
+
+    __slots__ = ("service", "kind", "weight")
+
+    def __init__(
+        self, *, service: str, kind: service_file.RequestKind, weight: float
+    ) -> None:
+        self.service = service
+        self.kind = kind
+        self.weight = weight
+
+    @property
+    def name(self) -> str:
+        """Service and kind."""
+        return f"{self.service}/{self.kind.name}"
+
+
+class LoadMix:
+    """Kinds of requests with their frequencies.
+
+    Short kinds together make up 80 % of the requests and long ones the
+    rest, unless there is only one sort.
+
+    Args:
+        services: Service files whose kinds are sent.
+    """
+
+    def __init__(
+        self, *, services: collections.abc.Iterable[service_file.ServiceFile]
+    ) -> None:
+        pairs = [(item, kind) for item in services for kind in item.kinds]
+        short = sum(1 for _, kind in pairs if kind.is_short)
+        self.items = [
+            LoadItem(
+                service=service.service,
+                kind=kind,
+                weight=(
+                    SHORT_SHARE / short
+                    if kind.is_short
+                    else (1 - SHORT_SHARE) / (len(pairs) - short)
+                ),
+            )
+            for service, kind in pairs
+        ]
+        self._weights = [item.weight for item in self.items]
+
+    def choose(self, rng: random.Random) -> LoadItem:
+        """Returns the kind of the next request."""
+        return rng.choices(self.items, self._weights)[0]
+
+
+def from_folder(folder: pathlib.Path) -> LoadMix:
+    """Reads a mix from a folder of service files.
+
+    Raises:
+        ServiceFileError: A file is wrong or there is none.
+    """
+    services = [
+        service_file.load(path) for path in sorted(folder.glob("*.json"))
+    ]
+    return LoadMix(services=services)
--- /dev/null
+++ b/fuchsiacourse/load_result.py
@@ -0,0 +1,99 @@
+"""Result of a load run."""
+
+from __future__ import annotations
+
+import collections
+import json
+import typing
+
+import hdrh.histogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+MICROSECONDS_PER_SECOND = 1_000_000
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class KindResult:
+    """Counts and latencies of one kind of request."""
+
+    __slots__ = ("sent", "good", "worth", "worth_good", "verdicts", "latency")
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.good = 0
+        self.worth = 0.0
+        self.worth_good = 0.0
+        self.verdicts: collections.Counter[str] = collections.Counter()
+        self.latency = hdrh.histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+
+    def add(
+        self, *, latency_s: float, verdict: str, is_good: bool, worth: float
+    ) -> None:
+        """Adds a finished request.
+
+        Args:
+            latency_s: Seconds since the time it should have been sent.
+            verdict: Last verdict.
+            is_good: Whether it was answered whole and in time.
+            worth: Worth of the kind.
+        """
+        self.sent += 1
+        self.worth += worth
+        self.verdicts[verdict] += 1
+        if is_good:
+            self.good += 1
+            self.worth_good += worth
+        microseconds = int(latency_s * MICROSECONDS_PER_SECOND)
+        self.latency.record_value(
+            min(max(microseconds, LOWEST_US), HIGHEST_US)
+        )
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Returns a latency percentile in milliseconds."""
+        return self.latency.get_value_at_percentile(percentile) / 1000
+
+
+class LoadResult:
+    """Results of a run by kind, for the terminal, JSON and comparison."""
+
+    def __init__(self) -> None:
+        self.kinds_by_name: dict[str, KindResult] = {}
+        self.resends = 0
+
+    def kind(self, name: str) -> KindResult:
+        """Returns the result of a kind, new if there is none."""
+        return self.kinds_by_name.setdefault(name, KindResult())
+
+    @property
+    def worth_ratio(self) -> float:
+        """Worth served in time as a share of all worth sent."""
+        total = sum(item.worth for item in self.kinds_by_name.values())
+        good = sum(item.worth_good for item in self.kinds_by_name.values())
+        return good / total if total else 0.0
+
+    def to_json(self) -> str:
+        """Returns the result as JSON text."""
+        return json.dumps(self.summary(), indent=1, sort_keys=True)
+
+    def summary(self) -> dict[str, typing.Any]:
+        """Returns the result as JSON values."""
+        return {
+            "worth_ratio": self.worth_ratio,
+            "resends": self.resends,
+            "kinds": {
+                name: {
+                    "sent": item.sent,
+                    "good": item.good,
+                    "verdicts": dict(item.verdicts),
+                    "latency_ms": {
+                        str(percentile): item.percentile_ms(percentile)
+                        for percentile in PERCENTILES
+                    },
+                }
+                for name, item in self.kinds_by_name.items()
+            },
+        }
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,81 @@
+"""Tests of the parts of a load run."""
+
+import json
+import pathlib
+import random
+import tempfile
+import unittest
+
+from typer import testing
+
+from fuchsiacourse import arrival_profile
+from fuchsiacourse import load
+from fuchsiacourse import load_mix
+from fuchsiacourse import load_result
+from fuchsiacourse import service_file
+from tests import test_service_file
+
+
+class LoadTest(unittest.TestCase):
+    """A load run must send and report what it says."""
+
+    def test_crest_is_tenfold_in_the_middle(self):
+        """Guards against a crest that never comes."""
+        profile = arrival_profile.CrestProfile(rate_per_s=5, length_s=10)
+        self.assertEqual(
+            [5, 50, 5], [profile.rate(at) for at in (1.0, 5.0, 9.0)]
+        )
+
+    def test_swing_stays_within_its_bounds(self):
+        """Guards against a negative or runaway rate."""
+        profile = arrival_profile.SwingProfile(rate_per_s=100, length_s=60)
+        rates = [profile.rate(at / 10) for at in range(600)]
+        self.assertAlmostEqual(10.0, min(rates), delta=0.1)
+        self.assertAlmostEqual(100.0, max(rates), delta=0.1)
+
+    def test_mix_has_four_short_in_five(self):
+        """Guards against long work that crowds out the short kinds."""
+        content = test_service_file.valid()
+        content["kinds"].append(
+            dict(
+                content["kinds"][0],
+                name="order",
+                method="POST",
+                length="long",
+            )
+        )
+        parsed = service_file.ServiceFile.model_validate(content)
+        mix = load_mix.LoadMix(services=[parsed])
+        rng = random.Random(3)
+        names = [mix.choose(rng).name for _ in range(2000)]
+        self.assertAlmostEqual(
+            0.8, names.count("larder/lookup") / 2000, delta=0.03
+        )
+
+    def test_compare_prints_the_change(self):
+        """Guards against a comparison that mixes up its two files."""
+        with tempfile.TemporaryDirectory() as folder:
+            paths = []
+            for name, latency_s in (("old", 0.1), ("new", 0.05)):
+                result = load_result.LoadResult()
+                result.kind("larder/lookup").add(
+                    latency_s=latency_s, verdict="ran", is_good=True, worth=1
+                )
+                path = pathlib.Path(folder, f"{name}.json")
+                path.write_text(result.to_json())
+                paths.append(str(path))
+            outcome = testing.CliRunner().invoke(
+                load.app, ["compare", *paths], env={"COLUMNS": "120"}
+            )
+            self.assertEqual(0, outcome.exit_code, outcome.output)
+            self.assertIn("-50.0%", outcome.output)
+            self.assertEqual(1.0, json.loads(result.to_json())["worth_ratio"])
+
+    def test_unknown_profile_is_refused(self):
+        """Guards against a run with another profile than asked for."""
+        outcome = testing.CliRunner().invoke(
+            load.app,
+            ["run", "--services", ".", "--address", "x", "--profile", "up"],
+        )
+        self.assertEqual(load.EXIT_BAD_INPUT, outcome.exit_code)
+        self.assertIn("unknown profile up", outcome.output)
