--- /dev/null
+++ b/fuchsiacourse/http_store.py
@@ -0,0 +1,299 @@
+"""Client of the platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+import typing
+import urllib.parse
+
+import aiohttp
+
+from fuchsiacourse import errors
+from fuchsiacourse import store
+
+DEFAULT_TIMEOUT_S = 2.0
+_CONNECT_SHARE = 0.5
+_MAX_CONNECTIONS = 16
+_VERSION_HEADER = "Object-Version"
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+_RATE_LIMITED = 429
+_UNAVAILABLE = 503
+_FIRST_SERVER_ERROR = 500
+
+
+class _Reply:
+    """Status, version and body of an answer."""
+
+    __slots__ = ("status", "version", "body")
+
+    def __init__(self, *, status: int, version: str, body: bytes) -> None:
+        self.status = status
+        self.version = version
+        self.body = body
+
+
+class _Sent:
+    """Whether the headers of a write have been handed to the socket."""
+
+    __slots__ = ("is_sent",)
+
+    def __init__(self) -> None:
+        self.is_sent = False
+
+
+class _SecondConnection(aiohttp.ClientError):
+    """The client library wanted to send a write again."""
+
+
+class HttpStore(store.Store):
+    """Object API over HTTP.
+
+    A write that may have left this process and got no complete answer
+    raises StoreUnsure. Reads have no effect, so all their failures raise
+    StoreUnavailable. The client library sends PUT and DELETE again by
+    itself if the connection is closed without an answer; the second copy
+    of a conditional write would fail on the first one's effect. A trace
+    therefore refuses a connection for a write that was sent already.
+
+    Args:
+        url: Base of the object API, ``http://ip:port``.
+        timeout_s: Longest wait for the answer to a call; a watch waits
+            for its own timeout in addition.
+    """
+
+    def __init__(
+        self, *, url: str, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._reads: aiohttp.ClientSession | None = None
+        self._writes: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        for session in (self._reads, self._writes):
+            if session is not None:
+                await session.close()
+        self._reads = None
+        self._writes = None
+
+    async def get(self, key: str) -> store.StoredObject | None:
+        """Returns an object, or None if there is none."""
+        reply = await self._read(_object_path(key))
+        if reply.status == _NOT_FOUND:
+            return None
+        _require_ok(reply)
+        return store.StoredObject(
+            key=key, value=reply.body, version=_version(reply.version)
+        )
+
+    async def list(self, prefix: str) -> list[store.StoredObject]:
+        """Returns all objects whose key starts with a prefix."""
+        reply = await self._read("/objects", {"prefix": prefix})
+        _require_ok(reply)
+        return _batch(reply.body).objects
+
+    async def put(
+        self, key: str, value: bytes, *, if_version: int | None
+    ) -> int:
+        """Writes an object and returns its new version."""
+        reply = await self._write("PUT", key, value, if_version)
+        try:
+            return int(reply.version)
+        except ValueError as error:
+            raise errors.StoreUnsure(
+                f"put {key}: answer without a version"
+            ) from error
+
+    async def delete(self, key: str, *, if_version: int | None) -> None:
+        """Deletes an object; has no effect if there is none."""
+        await self._write("DELETE", key, None, if_version)
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> store.WatchBatch:
+        """Waits for changes after a revision."""
+        reply = await self._read(
+            "/watch",
+            {
+                "prefix": prefix,
+                "after": str(after_revision),
+                "timeout_s": f"{timeout_s:g}",
+            },
+            wait_s=timeout_s,
+        )
+        _require_ok(reply)
+        return _batch(reply.body)
+
+    async def hosts(self) -> list[store.HostRecord]:
+        """Returns the list of live and leaving hosts, which lags."""
+        reply = await self._read("/hosts")
+        _require_ok(reply)
+        try:
+            items = json.loads(reply.body)["hosts"]
+            return [store.HostRecord(**item) for item in items]
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.StoreUnavailable(
+                f"hosts: malformed answer: {error}"
+            ) from error
+
+    async def _read(
+        self,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        wait_s: float = 0.0,
+    ) -> _Reply:
+        if self._reads is None:
+            # Waiting watches must not keep other reads from a connection.
+            self._reads = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                auto_decompress=False,
+            )
+        try:
+            async with self._reads.get(
+                self._url + path,
+                params=query,
+                timeout=self._timeout(wait_s),
+            ) as response:
+                body = await response.read()
+                return _reply(response, body)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise errors.StoreUnavailable(
+                f"read {path}: {_reason(error)}"
+            ) from error
+
+    async def _write(
+        self,
+        method: str,
+        key: str,
+        value: bytes | None,
+        if_version: int | None,
+    ) -> _Reply:
+        if self._writes is None:
+            self._writes = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=_MAX_CONNECTIONS, force_close=True
+                ),
+                trace_configs=[_send_once()],
+            )
+        call = f"{method.lower()} {key}"
+        sent = _Sent()
+        try:
+            async with self._writes.request(
+                method,
+                self._url + _object_path(key),
+                data=value,
+                headers=_conditions(if_version),
+                timeout=self._timeout(0.0),
+                allow_redirects=False,
+                trace_request_ctx=sent,
+            ) as response:
+                # The status alone tells the outcome; a body that is cut
+                # off must not make it uncertain.
+                reply = _reply(response, b"")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = f"{call}: {_reason(error)}"
+            if sent.is_sent:
+                raise errors.StoreUnsure(detail) from error
+            raise errors.StoreUnavailable(detail) from error
+        _require_written(call, reply)
+        return reply
+
+    def _timeout(self, wait_s: float) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=self._timeout_s + wait_s,
+            connect=self._timeout_s * _CONNECT_SHARE,
+        )
+
+
+def _send_once() -> aiohttp.TraceConfig:
+    async def before_connection(session, context, params) -> None:
+        if context.trace_request_ctx.is_sent:
+            raise _SecondConnection("no answer, the connection was closed")
+
+    async def after_headers(session, context, params) -> None:
+        context.trace_request_ctx.is_sent = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(before_connection)
+    trace.on_request_headers_sent.append(after_headers)
+    return trace
+
+
+def _object_path(key: str) -> str:
+    return "/objects/" + urllib.parse.quote(key)
+
+
+def _conditions(if_version: int | None) -> dict[str, str]:
+    if if_version is None:
+        return {}
+    if if_version == store.CREATE_ONLY:
+        return {"If-None-Match": "*"}
+    return {"If-Match": str(if_version)}
+
+
+def _reply(response: aiohttp.ClientResponse, body: bytes) -> _Reply:
+    return _Reply(
+        status=response.status,
+        version=response.headers.get(_VERSION_HEADER, ""),
+        body=body,
+    )
+
+
+def _require_ok(reply: _Reply) -> None:
+    if reply.status == _OK:
+        return
+    if reply.status == _RATE_LIMITED:
+        raise errors.StoreRateLimited("the platform limits the rate")
+    raise errors.StoreUnavailable(f"the platform answers {reply.status}")
+
+
+def _require_written(call: str, reply: _Reply) -> None:
+    if _OK <= reply.status < 300:
+        return
+    if reply.status == _CONFLICT:
+        raise errors.VersionConflict(f"{call}: not the expected version")
+    if reply.status == _RATE_LIMITED:
+        raise errors.StoreRateLimited(f"{call}: the platform limits the rate")
+    if reply.status == _UNAVAILABLE:
+        raise errors.StoreUnavailable(f"{call}: the platform has an outage")
+    if reply.status >= _FIRST_SERVER_ERROR:
+        raise errors.StoreUnsure(
+            f"{call}: the platform answers {reply.status}"
+        )
+    raise errors.StoreError(f"{call}: the platform answers {reply.status}")
+
+
+def _version(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError as error:
+        raise errors.StoreUnavailable("answer without a version") from error
+
+
+def _batch(body: bytes) -> store.WatchBatch:
+    try:
+        content = json.loads(body)
+        return store.WatchBatch(
+            revision=int(content["revision"]),
+            objects=[_stored(item) for item in content["objects"]],
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.StoreUnavailable(f"malformed answer: {error}") from error
+
+
+def _stored(item: dict[str, typing.Any]) -> store.StoredObject:
+    return store.StoredObject(
+        key=item["key"],
+        value=base64.b64decode(item.get("value", "")),
+        version=int(item["version"]),
+        deleted=bool(item.get("deleted", False)),
+    )
+
+
+def _reason(error: BaseException) -> str:
+    return str(error) or type(error).__name__
--- a/fuchsiacourse/settings.py
+++ b/fuchsiacourse/settings.py
@@ -105,6 +105,27 @@
     )
 
 
+class HostSettings(_Settings):
+    """A host that the platform stub lists from its start."""
+
+    host: str = pydantic.Field(description="IP number of the host.")
+    availability_zone: Name
+    region: Name
+    leaving: bool = False
+    address: str = ""
+
+
+class PlatformStubSettings(_Settings):
+    """Settings of the stub of the platform."""
+
+    program: typing.Literal["platform-stub"]
+    http_address: Address
+    writes_per_s: float = pydantic.Field(default=300.0, ge=1)
+    reads_per_s: float = pydantic.Field(default=2_000.0, ge=1)
+    host_lag_s: float = pydantic.Field(default=2.0, ge=0)
+    hosts: list[HostSettings] = []
+
+
 Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
 
 
