--- /dev/null
+++ b/tests/test_publisher.py
@@ -0,0 +1,243 @@
+"""Tests of publishing, on virtual time."""
+
+import asyncio
+import json
+import random
+import unittest
+
+from bench import fake_store
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse import manifest
+from fuchsiacourse import platform_model
+from fuchsiacourse import publish_files
+from fuchsiacourse import publisher
+from fuchsiacourse import service_file
+from fuchsiacourse import timers
+from tests import test_service_file
+
+
+def candidate(name: str, **changes) -> publish_files.Candidate:
+    """Returns a service file with a route of its own."""
+    content = test_service_file.valid() | {"service": name}
+    content["kinds"][0]["path_prefix"] = changes.pop("path", f"/{name}")
+    body = json.dumps(content | changes).encode()
+    return publish_files.Candidate(
+        parsed=service_file.parse(body, source=name),
+        body=body,
+        source=f"{name}.json",
+    )
+
+
+class PublishBench:
+    """A platform and operators on the running virtual loop."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.clock = virtual_loop.VirtualClock()
+        self.rng = random.Random(seed)
+        self.platform = platform_model.PlatformModel(clock=self.clock)
+        self.timers = timers.Timers(
+            clock=self.clock, rng=self.rng, on_error=self.fail
+        )
+
+    def fail(self, error: Exception) -> None:
+        """Reports an error of a background task."""
+        raise AssertionError from error
+
+    def store(self, **options) -> fake_store.FakeStore:
+        """Returns one process's connection to the platform."""
+        return fake_store.FakeStore(
+            platform=self.platform,
+            clock=self.clock,
+            timers=self.timers,
+            rng=self.rng,
+            **options,
+        )
+
+    def publisher(self, operator: str = "ann") -> publisher.Publisher:
+        """Returns the publisher of one operator."""
+        return publisher.Publisher(
+            store=self.store(),
+            clock=self.clock,
+            rng=self.rng,
+            operator=operator,
+        )
+
+    def manifest(self) -> manifest.Manifest:
+        """Returns the manifest that the platform holds."""
+        found = self.platform.table.get(manifest.KEY)
+        return manifest.decode(found.value, source="test")
+
+
+class PublisherTest(unittest.TestCase):
+    """No publish may be lost, undone or put in force in part."""
+
+    def run_with_bench(self, scenario) -> None:
+        async def main():
+            await scenario(PublishBench())
+
+        virtual_loop.run(main())
+
+    def test_change_and_removal(self):
+        """Guards against a publish that drops services it doesn't name."""
+
+        async def scenario(bench):
+            first = await bench.publisher().publish(
+                [candidate("larder"), candidate("dispatch")]
+            )
+            self.assertEqual(["dispatch", "larder"], first.added)
+            second = await bench.publisher().publish(
+                [candidate("larder", floor_slots=1)]
+            )
+            self.assertEqual((2, ["larder"]), (second.number, second.changed))
+            third = await bench.publisher().publish([], removed=["larder"])
+            self.assertEqual(["larder"], third.removed)
+            self.assertEqual({"dispatch"}, bench.manifest().services.keys())
+
+        self.run_with_bench(scenario)
+
+    def test_nothing_to_change_writes_nothing(self):
+        """Guards against a number that rises without a change."""
+
+        async def scenario(bench):
+            await bench.publisher().publish([candidate("larder")])
+            revision = bench.platform.table.revision
+            result = await bench.publisher().publish([candidate("larder")])
+            dry = await bench.publisher().publish(
+                [candidate("larder", floor_slots=0)], dry_run=True
+            )
+            self.assertTrue(result.is_empty)
+            self.assertEqual(["larder"], dry.changed)
+            self.assertEqual(revision, bench.platform.table.revision)
+
+        self.run_with_bench(scenario)
+
+    def test_lost_replies_publish_once(self):
+        """Guards against a repeat of a write that took effect."""
+
+        async def scenario(bench):
+            for lost in range(1, 5):
+                bench.platform.faults.lose_write_replies = lost
+                result = await bench.publisher().publish(
+                    [candidate("larder", floor_slots=lost % 3)]
+                )
+                self.assertEqual(lost, result.number)
+                self.assertEqual(lost, bench.manifest().number)
+                self.assertFalse(result.is_empty)
+
+        self.run_with_bench(scenario)
+
+    def test_late_write_is_not_published_twice(self):
+        """Guards against a slow write that takes effect after a retry."""
+
+        async def scenario(bench):
+            bench.platform.faults.delay_s = 2.5
+            task = asyncio.create_task(
+                bench.publisher().publish([candidate("larder")])
+            )
+            await asyncio.sleep(30)
+            bench.platform.faults.delay_s = 0
+            with self.assertRaises(errors.StoreUnavailable):
+                await task
+            result = await bench.publisher().publish([candidate("larder")])
+            self.assertEqual(1, result.number)
+            await asyncio.sleep(10)
+            self.assertEqual(1, bench.manifest().number)
+
+        self.run_with_bench(scenario)
+
+    def test_unsure_publish_is_reported_as_unsure(self):
+        """Guards against "no change" for a write that took effect."""
+
+        async def scenario(bench):
+            ann = bench.publisher()
+            await ann.publish([candidate("larder")])
+            put = bench.platform.table.put
+
+            def put_then_outage(key, value, *, if_version):
+                faults = bench.platform.faults
+                faults.outage = key == manifest.KEY
+                faults.lose_write_replies = int(not faults.outage)
+                return put(key, value, if_version=if_version)
+
+            bench.platform.table.put = put_then_outage
+            with self.assertRaises(errors.StoreUnsure):
+                await ann.publish([candidate("larder", floor_slots=1)])
+            self.assertEqual(2, bench.manifest().number)
+
+        self.run_with_bench(scenario)
+
+    def test_two_operators_with_disjoint_changes(self):
+        """Guards against an operator's change that undoes another's."""
+
+        async def scenario(bench):
+            both = [candidate("larder"), candidate("dispatch")]
+            await bench.publisher().publish(both)
+            results = await asyncio.gather(
+                bench.publisher("ann").publish(
+                    [candidate("larder", floor_slots=1), both[1]]
+                ),
+                bench.publisher("bob").publish(
+                    [both[0], candidate("dispatch", floor_slots=1)]
+                ),
+            )
+            self.assertEqual({2, 3}, {item.number for item in results})
+            later = max(results, key=lambda item: item.number)
+            self.assertEqual(1, len(later.merged))
+            for name, item in bench.manifest().services.items():
+                wanted = candidate(name, floor_slots=1)
+                self.assertEqual(manifest.version_of(wanted.body), item)
+
+        self.run_with_bench(scenario)
+
+    def test_two_operators_with_conflicting_changes(self):
+        """Guards against a conflict that is overwritten in silence."""
+
+        async def scenario(bench):
+            await bench.publisher().publish([candidate("larder")])
+            base = bench.manifest()
+            mine = [candidate("larder", floor_slots=1), candidate("extra")]
+            theirs = [candidate("larder", floor_slots=0)]
+            results = await asyncio.gather(
+                bench.publisher("ann").publish(mine),
+                bench.publisher("bob").publish(theirs),
+                return_exceptions=True,
+            )
+            refused = [
+                item
+                for item in results
+                if isinstance(item, errors.PublishConflict)
+            ]
+            self.assertEqual(["larder"], list(refused[0].services))
+            self.assertEqual(2, bench.manifest().number)
+            winner = [theirs, mine][results.index(refused[0]) == 1]
+            loser = [mine, theirs][results.index(refused[0]) == 1]
+            self.assertEqual(
+                manifest.version_of(winner[0].body),
+                bench.manifest().services["larder"],
+            )
+            with self.assertRaises(errors.PublishConflict):
+                await bench.publisher().publish(loser, base=base)
+            again = await bench.publisher().publish(winner, base=base)
+            self.assertEqual(2, again.number)
+
+        self.run_with_bench(scenario)
+
+    def test_routes_of_concurrent_publishes(self):
+        """Guards against two services on one route after a merge."""
+
+        async def scenario(bench):
+            results = await asyncio.gather(
+                bench.publisher("ann").publish([candidate("a", path="/x")]),
+                bench.publisher("bob").publish([candidate("b", path="/x")]),
+                return_exceptions=True,
+            )
+            refused = [
+                item
+                for item in results
+                if isinstance(item, errors.ServiceFileError)
+            ]
+            self.assertIn("duplicate route GET /x", str(refused[0]))
+            self.assertEqual(1, len(bench.manifest().services))
+
+        self.run_with_bench(scenario)
