--- /dev/null
+++ b/fuchsiacourse/fleet_view.py
@@ -0,0 +1,301 @@
+"""What the platform's objects tell an operator about the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import typing
+
+import pydantic
+
+from fuchsiacourse import errors
+from fuchsiacourse import in_force
+from fuchsiacourse import manifest as manifests
+from fuchsiacourse import members as member_table
+from fuchsiacourse import rendezvous
+from fuchsiacourse import service_file
+from fuchsiacourse import store as stores
+
+STATUS_PREFIX = "status/"
+_PARALLEL_READS = 8
+
+Json = dict[str, typing.Any]
+
+
+class FleetView:
+    """Manifest, services, target states, reports and hosts at one moment.
+
+    Args:
+        manifest: The published manifest.
+        services_by_name: Service files of the manifest.
+        status_by_service: Content of the ``status/`` objects.
+        reports: Reports of the zones.
+        hosts: The platform's list of hosts.
+        problems: Objects that could not be read, with the reason.
+    """
+
+    def __init__(
+        self,
+        *,
+        manifest: manifests.Manifest,
+        services_by_name: dict[str, service_file.ServiceFile],
+        status_by_service: dict[str, Json],
+        reports: list[in_force.ZoneReport],
+        hosts: list[stores.HostRecord],
+        problems: list[str],
+    ) -> None:
+        self.manifest = manifest
+        self.services_by_name = services_by_name
+        self.status_by_service = status_by_service
+        self.reports = reports
+        self.hosts = hosts
+        self.problems = problems
+
+    def zones(self) -> list[Json]:
+        """Returns the numbers in force of each zone's report."""
+        rows = []
+        for report in self.reports:
+            numbers = [item.number for item in report.members.values()]
+            rows.append(
+                {
+                    "availability_zone": report.availability_zone,
+                    "region": report.region,
+                    "members": len(numbers),
+                    "lowest": min(numbers, default=0),
+                    "highest": max(numbers, default=0),
+                    "behind": sum(
+                        number < self.manifest.number for number in numbers
+                    ),
+                    "reporter": report.reporter,
+                    "written_at": report.written_at,
+                }
+            )
+        return rows
+
+    def members(self) -> list[Json]:
+        """Returns each member's number and its lag behind the manifest."""
+        return [
+            {
+                "host": item.host,
+                "role": item.role,
+                "member": member_id,
+                "availability_zone": report.availability_zone,
+                "state": item.state,
+                "number": item.number,
+                "lag": max(0, self.manifest.number - item.number),
+            }
+            for report in self.reports
+            for member_id, item in report.members.items()
+        ]
+
+    def host_rows(self) -> list[Json]:
+        """Returns the platform's list of hosts."""
+        return [
+            {
+                "host": item.host,
+                "address": item.address,
+                "availability_zone": item.availability_zone,
+                "region": item.region,
+                "state": "leaving" if item.leaving else "live",
+            }
+            for item in sorted(
+                self.hosts, key=lambda item: (item.host, item.address)
+            )
+        ]
+
+    def targets(self, service: str) -> list[Json]:
+        """Returns the targets of a service with their published state."""
+        status = self.status_by_service.get(service, {})
+        ejected = _mapping(status.get("ejected"))
+        leaving = _mapping(status.get("leaving"))
+        cold = _mapping(status.get("cold"))
+        leaving_addresses = {
+            item.address for item in self.hosts if item.leaving
+        }
+        rows = []
+        for target in self.services_by_name[service].targets:
+            row: Json = {
+                "target": target.id,
+                "address": target.address,
+                "availability_zone": target.availability_zone,
+                "region": target.region,
+                "slots": target.slots,
+                "state": "in use",
+                "reason": "no ejection is published",
+            }
+            if target.id in leaving:
+                row["state"] = "leaving"
+                row["reason"] = f"incarnation {leaving[target.id]} drains"
+            elif target.address in leaving_addresses:
+                row["state"] = "leaving"
+                row["reason"] = "the host list shows it as leaving"
+            elif target.id in ejected:
+                row["state"] = "ejected"
+                row.update(_mapping(ejected[target.id]))
+            elif target.id in cold:
+                row["state"] = "cold"
+                row["reason"] = "it started and gets canary requests only"
+            rows.append(row)
+        return rows
+
+    def shards(self, service: str) -> list[Json]:
+        """Returns the member that should own each shard of a service.
+
+        The owner follows from the members that the zones' reports show as
+        alive; it is empty for a region without a report.
+        """
+        rows = []
+        for region in self.services_by_name[service].regions:
+            hosts_by_id = {
+                member_id: item.host
+                for report in self.reports
+                if report.region == region
+                for member_id, item in report.members.items()
+                if item.role == member_table.DISPATCH and item.state == "alive"
+            }
+            owner = rendezvous.first(f"{service}/{region}", hosts_by_id)
+            rows.append(
+                {
+                    "region": region,
+                    "owner": owner or "",
+                    "host": hosts_by_id.get(owner or "", ""),
+                    "candidates": len(hosts_by_id),
+                }
+            )
+        return rows
+
+    def explanation(self, service: str) -> Json:
+        """Returns everything that is known of one service."""
+        parsed = self.services_by_name[service]
+        targets = self.targets(service)
+        status = self.status_by_service.get(service, {})
+        usable = sum(
+            row["slots"] for row in targets if row["state"] == "in use"
+        )
+        return {
+            "service": service,
+            "number": self.manifest.number,
+            "version": self.manifest.services[service].version,
+            "status_number": status.get("config_number"),
+            "floor_slots": parsed.floor_slots,
+            "total_slots": parsed.total_slots,
+            "slots_in_use": usable,
+            # Processes then use some of the ejected targets again.
+            "floor_readmits": usable < parsed.floor_slots,
+            "targets": targets,
+            "shards": self.shards(service),
+        }
+
+    def as_dict(self) -> Json:
+        """Returns the whole view for the JSON output."""
+        return {
+            "number": self.manifest.number,
+            "publish_id": self.manifest.publish_id,
+            "zones": self.zones(),
+            "members": self.members(),
+            "services": {
+                name: self.targets(name) for name in self.services_by_name
+            },
+            "hosts": self.host_rows(),
+            "problems": self.problems,
+        }
+
+
+async def read(
+    store: stores.Store, *, only_service: str | None = None
+) -> FleetView:
+    """Reads a view from the platform.
+
+    Args:
+        store: Object API.
+        only_service: Reads the bodies of this service only.
+
+    Raises:
+        StoreError: The platform does not answer.
+        ServiceFileError: The manifest is unreadable, or there is no such
+            service.
+    """
+    problems: list[str] = []
+    manifest = await read_manifest(store)
+    names = sorted(manifest.services)
+    if only_service is not None:
+        if only_service not in manifest.services:
+            raise errors.ServiceFileError(
+                f"{only_service}: not in manifest {manifest.number}"
+            )
+        names = [only_service]
+    services = await _services(store, manifest, names, problems)
+    status = {}
+    for item in await store.list(STATUS_PREFIX):
+        content = _json(item, problems)
+        if content is not None:
+            status[item.key.removeprefix(STATUS_PREFIX)] = content
+    return FleetView(
+        manifest=manifest,
+        services_by_name=services,
+        status_by_service=status,
+        reports=_reports(await store.list(in_force.PREFIX), problems),
+        hosts=await store.hosts(),
+        problems=problems,
+    )
+
+
+async def read_manifest(store: stores.Store) -> manifests.Manifest:
+    """Reads the manifest; it is empty before the first publish."""
+    found = await store.get(manifests.KEY)
+    if found is None:
+        return manifests.EMPTY
+    return manifests.decode(found.value, source=manifests.KEY)
+
+
+async def _services(
+    store: stores.Store,
+    manifest: manifests.Manifest,
+    names: list[str],
+    problems: list[str],
+) -> dict[str, service_file.ServiceFile]:
+    limit = asyncio.Semaphore(_PARALLEL_READS)
+    services = {}
+
+    async def add(name: str) -> None:
+        key = manifests.body_key(name, manifest.services[name].version)
+        async with limit:
+            found = await store.get(key)
+        if found is None:
+            problems.append(f"{key}: no such object")
+            return
+        try:
+            services[name] = service_file.parse(found.value, source=key)
+        except errors.ServiceFileError as error:
+            problems.append(str(error))
+
+    await asyncio.gather(*(add(name) for name in names))
+    return dict(sorted(services.items()))
+
+
+def _reports(
+    objects: list[stores.StoredObject], problems: list[str]
+) -> list[in_force.ZoneReport]:
+    reports = []
+    for item in objects:
+        try:
+            reports.append(in_force.ZoneReport.model_validate_json(item.value))
+        except pydantic.ValidationError as error:
+            problems.append(service_file.describe(error, source=item.key))
+    return reports
+
+
+def _json(item: stores.StoredObject, problems: list[str]) -> Json | None:
+    try:
+        content = json.loads(item.value)
+    except ValueError as error:
+        problems.append(f"{item.key}: {error}")
+        return None
+    if not isinstance(content, dict):
+        problems.append(f"{item.key}: not an object")
+        return None
+    return content
+
+
+def _mapping(value: typing.Any) -> Json:
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/tests/test_publish.py
@@ -0,0 +1,232 @@
+"""Tests of the operators' programs against the stub over loopback."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from typer import testing
+
+from fuchsiacourse import ctl
+from fuchsiacourse import in_force
+from fuchsiacourse import logs
+from fuchsiacourse import platform_stub
+from fuchsiacourse import publish
+from fuchsiacourse import publisher
+from fuchsiacourse import settings
+from fuchsiacourse import store
+from tests import test_grpc_peers
+from tests import test_service_file
+
+
+class OperatorProgramTest(unittest.IsolatedAsyncioTestCase):
+    """Runs programs in a thread beside the stub."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        address = test_grpc_peers.free_address()
+        self.stub = platform_stub.PlatformStub(
+            options=settings.PlatformStubSettings(
+                program="platform-stub", http_address=address, host_lag_s=0
+            ),
+            log=logs.silent(),
+        )
+        await self.stub.start()
+        self.addAsyncCleanup(self.stub.stop)
+        self.options = {
+            "program": "operator",
+            "platform": {"url": f"http://{address}", "timeout_s": 0.3},
+            "operator": "ann",
+        }
+        (self.folder / "files").mkdir()
+
+    def write(self, name: str, content) -> pathlib.Path:
+        path = self.folder / name
+        if not isinstance(content, str):
+            content = json.dumps(content)
+        path.write_text(content, encoding="utf-8")
+        return path
+
+    async def run_program(self, app, *arguments: str):
+        path = self.write("settings.json", self.options)
+        return await asyncio.to_thread(
+            testing.CliRunner().invoke,
+            app,
+            [*arguments, "--settings", str(path)],
+        )
+
+    async def publish(self, *arguments: str):
+        return await self.run_program(
+            publish.app, str(self.folder / "files"), *arguments
+        )
+
+
+class PublishTest(OperatorProgramTest):
+    """Wrong input must end with 2, the place, and nothing written."""
+
+    async def assert_refused(self, *parts: str) -> None:
+        revision = self.stub.model.table.revision
+        result = await self.publish()
+        self.assertEqual(2, result.exit_code, result.output)
+        for part in parts:
+            self.assertIn(part, result.stderr)
+        self.assertEqual(revision, self.stub.model.table.revision)
+
+    async def test_publish_and_dry_run(self):
+        """Guards against a dry run that writes."""
+        self.write("files/larder.json", test_service_file.valid())
+        dry = await self.publish("--dry-run")
+        self.assertEqual(0, dry.exit_code, dry.output)
+        self.assertEqual(0, self.stub.model.table.revision)
+        result = await self.publish("--json")
+        self.assertEqual(["larder"], json.loads(result.stdout)["added"])
+        self.assertEqual(2, self.stub.model.table.revision)
+
+    async def test_base_and_conflict(self):
+        """Guards against a change made on a manifest that is outdated."""
+        content = test_service_file.valid()
+        self.write("files/larder.json", content)
+        await self.publish()
+        shown = await self.run_program(ctl.app, "manifest")
+        base = self.write("base.json", shown.stdout)
+        self.write("files/larder.json", content | {"floor_slots": 1})
+        await self.publish()
+        self.write("files/larder.json", content | {"floor_slots": 0})
+        result = await self.publish("--base", str(base))
+        self.assertEqual(1, result.exit_code, result.output)
+        self.assertIn("larder", result.stderr)
+
+    async def test_malformed_json(self):
+        """Guards against a valid file published beside a broken one."""
+        self.write("files/larder.json", test_service_file.valid())
+        self.write("files/other.json", '{"service": ')
+        await self.assert_refused("other.json: (file)", "Invalid JSON")
+
+    async def test_unknown_field(self):
+        """Guards against a misspelt field that has no effect."""
+        content = test_service_file.valid() | {"flor_slots": 1}
+        self.write("files/larder.json", content)
+        await self.assert_refused("larder.json: flor_slots")
+
+    async def test_wrong_type(self):
+        """Guards against a text where a number belongs."""
+        content = test_service_file.valid()
+        content["targets"][0]["slots"] = "three"
+        self.write("files/larder.json", content)
+        await self.assert_refused("larder.json: targets.0.slots", "integer")
+
+    async def test_floor_above_the_targets(self):
+        """Guards against a floor that can't be kept."""
+        content = test_service_file.valid() | {"floor_slots": 4}
+        self.write("files/larder.json", content)
+        await self.assert_refused("larder.json", "floor_slots is 4")
+
+    async def test_duplicates_across_files(self):
+        """Guards against requests that match two services."""
+        content = test_service_file.valid()
+        self.write("files/larder.json", content)
+        self.write("files/other.json", content | {"service": "other"})
+        self.write("files/twin.json", content)
+        await self.assert_refused(
+            "other.json: kinds.lookup: duplicate route GET /larder/slots",
+            "twin.json: service: larder is also described",
+        )
+
+    async def test_duplicate_route_of_a_published_service(self):
+        """Guards against a clash with a service of another operator."""
+        content = test_service_file.valid()
+        path = self.write("files/larder.json", content)
+        await self.publish()
+        path.unlink()
+        self.write("files/other.json", content | {"service": "other"})
+        await self.assert_refused("other.json", "also in services/larder/")
+
+    async def test_settings_of_another_program(self):
+        """Guards against settings that only look right."""
+        self.write("files/larder.json", test_service_file.valid())
+        self.options["program"] = "dispatch"
+        await self.assert_refused("settings.json: program", "operator")
+
+    async def test_no_files(self):
+        """Guards against a mistyped directory taken for no change."""
+        await self.assert_refused("no *.json files")
+
+    async def test_outage(self):
+        """Guards against a stack trace when the platform is away."""
+        self.write("files/larder.json", test_service_file.valid())
+        await self.stub.stop()
+        with mock.patch.object(publisher, "ATTEMPTS", 2):
+            result = await self.publish()
+        self.assertEqual(1, result.exit_code, result.output)
+        self.assertNotIn("Traceback", result.output)
+
+
+class CtlTest(OperatorProgramTest):
+    """An operator must see what is in force and why."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.write("files/larder.json", test_service_file.valid())
+        await self.publish()
+        member = in_force.MemberReport(
+            host="127.0.1.1", role="dispatch", state="alive", number=0
+        )
+        report = in_force.ZoneReport(
+            availability_zone="tay-a",
+            region="tayside",
+            reporter="m1",
+            written_at=1.8e9,
+            members={"m1": member},
+        )
+        ejection = {
+            "since": 1.8e9,
+            "reason": "slow",
+            "evidence": {"ratio": 9.5},
+            "by": "m1",
+            "backoff_s": 5,
+        }
+        for key, content in (
+            ("in_force/tay-a", report.model_dump()),
+            ("status/larder", {"ejected": {"larder-1": ejection}}),
+            ("status/other", []),
+        ):
+            self.stub.model.table.put(
+                key, json.dumps(content).encode(), if_version=None
+            )
+        self.stub.model.set_host(
+            store.HostRecord(
+                host="127.0.1.9",
+                availability_zone="tay-b",
+                region="tayside",
+                leaving=True,
+            )
+        )
+
+    async def test_status(self):
+        """Guards against a lagging host that is not shown."""
+        result = await self.run_program(ctl.app, "status", "--json")
+        content = json.loads(result.stdout)
+        self.assertEqual(1, content["members"][0]["lag"])
+        self.assertEqual(1, content["zones"][0]["behind"])
+        self.assertEqual("ejected", content["services"]["larder"][0]["state"])
+        self.assertEqual("leaving", content["hosts"][0]["state"])
+        self.assertIn("status/other", content["problems"][0])
+        shown = await self.run_program(ctl.app, "status")
+        self.assertEqual(0, shown.exit_code, shown.output)
+        self.assertIn("127.0.1.9", shown.stdout)
+
+    async def test_explain(self):
+        """Guards against an ejection without its evidence."""
+        result = await self.run_program(ctl.app, "explain", "larder")
+        self.assertEqual(0, result.exit_code, result.output)
+        self.assertIn(
+            'larder-1 is ejected: slow; evidence {"ratio": 9.5}', result.stdout
+        )
+        self.assertIn("m1", result.stdout)
+        unknown = await self.run_program(ctl.app, "explain", "ladder")
+        self.assertEqual(2, unknown.exit_code)
+        self.assertIn("ladder", unknown.stderr)
