--- /dev/null
+++ b/fuchsiacourse/account_limits.py
@@ -0,0 +1,86 @@
+"""Request rates of callers' accounts."""
+
+from __future__ import annotations
+
+import collections
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import service_file
+from fuchsiacourse import token_bucket
+
+# Least recently used accounts are forgotten above this number; a forgotten
+# account starts with a full burst.
+MAX_BUCKETS = 10_000
+
+
+class AccountLimits:
+    """Token buckets by service and account.
+
+    Args:
+        clock: Source of time.
+        max_buckets: Most buckets that are kept.
+    """
+
+    def __init__(
+        self, *, clock: clocks.Clock, max_buckets: int = MAX_BUCKETS
+    ) -> None:
+        self._clock = clock
+        self._max_buckets = max_buckets
+        self._buckets: collections.OrderedDict[
+            tuple[str, str], token_bucket.TokenBucket
+        ] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        """Returns the number of buckets."""
+        return len(self._buckets)
+
+    def wait_s(
+        self,
+        service: service_file.ServiceFile,
+        account: str,
+        *,
+        keepers: int,
+    ) -> float:
+        """Counts a request and returns how long it is over the limit.
+
+        Args:
+            service: Service that is asked.
+            account: Account of the caller.
+            keepers: Entries that share the limit of an account.
+
+        Returns:
+            0 if the request is within the limit; else the seconds until
+            one more request is.
+        """
+        limits = service.account_limits
+        limit = limits.by_account.get(account, limits.default)
+        if limit is None:
+            return 0.0
+        now = self._clock.now()
+        bucket = self._bucket((service.service, account), limit, keepers, now)
+        if bucket.take(1.0, now_s=now):
+            return 0.0
+        return bucket.wait_s(1.0, now_s=now)
+
+    def _bucket(
+        self,
+        name: tuple[str, str],
+        limit: service_file.AccountLimit,
+        keepers: int,
+        now: float,
+    ) -> token_bucket.TokenBucket:
+        rate_per_s = limit.rate_per_s / keepers
+        burst = max(1.0, limit.burst / keepers)
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = token_bucket.TokenBucket(
+                rate_per_s=rate_per_s, burst=burst, now_s=now
+            )
+            self._buckets[name] = bucket
+        bucket.available(now_s=now)
+        bucket.rate_per_s = rate_per_s
+        bucket.burst = burst
+        self._buckets.move_to_end(name)
+        if len(self._buckets) > self._max_buckets:
+            self._buckets.popitem(last=False)
+        return bucket
--- /dev/null
+++ b/fuchsiacourse/caller_request.py
@@ -0,0 +1,174 @@
+"""A caller's request and the answer to it."""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+from fuchsiacourse import verdict as verdicts
+
+Headers = typing.Sequence[tuple[str, str]]
+
+# Attempt number of a request that does not state one.
+UNKNOWN_ATTEMPT = 0
+
+
+class CallerRequest:
+    """One HTTP request of a caller.
+
+    Args:
+        method: HTTP method.
+        path: Path as sent, without query string.
+        query: Query string as sent, without question mark.
+        headers: Headers to pass on to the target.
+        body: Whole body.
+        account: Account of the caller; empty if none was given.
+        key: Idempotency key; empty if none was given.
+        attempt: Number of this attempt from 1, or UNKNOWN_ATTEMPT.
+        request_id: Identifier that the answer echoes.
+        deadline_ms: Time that the caller waits; by default the time of
+            the request kind.
+    """
+
+    __slots__ = (
+        "method",
+        "path",
+        "query",
+        "headers",
+        "body",
+        "account",
+        "key",
+        "attempt",
+        "request_id",
+        "deadline_ms",
+        "_fingerprint",
+    )
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        path: str,
+        query: str = "",
+        headers: Headers = (),
+        body: bytes = b"",
+        account: str = "",
+        key: str = "",
+        attempt: int = UNKNOWN_ATTEMPT,
+        request_id: str = "",
+        deadline_ms: int | None = None,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.query = query
+        self.headers = list(headers)
+        self.body = body
+        self.account = account
+        self.key = key
+        self.attempt = attempt
+        self.request_id = request_id
+        self.deadline_ms = deadline_ms
+        self._fingerprint = ""
+
+    @property
+    def full_path(self) -> str:
+        """Path with query string."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
+    @property
+    def is_first_attempt(self) -> bool:
+        """Whether no earlier attempt of this request can exist.
+
+        A keyed request that does not state its attempt may be a repeat.
+        """
+        if self.attempt == UNKNOWN_ATTEMPT:
+            return not self.key
+        return self.attempt == 1
+
+    @property
+    def unsent_verdict(self) -> verdicts.Verdict:
+        """Verdict if this attempt was not run and nothing else is known."""
+        if self.is_first_attempt:
+            return verdicts.Verdict.NOT_RUN
+        return verdicts.Verdict.MAY_HAVE_RUN
+
+    @property
+    def fingerprint(self) -> str:
+        """Digest of method, path and body, equal for all callers."""
+        if not self._fingerprint:
+            digest = hashlib.sha256()
+            for part in (self.method, self.full_path):
+                digest.update(part.encode())
+                digest.update(b"\0")
+            digest.update(self.body)
+            self._fingerprint = digest.hexdigest()
+        return self._fingerprint
+
+    @property
+    def owned_fingerprint(self) -> str:
+        """Digest that also covers the account.
+
+        A ledger record is shown only to the account that made it, even if
+        another caller guesses its key.
+        """
+        text = f"{self.account}\0{self.fingerprint}"
+        return hashlib.sha256(text.encode()).hexdigest()
+
+    @property
+    def size_bytes(self) -> int:
+        """Approximate size on the wire."""
+        return (
+            len(self.full_path)
+            + len(self.body)
+            + sum(len(name) + len(value) + 4 for name, value in self.headers)
+        )
+
+
+class CallerAnswer:
+    """What a caller is told.
+
+    Args:
+        status: HTTP status code.
+        verdict: What is known of the request's execution.
+        headers: Headers of the answer, without the fleet's own.
+        body: Whole body.
+        request_id: Echo of the caller's identifier.
+        refused: Whether the fleet, not a target, made this answer.
+    """
+
+    __slots__ = (
+        "status",
+        "verdict",
+        "headers",
+        "body",
+        "request_id",
+        "refused",
+    )
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        verdict: verdicts.Verdict,
+        headers: Headers = (),
+        body: bytes = b"",
+        request_id: str = "",
+        refused: bool = False,
+    ) -> None:
+        self.status = status
+        self.verdict = verdict
+        self.headers = list(headers)
+        self.body = body
+        self.request_id = request_id
+        self.refused = refused
+
+    def addressed_to(self, request_id: str) -> CallerAnswer:
+        """Returns a copy for one of several callers that share a run."""
+        return CallerAnswer(
+            status=self.status,
+            verdict=self.verdict,
+            headers=self.headers,
+            body=self.body,
+            request_id=request_id,
+            refused=self.refused,
+        )
--- /dev/null
+++ b/fuchsiacourse/claims.py
@@ -0,0 +1,193 @@
+"""Claims of caller-chosen idempotency keys in the platform's store."""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import json
+import typing
+
+from fuchsiacourse import caller_request
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse import logs
+from fuchsiacourse import store as stores
+from fuchsiacourse import token_bucket
+
+PREFIX = "claims/"
+# Own claims that are remembered for deletion; the rest is deleted by the
+# entry that next sees them.
+_MAX_REMEMBERED = 20_000
+# Deletions leave this share of the write budget to new claims.
+_RESERVED_SHARE = 0.5
+_BURST_S = 10.0
+_RETRY_AFTER_S = 1.0
+
+
+class Claim:
+    """Who may run a caller-chosen key.
+
+    Args:
+        incarnation: Process that holds the claim.
+        is_new: Whether this very call made the claim.
+    """
+
+    __slots__ = ("incarnation", "is_new")
+
+    def __init__(self, *, incarnation: str, is_new: bool) -> None:
+        self.incarnation = incarnation
+        self.is_new = is_new
+
+
+class Claims:
+    """Claims keys by conditional creates within a write budget.
+
+    Args:
+        clock: Source of time.
+        store: Platform's object API.
+        incarnation: The own process start.
+        address: Address of this entry for callers.
+        writes_per_s: Write budget.
+        lifetime_s: Seconds after which a claim may be deleted.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        store: stores.Store,
+        incarnation: str,
+        address: str,
+        writes_per_s: float,
+        lifetime_s: float,
+        log: typing.Any,
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._incarnation = incarnation
+        self._address = address
+        self._lifetime_s = lifetime_s
+        self._log = log
+        self._claims = 0
+        self._budget = token_bucket.TokenBucket(
+            rate_per_s=writes_per_s,
+            burst=max(1.0, writes_per_s * _BURST_S),
+            now_s=clock.now(),
+        )
+        self._own: collections.deque[tuple[float, str, int]] = (
+            collections.deque(maxlen=_MAX_REMEMBERED)
+        )
+
+    async def claim(self, request: caller_request.CallerRequest) -> Claim:
+        """Claims the key of a request.
+
+        Raises:
+            RefusedError: The claim could not be made or read. This call
+                gives no right to run the key.
+        """
+        name = PREFIX + digest(request.account, request.key)
+        self._claims += 1
+        claim_id = f"{self._incarnation}-{self._claims}"
+        try:
+            return await self._create(request, name, claim_id)
+        except errors.StoreError as error:
+            logs.warning(self._log, "claim_failed", reason=repr(error))
+            raise _unavailable(request) from None
+
+    async def delete_expired(self) -> None:
+        """Deletes own claims that have expired, as the budget allows."""
+        while self._own and self._own[0][0] <= self._clock.now():
+            if not self._take(self._budget.burst * _RESERVED_SHARE):
+                return
+            _, name, version = self._own.popleft()
+            try:
+                await self._store.delete(name, if_version=version)
+            except errors.StoreError as error:
+                logs.warning(
+                    self._log, "claim_not_deleted", reason=repr(error)
+                )
+                return
+
+    async def _create(
+        self,
+        request: caller_request.CallerRequest,
+        name: str,
+        claim_id: str,
+    ) -> Claim:
+        for _ in range(2):
+            if not self._take():
+                raise _unavailable(request)
+            try:
+                version = await self._store.put(
+                    name,
+                    self._value(claim_id),
+                    if_version=stores.CREATE_ONLY,
+                )
+                self._remember(name, version)
+                return Claim(incarnation=self._incarnation, is_new=True)
+            except (errors.StoreUnsure, errors.VersionConflict):
+                found = await self._store.get(name)
+            if found is None:
+                # A write whose reply was lost may still take effect. It
+                # then names a claim that nobody uses.
+                raise _unavailable(request)
+            content = _parse(found.value)
+            if content["claim"] == claim_id:
+                self._remember(name, found.version)
+                return Claim(incarnation=self._incarnation, is_new=True)
+            if content["expires_at"] > self._clock.wall():
+                return Claim(incarnation=content["incarnation"], is_new=False)
+            if not self._take():
+                raise _unavailable(request)
+            await self._store.delete(name, if_version=found.version)
+        raise _unavailable(request)
+
+    def _take(self, reserved: float = 0.0) -> bool:
+        now = self._clock.now()
+        if self._budget.available(now_s=now) < 1.0 + reserved:
+            return False
+        return self._budget.take(1.0, now_s=now)
+
+    def _remember(self, name: str, version: int) -> None:
+        self._own.append((self._clock.now() + self._lifetime_s, name, version))
+
+    def _value(self, claim_id: str) -> bytes:
+        return json.dumps(
+            {
+                "incarnation": self._incarnation,
+                "address": self._address,
+                "claim": claim_id,
+                "expires_at": self._clock.wall() + self._lifetime_s,
+            }
+        ).encode()
+
+
+def digest(account: str, key: str) -> str:
+    """Returns the name of a claim: a hash of account and key."""
+    return hashlib.sha256(f"{account}\0{key}".encode()).hexdigest()
+
+
+def _parse(value: bytes) -> dict[str, typing.Any]:
+    try:
+        content = json.loads(value)
+        return {
+            "incarnation": str(content["incarnation"]),
+            "claim": str(content["claim"]),
+            "expires_at": float(content["expires_at"]),
+        }
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.StoreError(f"claim is malformed: {error!r}") from error
+
+
+def _unavailable(
+    request: caller_request.CallerRequest,
+) -> errors.RefusedError:
+    return errors.RefusedError(
+        verdict=request.unsent_verdict,
+        status=503,
+        title="Key cannot be claimed",
+        detail="Caller-chosen keys cannot be recorded now; use issued keys.",
+        retry_after_s=_RETRY_AFTER_S,
+        offer_keys=True,
+    )
--- /dev/null
+++ b/fuchsiacourse/entry_app.py
@@ -0,0 +1,316 @@
+"""HTTP application for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import falcon
+import falcon.asgi
+
+from fuchsiacourse import caller_request
+from fuchsiacourse import entry_service
+from fuchsiacourse import errors
+from fuchsiacourse import settings as setting_models
+from fuchsiacourse import verdict as verdicts
+
+ADDRESSES_PATH = "/fleet/addresses"
+MAX_KEY_LENGTH = 255
+_MAX_ATTEMPT = 2**31 - 1
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Headers that the fleet reads or sets itself.
+_REQUEST_ONLY = frozenset(
+    (
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "request-attempt",
+        "request-deadline-ms",
+        "request-id",
+    )
+)
+_ANSWER_ONLY = frozenset(
+    (
+        "content-length",
+        "date",
+        "request-id",
+        "request-verdict",
+        "server",
+        "target-incarnation",
+        "target-state",
+    )
+)
+
+
+class EntryApp(falcon.asgi.App):
+    """Address list and proxied routes.
+
+    Args:
+        service: Entry service that answers.
+        settings: Limits of headers and bodies.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: entry_service.EntryService,
+        settings: setting_models.EntrySettings,
+    ) -> None:
+        super().__init__()
+        proxy = _Proxy(service=service, settings=settings)
+        self.add_route(ADDRESSES_PATH, _Addresses(service=service))
+        self.add_sink(proxy.handle, prefix="/")
+        self.add_error_handler(Exception, proxy.handle_error)
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serves a request; marks bodies that end too early."""
+
+        async def watched() -> typing.Any:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                scope["fuchsiacourse.cut_off"] = True
+            return event
+
+        await super().__call__(scope, watched, send)
+
+
+class _Addresses:
+    def __init__(self, *, service: entry_service.EntryService) -> None:
+        self._service = service
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        request_id = req.get_header("Request-Id") or ""
+        try:
+            listed = self._service.address_list(req.get_param("caller") or "")
+        except errors.RefusedError as error:
+            _write(resp, self._service.refuse(error, request_id=request_id))
+            return
+        resp.media = listed.as_json()
+        resp.set_header("cache-control", f"max-age={int(listed.ttl_s)}")
+        resp.set_header("request-id", request_id)
+        resp.set_header("request-verdict", verdicts.Verdict.RAN.value)
+
+    on_head = on_get
+
+
+class _Proxy:
+    def __init__(
+        self,
+        *,
+        service: entry_service.EntryService,
+        settings: setting_models.EntrySettings,
+    ) -> None:
+        self._service = service
+        self._settings = settings
+
+    async def handle(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Answers a request of any route but the fleet's own."""
+        headers = _decoded(req.scope["headers"])
+        request = caller_request.CallerRequest(
+            method=req.method,
+            path=_raw_path(req),
+            query=req.scope.get("query_string", b"").decode("latin-1"),
+            headers=_passed_on(headers, _REQUEST_ONLY),
+            request_id=_single(headers, "request-id") or "",
+        )
+        try:
+            _read_headers(request, headers)
+            self._check_headers(request, headers)
+            request.body = await self._read_body(req, request)
+        except errors.RefusedError as error:
+            _write(
+                resp,
+                self._service.refuse(error, request_id=request.request_id),
+            )
+            return
+        _write(resp, await self._service.handle(request))
+
+    async def handle_error(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        error: Exception,
+        params: typing.Any,
+    ) -> None:
+        """Answers requests that falcon refuses or that fail here."""
+        status = 500
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        if isinstance(error, falcon.HTTPError):
+            # Raised by falcon's own routing, before the request is sent.
+            status = falcon.http_status_to_code(error.status)
+            verdict = verdicts.Verdict.NOT_RUN
+        refusal = errors.RefusedError(
+            verdict=verdict, status=status, title="Request failed"
+        )
+        request_id = req.get_header("Request-Id") or ""
+        _write(resp, self._service.refuse(refusal, request_id=request_id))
+
+    def _check_headers(
+        self,
+        request: caller_request.CallerRequest,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        size_bytes = len(request.full_path) + sum(
+            len(name) + len(value) + 4 for name, value in headers
+        )
+        if size_bytes > self._settings.max_header_bytes:
+            raise _refused(
+                request,
+                431,
+                "Headers are too large",
+                f"The limit is {self._settings.max_header_bytes} bytes.",
+            )
+
+    async def _read_body(
+        self,
+        req: falcon.asgi.Request,
+        request: caller_request.CallerRequest,
+    ) -> bytes:
+        limit = self._settings.max_body_bytes
+        too_large = _refused(
+            request, 413, "Body is too large", f"The limit is {limit} bytes."
+        )
+        if (req.content_length or 0) > limit:
+            raise too_large
+        chunks: list[bytes] = []
+        size_bytes = 0
+        try:
+            async with asyncio.timeout(self._settings.body_timeout_s):
+                async for chunk in req.stream:
+                    size_bytes += len(chunk)
+                    if size_bytes > limit:
+                        raise too_large
+                    chunks.append(chunk)
+        except TimeoutError:
+            raise _refused(request, 408, "Body did not arrive") from None
+        if req.scope.get("fuchsiacourse.cut_off") or (
+            req.content_length is not None and size_bytes < req.content_length
+        ):
+            raise _refused(request, 400, "Body is truncated")
+        return b"".join(chunks)
+
+
+def _read_headers(
+    request: caller_request.CallerRequest, headers: list[tuple[str, str]]
+) -> None:
+    """Reads the fleet's headers into a request."""
+    key = _single(headers, "idempotency-key")
+    # The header is a structured string in the IETF draft, thus quoted.
+    if key and len(key) > 1 and key[0] == key[-1] == '"':
+        key = key[1:-1]
+    request.key = key or ""
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise _refused(request, 400, "Idempotency-Key is malformed")
+    if _count(headers, "idempotency-key") > 1:
+        raise _refused(request, 400, "Idempotency-Key is repeated")
+    request.account = _single(headers, "caller-account") or ""
+    request.deadline_ms = _number(request, headers, "request-deadline-ms")
+    attempt = _number(request, headers, "request-attempt")
+    request.attempt = attempt or caller_request.UNKNOWN_ATTEMPT
+
+
+def _number(
+    request: caller_request.CallerRequest,
+    headers: list[tuple[str, str]],
+    name: str,
+) -> int | None:
+    text = _single(headers, name)
+    if text is None:
+        return None
+    if text.isascii() and text.isdigit() and 0 < int(text) <= _MAX_ATTEMPT:
+        return int(text)
+    raise _refused(request, 400, f"{name.title()} is malformed")
+
+
+def _decoded(
+    headers: typing.Iterable[tuple[bytes, bytes]],
+) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in headers
+    ]
+
+
+def _single(headers: list[tuple[str, str]], name: str) -> str | None:
+    return next((value for key, value in headers if key == name), None)
+
+
+def _count(headers: list[tuple[str, str]], name: str) -> int:
+    return sum(key == name for key, _ in headers)
+
+
+def _passed_on(
+    headers: typing.Iterable[tuple[str, str]], dropped: frozenset[str]
+) -> list[tuple[str, str]]:
+    """Returns the headers that cross the proxy."""
+    headers = list(headers)
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == "connection"
+        for name in value.split(",")
+    }
+    return [
+        (key, value)
+        for key, value in headers
+        if key.lower() not in _HOP_BY_HOP
+        and key.lower() not in dropped
+        and key.lower() not in named
+    ]
+
+
+def _raw_path(req: falcon.asgi.Request) -> str:
+    raw = req.scope.get("raw_path") or req.scope["path"].encode()
+    return raw.partition(b"?")[0].decode("latin-1")
+
+
+def _refused(
+    request: caller_request.CallerRequest,
+    status: int,
+    title: str,
+    detail: str = "",
+) -> errors.RefusedError:
+    return errors.RefusedError(
+        verdict=request.unsent_verdict,
+        status=status,
+        title=title,
+        detail=detail,
+    )
+
+
+def _write(
+    resp: falcon.asgi.Response, answer: caller_request.CallerAnswer
+) -> None:
+    resp.status = falcon.code_to_http_status(answer.status)
+    resp.data = answer.body
+    # Without a type falcon would state its default one.
+    resp.content_type = None
+    for name, value in _passed_on(answer.headers, _ANSWER_ONLY):
+        if name.lower() == "content-type":
+            resp.content_type = value
+        elif name.lower() == "set-cookie":
+            resp.append_header(name, value)
+        else:
+            resp.append_header(name, value)
+    resp.set_header("request-id", answer.request_id)
+    resp.set_header("request-verdict", answer.verdict.value)
--- /dev/null
+++ b/fuchsiacourse/entry_service.py
@@ -0,0 +1,388 @@
+"""The entry: answers callers, relays keys and keeps verdicts."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from fuchsiacourse import account_limits
+from fuchsiacourse import address_list
+from fuchsiacourse import burn_counters
+from fuchsiacourse import caller_request
+from fuchsiacourse import claims as claim_records
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import config_table
+from fuchsiacourse import entry_stop
+from fuchsiacourse import errors
+from fuchsiacourse import execution as executions
+from fuchsiacourse import executor as executors
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import hand_over as hand_overs
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import key_blocks
+from fuchsiacourse import keyed_runs
+from fuchsiacourse import ledger as ledgers
+from fuchsiacourse import ledger_seal
+from fuchsiacourse import logs
+from fuchsiacourse import members as member_tables
+from fuchsiacourse import metrics as metric_sets
+from fuchsiacourse import peers as peer_ports
+from fuchsiacourse import problem
+from fuchsiacourse import region_choice
+from fuchsiacourse import relays as relay_calls
+from fuchsiacourse import settings as setting_models
+from fuchsiacourse import store as stores
+from fuchsiacourse import timers as timer_services
+from fuchsiacourse import verdict as verdicts
+
+CLAIM_DELETION_INTERVAL_S = 60.0
+
+
+class EntryService:
+    """Serves callers and other entries; built within a running loop.
+
+    Args:
+        settings: Settings of the entry program.
+        clock: Source of time.
+        timers: Timer service; runs go on there without their callers.
+        rng: Source of randomness.
+        members: Member table.
+        config: Configuration in force.
+        peers: Port to other processes.
+        store: Platform's object API.
+        invariants: Checks of the guarantees.
+        log: Logger.
+        metrics: Metrics of the process; by default none.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: setting_models.EntrySettings,
+        clock: clocks.Clock,
+        timers: timer_services.Timers,
+        rng: random.Random,
+        members: member_tables.Members,
+        config: config_table.ConfigTable,
+        peers: peer_ports.Peers,
+        store: stores.Store,
+        invariants: invariant_checks.Invariants,
+        log: typing.Any,
+        metrics: metric_sets.Metrics | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._members = members
+        self._config = config
+        self._log = log
+        self._metrics = metrics
+        self._in_flight = 0
+        self._requests = 0
+        self._limits = account_limits.AccountLimits(clock=clock)
+        self.burn = burn_counters.BurnCounters(clock=clock)
+        self._seal = ledger_seal.LedgerSeal()
+        self._ledger = ledgers.Ledger(
+            clock=clock,
+            invariants=invariants,
+            max_records=settings.ledger_max_records,
+            max_bytes=settings.ledger_max_bytes,
+            max_answer_bytes=settings.ledger_max_answer_bytes,
+        )
+        self._blocks = key_blocks.KeyBlocks(
+            incarnation=members.self.id,
+            clock=clock,
+            block_size=settings.key_block_size,
+            lifetime_s=settings.key_block_lifetime_s,
+        )
+        self._executor = executors.Executor(
+            clock=clock,
+            members=members,
+            peers=peers,
+            regions=region_choice.RegionChoice(
+                clock=clock,
+                region=settings.region,
+                spill_bytes_per_s=settings.spill_bytes_per_s,
+            ),
+            invariants=invariants,
+            log=log,
+        )
+        claims = claim_records.Claims(
+            clock=clock,
+            store=store,
+            incarnation=members.self.id,
+            address=settings.http_address,
+            writes_per_s=settings.claim_writes_per_s,
+            lifetime_s=settings.claim_lifetime_s,
+            log=log,
+        )
+        self._keyed_runs = keyed_runs.KeyedRuns(
+            clock=clock,
+            timers=timers,
+            ledger=self._ledger,
+            blocks=self._blocks,
+            claims=claims,
+            relays=relay_calls.Relays(
+                clock=clock, members=members, peers=peers, log=log
+            ),
+            executor=self._executor,
+            seal=self._seal,
+            invariants=invariants,
+        )
+        self._stop = entry_stop.EntryStop(
+            settings=settings,
+            clock=clock,
+            members=members,
+            sender=hand_overs.HandOverSender(
+                clock=clock,
+                rng=rng,
+                members=members,
+                peers=peers,
+                ledger=self._ledger,
+                blocks=self._blocks,
+                log=log,
+            ),
+            seal=self._seal,
+            runs=lambda: self._ledger.in_progress,
+            in_flight=lambda: self._in_flight,
+            invariants=invariants,
+            log=log,
+        )
+        self._receiver = hand_overs.HandOverReceiver(
+            clock=clock,
+            ledger=self._ledger,
+            blocks=self._blocks,
+            seal=self._seal,
+            log=log,
+        )
+        timers.on_wake(self._note_pause)
+        timers.every(
+            CLAIM_DELETION_INTERVAL_S, claims.delete_expired, jitter=0.2
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests and relays that are being answered."""
+        return self._in_flight
+
+    async def handle(
+        self, request: caller_request.CallerRequest
+    ) -> caller_request.CallerAnswer:
+        """Answers a caller.
+
+        Args:
+            request: The caller's request.
+
+        Returns:
+            The target's whole answer, or a refusal with its verdict.
+        """
+        arrived_at = self._clock.now()
+        self._requests += 1
+        if not request.request_id:
+            request.request_id = f"{self._members.self.id}-c{self._requests}"
+        answer = await self._answer(request, hops=0)
+        self._count(request, answer, self._clock.now() - arrived_at)
+        return answer
+
+    async def relay(
+        self, message: fleet_pb2.RelayRequest
+    ) -> fleet_pb2.RelayReply:
+        """Answers a keyed request that another entry sends on."""
+        request = relay_calls.to_request(message)
+        answer = await self._answer(request, hops=max(1, message.hops))
+        return relay_calls.to_reply(message.relay_id, answer)
+
+    async def hand_over(
+        self, request: fleet_pb2.HandOverRequest
+    ) -> fleet_pb2.HandOverReply:
+        """Takes a part of a stopping entry's ledger over."""
+        return self._receiver.receive(request)
+
+    def address_list(self, account: str) -> address_list.AddressList:
+        """Returns the entries that a caller should use, with new keys.
+
+        Args:
+            account: Account of the caller; empty if none was given.
+
+        Raises:
+            RefusedError: This process issues no more keys.
+        """
+        if self._seal.is_sealed:
+            raise errors.RefusedError(
+                verdict=verdicts.Verdict.NOT_RUN,
+                status=503,
+                title="Entry is stopping",
+                retry_after_s=1.0,
+            )
+        return address_list.AddressList(
+            entries=address_list.choose(
+                self._members,
+                account,
+                count=self._settings.entries_per_account,
+                rng=self._rng,
+            ),
+            ttl_s=self._settings.address_list_ttl_s,
+            keys=self._blocks.issue(),
+            issuer=self._settings.http_address,
+        )
+
+    def refuse(
+        self, error: errors.RefusedError, *, request_id: str = ""
+    ) -> caller_request.CallerAnswer:
+        """Returns the answer for a refusal, with new keys if they help."""
+        keys = None
+        if error.offer_keys and not self._seal.is_sealed:
+            keys = self._blocks.issue()
+        answer = problem.answer(error, keys=keys)
+        answer.request_id = request_id
+        return answer
+
+    async def drain(self) -> None:
+        """Stops as planned; returns when the process may close."""
+        await self._stop.run()
+
+    async def _answer(
+        self, request: caller_request.CallerRequest, *, hops: int
+    ) -> caller_request.CallerAnswer:
+        self._in_flight += 1
+        try:
+            answer = await self._decide(request, hops)
+        except errors.RefusedError as error:
+            answer = self.refuse(error)
+        except Exception as error:
+            # The fault may have come after the request was sent.
+            logs.warning(self._log, "request_failed", reason=repr(error))
+            answer = self.refuse(
+                errors.RefusedError(
+                    verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                    status=500,
+                    title="Internal error",
+                )
+            )
+        finally:
+            self._in_flight -= 1
+        answer.request_id = request.request_id
+        return answer
+
+    async def _decide(
+        self, request: caller_request.CallerRequest, hops: int
+    ) -> caller_request.CallerAnswer:
+        if self._stop.is_closed:
+            raise _unsent(request, 503, "Entry is stopping")
+        route = self._route(request)
+        if route is None:
+            raise _unsent(request, 404, "No such route")
+        execution = executions.Execution(
+            request=request,
+            route=route,
+            deadline_at=self._deadline(request, route),
+        )
+        if route.kind.idempotent:
+            return await self._run_idempotent(execution)
+        if not request.key:
+            raise errors.RefusedError(
+                verdict=verdicts.Verdict.NOT_RUN,
+                status=428,
+                title="Idempotency key is required",
+                offer_keys=True,
+            )
+        return await self._keyed_runs.answer(
+            execution,
+            hops=hops,
+            admit=lambda: None if hops else self._admit(execution),
+        )
+
+    async def _run_idempotent(
+        self, execution: executions.Execution
+    ) -> caller_request.CallerAnswer:
+        request = execution.request
+        try:
+            self._admit(execution)
+            return await self._executor.run(execution)
+        except errors.RefusedError as error:
+            if error.verdict is not verdicts.Verdict.NOT_RUN:
+                raise
+            # An earlier attempt is not known here and may have run.
+            raise problem.copied(
+                error, verdict=request.unsent_verdict
+            ) from None
+
+    def _admit(self, execution: executions.Execution) -> None:
+        account = execution.request.account
+        entries = self._members.alive(
+            member_tables.ENTRY, region=self._settings.region
+        )
+        keepers = min(self._settings.entries_per_account, len(entries))
+        wait_s = self._limits.wait_s(
+            execution.route.service, account, keepers=max(1, keepers)
+        )
+        if wait_s > 0:
+            raise _unsent(
+                execution.request,
+                429,
+                "Account is over its limit",
+                retry_after_s=wait_s,
+            )
+
+    def _route(
+        self, request: caller_request.CallerRequest
+    ) -> config_table.Route | None:
+        route = self._config.route(request.method, request.path)
+        if route is None and request.method == "HEAD":
+            route = self._config.route("GET", request.path)
+        return route
+
+    def _deadline(
+        self,
+        request: caller_request.CallerRequest,
+        route: config_table.Route,
+    ) -> float:
+        deadline_ms = route.kind.deadline_ms
+        if request.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, request.deadline_ms)
+        return self._clock.now() + deadline_ms / 1000
+
+    def _count(
+        self,
+        request: caller_request.CallerRequest,
+        answer: caller_request.CallerAnswer,
+        elapsed_s: float,
+    ) -> None:
+        route = self._route(request)
+        if route is None:
+            return
+        self.burn.record(
+            route.service, route.kind, answer, elapsed_s=elapsed_s
+        )
+        if self._metrics is not None:
+            self._metrics.count(
+                "entry_answers",
+                "Answers to callers.",
+                service=route.service.service,
+                verdict=answer.verdict.value,
+            )
+
+    def _note_pause(self, pause_s: float) -> None:
+        # Waiting requests check their deadlines when they go on, before
+        # anything is sent; the log explains their late refusals.
+        logs.warning(
+            self._log,
+            "process_paused",
+            pause_s=round(pause_s, 3),
+            in_flight=self._in_flight,
+        )
+
+
+def _unsent(
+    request: caller_request.CallerRequest,
+    status: int,
+    title: str,
+    *,
+    retry_after_s: float | None = None,
+) -> errors.RefusedError:
+    return errors.RefusedError(
+        verdict=request.unsent_verdict,
+        status=status,
+        title=title,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/fuchsiacourse/entry_stop.py
@@ -0,0 +1,106 @@
+"""Planned stop of an entry process."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import hand_over as hand_overs
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import ledger_seal
+from fuchsiacourse import logs
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import members as member_tables
+from fuchsiacourse import settings as setting_models
+
+# Callers may use a list for its time to live; requests under way come later.
+LIST_MARGIN_S = 1.0
+# Time for gossip to tell of the successor before the process closes.
+LINGER_S = 2.0
+# Time for the hand-over even if the requests in flight took all of theirs.
+HAND_OVER_MIN_S = 10.0
+IDLE_POLL_S = 0.02
+
+Number = typing.Callable[[], int]
+
+
+class EntryStop:
+    """Leaves the fleet without cutting off a request.
+
+    Args:
+        settings: Settings of the entry program.
+        clock: Source of time.
+        members: Member table; the own row tells of the stop.
+        sender: Hands the ledger over.
+        seal: Ends the right to run new keys.
+        runs: Gives the number of runs in the ledger that have not ended.
+        in_flight: Gives the number of requests that are being answered.
+        invariants: Checks that no request is cut off.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: setting_models.EntrySettings,
+        clock: clocks.Clock,
+        members: member_tables.Members,
+        sender: hand_overs.HandOverSender,
+        seal: ledger_seal.LedgerSeal,
+        runs: Number,
+        in_flight: Number,
+        invariants: invariant_checks.Invariants,
+        log: typing.Any,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._members = members
+        self._sender = sender
+        self._seal = seal
+        self._runs = runs
+        self._in_flight = in_flight
+        self._invariants = invariants
+        self._log = log
+        self._task: asyncio.Future[None] | None = None
+        self.is_closed = False
+
+    async def run(self) -> None:
+        """Stops; later calls wait for the end of the first one."""
+        if self._task is None:
+            self._task = asyncio.ensure_future(self._run())
+        await asyncio.shield(self._task)
+
+    async def _run(self) -> None:
+        limit = self._clock.now() + self._settings.drain_max_s
+        self._announce(member_rows.State.LEAVING)
+        await self._clock.sleep(
+            self._settings.address_list_ttl_s + LIST_MARGIN_S
+        )
+        self._seal.close()
+        await self._wait_while(self._runs, limit)
+        successor = await self._sender.send(
+            until=max(limit, self._clock.now() + HAND_OVER_MIN_S)
+        )
+        self._members.self.successor = successor
+        self._announce(member_rows.State.LEFT)
+        self._seal.hand_over_ended(successor)
+        await self._clock.sleep(LINGER_S)
+        await self._wait_while(self._in_flight, limit)
+        self.is_closed = True
+        self._invariants.check(
+            invariant_checks.InvariantId.GRACEFUL_STOP,
+            self._in_flight() == 0,
+            in_flight=self._in_flight(),
+        )
+        logs.event(self._log, "entry_drained", successor=successor)
+
+    async def _wait_while(self, number: Number, limit: float) -> None:
+        while number() and self._clock.now() < limit:
+            await self._clock.sleep(IDLE_POLL_S)
+
+    def _announce(self, state: member_rows.State) -> None:
+        row = self._members.self
+        row.state = state
+        row.sequence += 1
+        self._members.notify(row)
--- /dev/null
+++ b/fuchsiacourse/key_blocks.py
@@ -0,0 +1,233 @@
+"""Blocks of idempotency keys that may still be used."""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import idempotency_key
+from fuchsiacourse import verdict as verdicts
+
+# Blocks issued within this time share one row; they expire together.
+_ROW_SPAN_S = 1.0
+# A key of a block not yet issued is refused as not run, which stays true
+# only if that block is never issued. This many blocks ahead are skipped.
+_MAX_SKIPPED_BLOCKS = 1024
+
+
+class IssuedBlock:
+    """A block of keys as a caller is told of it.
+
+    Args:
+        prefix: Common part of the keys; ``-<n>`` follows.
+        count: Number of keys, numbered from 0.
+        expires_in_s: Seconds until the keys are refused.
+    """
+
+    __slots__ = ("prefix", "count", "expires_in_s")
+
+    def __init__(
+        self, *, prefix: str, count: int, expires_in_s: float
+    ) -> None:
+        self.prefix = prefix
+        self.count = count
+        self.expires_in_s = expires_in_s
+
+    def as_json(self) -> dict[str, typing.Any]:
+        """Returns the block as a JSON object."""
+        return {
+            "prefix": self.prefix,
+            "count": self.count,
+            "expires_in_s": int(self.expires_in_s),
+        }
+
+
+class _Row:
+    """Blocks ``first`` to ``next - 1``, which expire together."""
+
+    __slots__ = ("first", "next", "issued_at", "expires_at")
+
+    def __init__(
+        self, *, first: int, next: int, issued_at: float, expires_at: float
+    ) -> None:
+        self.first = first
+        self.next = next
+        self.issued_at = issued_at
+        self.expires_at = expires_at
+
+
+class KeyBlocks:
+    """Blocks by the incarnation that issued them.
+
+    Args:
+        incarnation: The own process start.
+        clock: Source of time.
+        block_size: Keys in a block.
+        lifetime_s: Seconds that a block can be used.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        clock: clocks.Clock,
+        block_size: int,
+        lifetime_s: float,
+    ) -> None:
+        self._incarnation = incarnation
+        self._clock = clock
+        self._block_size = block_size
+        self._lifetime_s = lifetime_s
+        self._next_block = 0
+        self._skipped: set[int] = set()
+        self._rows_by_incarnation: dict[str, list[_Row]] = {incarnation: []}
+
+    def holds(self, incarnation: str) -> bool:
+        """Whether this process decides on the keys of an incarnation."""
+        return incarnation in self._rows_by_incarnation
+
+    def issue(self) -> IssuedBlock:
+        """Issues a new block."""
+        now = self._clock.now()
+        while self._next_block in self._skipped:
+            self._skipped.discard(self._next_block)
+            self._next_block += 1
+        block = self._next_block
+        self._next_block += 1
+        self._drop_expired(now)
+        self._record(block, now)
+        return IssuedBlock(
+            prefix=idempotency_key.block_prefix(self._incarnation, block),
+            count=self._block_size,
+            expires_in_s=self._lifetime_s,
+        )
+
+    def expires_at(self, key: idempotency_key.IdempotencyKey) -> float:
+        """Returns the monotonic time at which a key expires.
+
+        Raises:
+            RefusedError: The key was not issued, or it has expired.
+        """
+        if key.number >= self._block_size:
+            raise _unknown(verdicts.Verdict.NOT_RUN)
+        row = self._row_of(key)
+        if row is not None and row.expires_at > self._clock.now():
+            return row.expires_at
+        if self._was_issued(key, row):
+            raise errors.RefusedError(
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                status=410,
+                title="Key has expired",
+                detail="The block of this idempotency key has expired.",
+                offer_keys=True,
+            )
+        raise _unknown(self._close_unissued(key))
+
+    def adopt(
+        self, messages: collections.abc.Iterable[fleet_pb2.IssuedBlocks]
+    ) -> None:
+        """Takes over the blocks of other incarnations."""
+        now = self._clock.now()
+        for message in messages:
+            if message.incarnation == self._incarnation:
+                continue
+            rows = self._rows_by_incarnation.setdefault(
+                message.incarnation, []
+            )
+            rows.append(
+                _Row(
+                    first=message.first_block,
+                    next=message.next_block,
+                    issued_at=now,
+                    expires_at=now + message.expires_in_ms / 1000,
+                )
+            )
+            rows.sort(key=lambda row: row.first)
+
+    def snapshot(self) -> list[fleet_pb2.IssuedBlocks]:
+        """Returns all blocks that are not expired, for a hand-over."""
+        now = self._clock.now()
+        self._drop_expired(now)
+        messages = []
+        for incarnation, rows in self._rows_by_incarnation.items():
+            for row in rows:
+                messages.append(
+                    fleet_pb2.IssuedBlocks(
+                        incarnation=incarnation,
+                        first_block=row.first,
+                        next_block=row.next,
+                        expires_in_ms=int((row.expires_at - now) * 1000),
+                    )
+                )
+        return messages
+
+    def _record(self, block: int, now: float) -> None:
+        rows = self._rows_by_incarnation[self._incarnation]
+        last = rows[-1] if rows else None
+        if (
+            last is not None
+            and last.next == block
+            and now - last.issued_at <= _ROW_SPAN_S
+        ):
+            last.next = block + 1
+            last.expires_at = now + self._lifetime_s
+            return
+        rows.append(
+            _Row(
+                first=block,
+                next=block + 1,
+                issued_at=now,
+                expires_at=now + self._lifetime_s,
+            )
+        )
+
+    def _row_of(self, key: idempotency_key.IdempotencyKey) -> _Row | None:
+        rows = self._rows_by_incarnation.get(key.incarnation, [])
+        place = bisect.bisect_right(rows, key.block, key=lambda row: row.first)
+        if place == 0 or key.block >= rows[place - 1].next:
+            return None
+        return rows[place - 1]
+
+    def _was_issued(
+        self, key: idempotency_key.IdempotencyKey, row: _Row | None
+    ) -> bool:
+        # Of another incarnation only the unexpired blocks are known, so
+        # that any other block may be one that has expired.
+        if key.incarnation != self._incarnation:
+            return True
+        return row is not None or key.block < self._next_block
+
+    def _close_unissued(
+        self, key: idempotency_key.IdempotencyKey
+    ) -> verdicts.Verdict:
+        if len(self._skipped) < _MAX_SKIPPED_BLOCKS:
+            self._skipped.add(key.block)
+        if key.block in self._skipped:
+            return verdicts.Verdict.NOT_RUN
+        return verdicts.Verdict.MAY_HAVE_RUN
+
+    def _drop_expired(self, now: float) -> None:
+        for incarnation in list(self._rows_by_incarnation):
+            rows = [
+                row
+                for row in self._rows_by_incarnation[incarnation]
+                if row.expires_at > now
+            ]
+            if rows or incarnation == self._incarnation:
+                self._rows_by_incarnation[incarnation] = rows
+            else:
+                del self._rows_by_incarnation[incarnation]
+
+
+def _unknown(verdict: verdicts.Verdict) -> errors.RefusedError:
+    return errors.RefusedError(
+        verdict=verdict,
+        status=400,
+        title="Key is unknown",
+        detail="No entry has issued this idempotency key.",
+        offer_keys=True,
+    )
--- /dev/null
+++ b/fuchsiacourse/keyed_runs.py
@@ -0,0 +1,366 @@
+"""Runs of non-idempotent requests, at most one for each key."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import caller_request
+from fuchsiacourse import claims as claim_records
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse import execution as executions
+from fuchsiacourse import executor as executors
+from fuchsiacourse import idempotency_key
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import key_blocks
+from fuchsiacourse import ledger as ledgers
+from fuchsiacourse import ledger_record
+from fuchsiacourse import ledger_seal
+from fuchsiacourse import problem
+from fuchsiacourse import relays as relay_calls
+from fuchsiacourse import timers as timer_services
+from fuchsiacourse import verdict as verdicts
+from fuchsiacourse import waiting
+
+# Wait for the run beyond its own deadline, while it is withdrawn.
+_RESULT_GRACE_S = 1.5 * executors.WITHDRAW_TIMEOUT_S
+# Records of claimed keys are dropped sooner than the claims themselves; a
+# claim without a record is answered may-have-run.
+_CLAIM_RECORD_LIFETIME_S = 3600.0
+_CLAIM_RECORD_PREFIX = "claim-"
+
+Admit = typing.Callable[[], None]
+
+
+class KeyedRuns:
+    """Decides what becomes of a keyed request.
+
+    Args:
+        clock: Source of time.
+        timers: Runs go on there if their callers disconnect.
+        ledger: Records of keys.
+        blocks: Issued blocks of keys.
+        claims: Claims of caller-chosen keys.
+        relays: Calls to other entries.
+        executor: Calls to dispatch.
+        seal: Whether new keys may still be run here.
+        invariants: Checks of verdicts and replayed answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        timers: timer_services.Timers,
+        ledger: ledgers.Ledger,
+        blocks: key_blocks.KeyBlocks,
+        claims: claim_records.Claims,
+        relays: relay_calls.Relays,
+        executor: executors.Executor,
+        seal: ledger_seal.LedgerSeal,
+        invariants: invariant_checks.Invariants,
+    ) -> None:
+        self._clock = clock
+        self._timers = timers
+        self._ledger = ledger
+        self._blocks = blocks
+        self._claims = claims
+        self._relays = relays
+        self._executor = executor
+        self._seal = seal
+        self._invariants = invariants
+
+    async def answer(
+        self,
+        execution: executions.Execution,
+        *,
+        hops: int,
+        admit: Admit,
+    ) -> caller_request.CallerAnswer:
+        """Runs a keyed request or finds out what became of it.
+
+        Args:
+            execution: The request; its key is the caller's.
+            hops: Relays that the request has come by.
+            admit: Raises RefusedError if the account is over its limit.
+
+        Raises:
+            RefusedError: There is no answer; its verdict is proved.
+        """
+        if not idempotency_key.is_issued_form(execution.request.key):
+            return await self._answer_chosen(execution, hops, admit)
+        key = idempotency_key.parse(execution.request.key)
+        if key is None:
+            raise errors.RefusedError(
+                verdict=verdicts.Verdict.NOT_RUN,
+                status=400,
+                title="Key is malformed",
+                offer_keys=True,
+            )
+        if not self._blocks.holds(key.incarnation):
+            admit()
+            return await self._relays.send(
+                execution.request,
+                issuer=key.incarnation,
+                deadline_at=execution.deadline_at,
+                hops=hops,
+            )
+        return await self._answer_issued(execution, key, hops, admit)
+
+    async def _answer_issued(
+        self,
+        execution: executions.Execution,
+        key: idempotency_key.IdempotencyKey,
+        hops: int,
+        admit: Admit,
+    ) -> caller_request.CallerAnswer:
+        execution.key = execution.request.key
+        record = self._ledger.get(execution.key)
+        if record is not None:
+            return await self._repeat(record, execution)
+        expires_at = self._blocks.expires_at(key)
+        if self._seal.is_sealed:
+            return await self._relay_to_successor(execution, hops)
+        try:
+            admit()
+        except errors.RefusedError as refusal:
+            raise self._close(execution, expires_at, refusal) from None
+        record = self._open(execution, expires_at)
+        self._timers.spawn(self._run(record, execution))
+        return await self._first_result(record, execution)
+
+    async def _answer_chosen(
+        self, execution: executions.Execution, hops: int, admit: Admit
+    ) -> caller_request.CallerAnswer:
+        request = execution.request
+        execution.key = _CLAIM_RECORD_PREFIX + claim_records.digest(
+            request.account, request.key
+        )
+        record = self._ledger.get(execution.key)
+        if record is not None:
+            return await self._repeat(record, execution)
+        if hops:
+            raise _no_record()
+        if self._seal.is_sealed:
+            raise errors.RefusedError(
+                verdict=request.unsent_verdict,
+                status=503,
+                title="Entry is stopping",
+                retry_after_s=1.0,
+            )
+        admit()
+        record = self._open(
+            execution, self._clock.now() + _CLAIM_RECORD_LIFETIME_S
+        )
+        self._timers.spawn(self._run_claimed(record, execution))
+        return await self._first_result(record, execution)
+
+    def _open(
+        self, execution: executions.Execution, expires_at: float
+    ) -> ledger_record.LedgerRecord:
+        record = self._ledger.open(
+            execution.key,
+            fingerprint=execution.request.owned_fingerprint,
+            expires_at=expires_at,
+        )
+        if record is None:
+            raise errors.RefusedError(
+                verdict=execution.request.unsent_verdict,
+                status=503,
+                title="Ledger is full",
+                retry_after_s=1.0,
+            )
+        return record
+
+    def _close(
+        self,
+        execution: executions.Execution,
+        expires_at: float,
+        refusal: errors.RefusedError,
+    ) -> errors.RefusedError:
+        """Closes a key that was refused before its run.
+
+        Refusals must not fill the ledger, so that a key stays open while
+        the ledger is short of room; then only this attempt was not run.
+        """
+        if self._ledger.is_short_of_room:
+            return refusal
+        record = self._open(execution, expires_at)
+        refusal = problem.copied(refusal, verdict=verdicts.Verdict.NOT_RUN)
+        self._ledger.finish(record, refusal)
+        return problem.copied(refusal)
+
+    async def _run(
+        self,
+        record: ledger_record.LedgerRecord,
+        execution: executions.Execution,
+    ) -> None:
+        # A run that ends in an unexpected way may have reached a target.
+        result: ledger_record.Result = errors.RefusedError(
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            status=500,
+            title="Run was cut off",
+        )
+        try:
+            result = await self._executor.run(execution)
+        except errors.RefusedError as refusal:
+            result = refusal
+        finally:
+            self._invariants.check(
+                invariant_checks.InvariantId.NOT_RUN,
+                result.verdict is not verdicts.Verdict.NOT_RUN
+                or execution.unproved_sendings == 0,
+                key=record.key,
+            )
+            self._ledger.finish(record, result)
+
+    async def _run_claimed(
+        self,
+        record: ledger_record.LedgerRecord,
+        execution: executions.Execution,
+    ) -> None:
+        result: ledger_record.Result = _no_record()
+        try:
+            claim = await self._claims.claim(execution.request)
+            if claim.is_new:
+                await self._run(record, execution)
+                return
+            result = await self._relay_claimed(claim, execution)
+        except errors.RefusedError as refusal:
+            result = refusal
+        finally:
+            if not record.is_final:
+                self._ledger.discard(record, result)
+
+    async def _relay_claimed(
+        self,
+        claim: claim_records.Claim,
+        execution: executions.Execution,
+    ) -> caller_request.CallerAnswer:
+        try:
+            return await self._relays.send(
+                execution.request,
+                issuer=claim.incarnation,
+                deadline_at=execution.deadline_at,
+                hops=0,
+            )
+        except errors.RefusedError as refusal:
+            # The claim shows an earlier request, even if this one states
+            # that it is the first attempt.
+            raise problem.copied(
+                refusal, verdict=verdicts.Verdict.MAY_HAVE_RUN
+            ) from None
+
+    async def _relay_to_successor(
+        self, execution: executions.Execution, hops: int
+    ) -> caller_request.CallerAnswer:
+        """Waits for the hand-over and sends a new key on."""
+        request = execution.request
+        seal = self._seal.successor
+        await waiting.until(self._clock, seal, at=execution.deadline_at)
+        if not seal.done() or not seal.result():
+            raise errors.RefusedError(
+                verdict=request.unsent_verdict,
+                status=503,
+                title="Entry is stopping",
+                detail="No successor runs keys of this entry.",
+                retry_after_s=1.0,
+            )
+        return await self._relays.send(
+            request,
+            issuer=seal.result(),
+            deadline_at=execution.deadline_at,
+            hops=hops,
+        )
+
+    async def _repeat(
+        self,
+        record: ledger_record.LedgerRecord,
+        execution: executions.Execution,
+    ) -> caller_request.CallerAnswer:
+        """Answers a request whose key is known."""
+        request = execution.request
+        if record.fingerprint != request.owned_fingerprint:
+            raise errors.RefusedError(
+                verdict=record.verdict,
+                status=422,
+                title="Key was used for another request",
+            )
+        if not record.is_final:
+            return await self._result(record, execution, grace_s=0.0)
+        if not record.answer_kept:
+            raise errors.RefusedError(
+                verdict=verdicts.Verdict.RAN,
+                status=409,
+                title="Answer was not kept",
+                detail="The request ran; its answer was too large to keep.",
+            )
+        self._invariants.check(
+            invariant_checks.InvariantId.WHOLE_ANSWER,
+            record.key == execution.key and record.result is not None,
+            key=record.key,
+        )
+        return _told(record.result, request, is_closed=True)
+
+    async def _first_result(
+        self,
+        record: ledger_record.LedgerRecord,
+        execution: executions.Execution,
+    ) -> caller_request.CallerAnswer:
+        return await self._result(record, execution, grace_s=_RESULT_GRACE_S)
+
+    async def _result(
+        self,
+        record: ledger_record.LedgerRecord,
+        execution: executions.Execution,
+        *,
+        grace_s: float,
+    ) -> caller_request.CallerAnswer:
+        """Waits for the run of a record, which is not tied to any caller."""
+        done = record.done
+        if done is None:
+            return _told(record.result, execution.request, is_closed=True)
+        await waiting.until(
+            self._clock, done, at=execution.deadline_at + grace_s
+        )
+        if not done.done():
+            raise errors.RefusedError(
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                status=504,
+                title="Deadline has passed",
+                detail="The request is still in progress.",
+            )
+        return _told(
+            done.result(), execution.request, is_closed=record.is_final
+        )
+
+
+def _told(
+    result: ledger_record.Result,
+    request: caller_request.CallerRequest,
+    *,
+    is_closed: bool,
+) -> caller_request.CallerAnswer:
+    """Returns or raises what one of the callers of a run is told.
+
+    Args:
+        result: End of the run.
+        request: Request of this caller.
+        is_closed: Whether the ledger keeps the result, so that not-run
+            holds for each attempt under the key.
+    """
+    if isinstance(result, caller_request.CallerAnswer):
+        return result.addressed_to(request.request_id)
+    if result.verdict is verdicts.Verdict.NOT_RUN and not is_closed:
+        raise problem.copied(result, verdict=request.unsent_verdict)
+    raise problem.copied(result)
+
+
+def _no_record() -> errors.RefusedError:
+    return errors.RefusedError(
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        status=409,
+        title="Record was dropped",
+        detail="The key was claimed before; no record of its run is left.",
+        offer_keys=True,
+    )
--- /dev/null
+++ b/fuchsiacourse/ledger_record.py
@@ -0,0 +1,72 @@
+"""What is known of one idempotency key."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+from fuchsiacourse import caller_request
+from fuchsiacourse import errors
+from fuchsiacourse import verdict as verdicts
+
+
+class RecordState(enum.Enum):
+    """State of a ledger record."""
+
+    IN_PROGRESS = "in_progress"
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+# Result of a run, for everyone who waits on it.
+Result = caller_request.CallerAnswer | errors.RefusedError
+
+
+class LedgerRecord:
+    """Row of the ledger.
+
+    Args:
+        key: Name of the record.
+        fingerprint: Digest of account, method, path and body.
+        expires_at: Monotonic time in seconds after which it is dropped.
+    """
+
+    __slots__ = (
+        "key",
+        "fingerprint",
+        "expires_at",
+        "state",
+        "result",
+        "answer_kept",
+        "done",
+        "size_bytes",
+    )
+
+    def __init__(
+        self, *, key: str, fingerprint: str, expires_at: float
+    ) -> None:
+        self.key = key
+        self.fingerprint = fingerprint
+        self.expires_at = expires_at
+        self.state = RecordState.IN_PROGRESS
+        self.result: Result | None = None
+        # False if the target's answer was too large to keep.
+        self.answer_kept = True
+        # Set while the run is in progress in this process.
+        self.done: asyncio.Future[Result] | None = None
+        self.size_bytes = 0
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the run has ended."""
+        return self.state is not RecordState.IN_PROGRESS
+
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """What is known of the run of this key."""
+        if self.state is RecordState.RAN:
+            return verdicts.Verdict.RAN
+        if self.state is RecordState.NOT_RUN:
+            return verdicts.Verdict.NOT_RUN
+        return verdicts.Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/fuchsiacourse/waiting.py
@@ -0,0 +1,49 @@
+"""Waits that end at a time of the clock."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fuchsiacourse import clock as clocks
+
+
+async def until(
+    clock: clocks.Clock, *futures: asyncio.Future, at: float
+) -> bool:
+    """Waits until one of the futures is done or a time has come.
+
+    The futures are never cancelled here, not even if the wait itself is.
+
+    Args:
+        clock: Source of time.
+        *futures: Futures or tasks.
+        at: Monotonic time in seconds.
+
+    Returns:
+        Whether a future is done.
+    """
+    if any(future.done() for future in futures):
+        return True
+    delay_s = at - clock.now()
+    if delay_s <= 0:
+        return False
+    timer = asyncio.ensure_future(clock.sleep(delay_s))
+    try:
+        await asyncio.wait(
+            [timer, *futures], return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        timer.cancel()
+    return any(future.done() for future in futures)
+
+
+def abandon(task: asyncio.Future) -> None:
+    """Cancels a task whose result or error nobody reads."""
+    task.cancel()
+    task.add_done_callback(_read_error)
+
+
+def _read_error(task: asyncio.Future) -> None:
+    # An error that is never read is logged by asyncio.
+    if not task.cancelled():
+        task.exception()
