Add dispatch: one queue for each shard, exact slots, withdrawal

Cause: the fleet needs the owner of a shard that binds requests to free slots as late as possible.

TargetCall has connection_limit, so that the client can bound its pool.

Not done yet: the real target client, the target stub, quarantine and ejection, measurements.

--- /dev/null
+++ b/bench/dispatch_world.py
@@ -0,0 +1,250 @@
+"""One dispatch process with fake targets on the virtual loop."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from bench import fake_store
+from bench import fake_targets
+from bench import plain_health
+from bench import virtual_loop
+from fuchsiacourse import config_table
+from fuchsiacourse import dispatch_service
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import logs
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import members as member_tables
+from fuchsiacourse import platform_model
+from fuchsiacourse import service_file
+from fuchsiacourse import settings as settings_files
+from fuchsiacourse import shard as shards
+from fuchsiacourse import timers as timer_service
+
+REGION = "tayside"
+SERVICE = "larder"
+LOOKUP = service_file.RequestKind(
+    name="lookup",
+    method="GET",
+    path_prefix="/lookup",
+    idempotent=True,
+    worth=1.0,
+    deadline_ms=1000,
+    length=service_file.Length.SHORT,
+    expected_ms=50,
+)
+SEARCH = service_file.RequestKind(
+    name="search",
+    method="GET",
+    path_prefix="/search",
+    idempotent=True,
+    worth=2.0,
+    deadline_ms=3000,
+    length=service_file.Length.LONG,
+    expected_ms=150,
+)
+BOOKING = service_file.RequestKind(
+    name="booking",
+    method="POST",
+    path_prefix="/booking",
+    idempotent=False,
+    worth=5.0,
+    deadline_ms=3000,
+    length=service_file.Length.SHORT,
+    expected_ms=50,
+)
+KINDS = (LOOKUP, SEARCH, BOOKING)
+
+
+def service(
+    *,
+    targets: int = 2,
+    slots: int = 3,
+    kinds: collections.abc.Sequence[service_file.RequestKind] = KINDS,
+    connection_limit: int = 400,
+) -> service_file.ServiceFile:
+    """Returns a service with targets on made-up addresses."""
+    return service_file.ServiceFile(
+        service=SERVICE,
+        targets=[
+            service_file.Target(
+                id=f"target-{number}",
+                address=f"10.0.0.{number}:80",
+                availability_zone=("tay-a", "tay-b")[number % 2],
+                region=REGION,
+                slots=slots,
+                connection_limit=connection_limit,
+            )
+            for number in range(1, targets + 1)
+        ],
+        floor_slots=1,
+        kinds=list(kinds),
+    )
+
+
+def member(id: str, *, port: int) -> member_rows.Member:
+    """Returns a dispatch member of the region."""
+    return member_rows.Member(
+        id=id,
+        role=member_tables.DISPATCH,
+        host="10.0.1.1",
+        availability_zone="tay-a",
+        region=REGION,
+        gossip_address=f"10.0.1.1:{port}",
+        rpc_address=f"10.0.1.1:{port + 1}",
+    )
+
+
+class DispatchWorld:
+    """A dispatch service with its surroundings.
+
+    Create it inside a running virtual loop.
+
+    Args:
+        seed: Seed of every random choice.
+        file: The only service, by default a small one.
+        mean_s_by_prefix: Mean run times; by default as expected.
+        straggler_share: Share of requests that run 30 times longer.
+        overrides: Settings that differ from their defaults.
+        new_health: Makes the health of a shard.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        file: service_file.ServiceFile | None = None,
+        mean_s_by_prefix: dict[str, float] | None = None,
+        straggler_share: float = 0.0,
+        overrides: dict[str, typing.Any] | None = None,
+        new_health: typing.Callable[[shards.Shard], typing.Any] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = virtual_loop.VirtualClock()
+        self.file = file or service()
+        self.broken: list[tuple[str, dict[str, typing.Any]]] = []
+        self.invariants = invariant_checks.Invariants(
+            log=logs.silent(),
+            on_broken=lambda id, evidence: self.broken.append(
+                (id.value, evidence)
+            ),
+        )
+        self.failures: list[Exception] = []
+        self.timers = timer_service.Timers(
+            clock=self.clock, rng=self.rng, on_error=self.failures.append
+        )
+        self.config = config_table.ConfigTable(invariants=self.invariants)
+        self.config.adopt(1, {self.file.service: self.file})
+        self.members = member_tables.Members(
+            self_row=member("self", port=7000)
+        )
+        self.targets = fake_targets.FakeTargets(
+            clock=self.clock,
+            rng=random.Random(seed + 1),
+            run_time=fake_targets.exponential_by_prefix(
+                mean_s_by_prefix
+                or {
+                    kind.path_prefix: kind.expected_ms / 1000.0
+                    for kind in self.file.kinds
+                }
+            ),
+            straggler_share=straggler_share,
+        )
+        for target in self.file.targets:
+            self.targets.add(target.address, slots=target.slots)
+        self.platform = platform_model.PlatformModel(clock=self.clock)
+        self.store = fake_store.FakeStore(
+            platform=self.platform,
+            clock=self.clock,
+            timers=self.timers,
+            rng=self.rng,
+        )
+        self.dispatch = dispatch_service.DispatchService(
+            settings=_settings(overrides or {}),
+            clock=self.clock,
+            timers=self.timers,
+            rng=random.Random(seed + 2),
+            members=self.members,
+            config=self.config,
+            target_client=self.targets,
+            store=self.store,
+            invariants=self.invariants,
+            log=logs.silent(),
+            new_health=new_health
+            or (lambda shard: plain_health.PlainHealth(shard=shard)),
+        )
+        self.dispatch.start()
+        self._requests = 0
+
+    def target(self, number: int) -> fake_targets.FakeTarget:
+        """Returns a fake target by its number, from 1."""
+        address = self.file.targets[number - 1].address
+        return self.targets.targets_by_address[address]
+
+    def request(
+        self,
+        kind: service_file.RequestKind = LOOKUP,
+        *,
+        id: str = "",
+        deadline_ms: int = 0,
+        hops: int = 0,
+        body: bytes = b"",
+    ) -> fleet_pb2.ExecuteRequest:
+        """Returns a request of a kind."""
+        self._requests += 1
+        return fleet_pb2.ExecuteRequest(
+            request_id=id or f"entry-{self._requests}",
+            service=self.file.service,
+            kind=kind.name,
+            region=REGION,
+            method=kind.method,
+            path=f"{kind.path_prefix}/{self._requests}",
+            body=body,
+            deadline_ms=deadline_ms or kind.deadline_ms,
+            attempt=1,
+            fingerprint=f"print-{self._requests}",
+            hops=hops,
+        )
+
+    def execute(
+        self, request: fleet_pb2.ExecuteRequest
+    ) -> asyncio.Task[fleet_pb2.ExecuteReply]:
+        """Starts an Execute call."""
+        return asyncio.ensure_future(self.dispatch.execute(request))
+
+    async def withdraw(self, request: fleet_pb2.ExecuteRequest) -> str:
+        """Withdraws a request and returns the outcome."""
+        reply = await self.dispatch.withdraw(
+            fleet_pb2.WithdrawRequest(
+                request_id=request.request_id,
+                service=request.service,
+                region=request.region,
+            )
+        )
+        return reply.outcome
+
+    def close(self) -> None:
+        """Ends the timers."""
+        self.timers.close()
+
+
+def _settings(
+    overrides: dict[str, typing.Any],
+) -> settings_files.DispatchSettings:
+    return settings_files.DispatchSettings.model_validate(
+        {
+            "program": "dispatch",
+            "host": "10.0.1.1",
+            "availability_zone": "tay-a",
+            "region": REGION,
+            "gossip_address": "10.0.1.1:7000",
+            "rpc_address": "10.0.1.1:7001",
+            "status_address": "10.0.1.1:7002",
+            "deployment_key": "0123456789abcdef",
+            "platform": {"url": "http://10.0.2.1:80"},
+            **overrides,
+        }
+    )
--- /dev/null
+++ b/fuchsiacourse/answer_checks.py
@@ -0,0 +1,90 @@
+"""Checks that an answer is whole, correct and the request's own."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+
+from fuchsiacourse import service_file
+from fuchsiacourse import target_client
+from fuchsiacourse import target_row
+
+_FIRST_ERROR_STATUS = 500
+_FIRST_SUCCESS_STATUS = 200
+_FIRST_REDIRECT_STATUS = 300
+_BODYLESS_STATUSES = (204, 304)
+
+
+def digest(body: bytes) -> str:
+    """Returns the digest that travels with a body."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def classify(
+    answer: target_client.TargetAnswer,
+    *,
+    request_id: str,
+    kind: service_file.RequestKind,
+    shed_statuses: list[int],
+) -> tuple[target_row.Outcome, str]:
+    """Tells how an attempt with this answer ended.
+
+    Returns:
+        The outcome, and the reason if the answer is unusable.
+    """
+    reason = _transfer_problem(answer, request_id, kind)
+    if reason:
+        return target_row.Outcome.BAD_ANSWER, reason
+    if answer.status in shed_statuses:
+        return target_row.Outcome.SHED, ""
+    if answer.status >= _FIRST_ERROR_STATUS:
+        return target_row.Outcome.ERROR_STATUS, ""
+    # Only a success has the form that the service file describes.
+    if _FIRST_SUCCESS_STATUS <= answer.status < _FIRST_REDIRECT_STATUS:
+        reason = _content_problem(answer, kind)
+        if reason:
+            return target_row.Outcome.BAD_ANSWER, reason
+    return target_row.Outcome.OK, ""
+
+
+def _transfer_problem(
+    answer: target_client.TargetAnswer,
+    request_id: str,
+    kind: service_file.RequestKind,
+) -> str:
+    if answer.request_id != request_id:
+        return f"answer to request {answer.request_id or '(none)'}"
+    length = answer.header("Content-Length")
+    if kind.method == "HEAD" or answer.status in _BODYLESS_STATUSES:
+        return ""
+    if length and (not length.isdecimal() or int(length) != len(answer.body)):
+        return f"{len(answer.body)} bytes of {length}"
+    return ""
+
+
+def _content_problem(
+    answer: target_client.TargetAnswer, kind: service_file.RequestKind
+) -> str:
+    checks = kind.answer_checks
+    if kind.method == "HEAD" or answer.status in _BODYLESS_STATUSES:
+        return ""
+    if len(answer.body) < checks.min_bytes:
+        return f"{len(answer.body)} bytes, fewer than {checks.min_bytes}"
+    if checks.content_type is not None:
+        media_type = answer.header("Content-Type").partition(";")[0].strip()
+        if media_type.lower() != checks.content_type.lower():
+            return f"content type {media_type or '(none)'}"
+    if checks.json_fields:
+        return _json_problem(answer.body, checks.json_fields)
+    return ""
+
+
+def _json_problem(body: bytes, fields: list[str]) -> str:
+    try:
+        content = json.loads(body)
+    except ValueError:
+        return "body is not JSON"
+    if not isinstance(content, dict):
+        return "body is not a JSON object"
+    missing = [name for name in fields if name not in content]
+    return f"body lacks {', '.join(missing)}" if missing else ""
--- /dev/null
+++ b/fuchsiacourse/dispatch_service.py
@@ -0,0 +1,405 @@
+"""Owner of service shards: queues requests and runs them at targets."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import itertools
+import random
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import config_table
+from fuchsiacourse import execute_replies
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import known_ids
+from fuchsiacourse import logs
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import members as member_tables
+from fuchsiacourse import metrics as metric_tables
+from fuchsiacourse import request_row
+from fuchsiacourse import service_file
+from fuchsiacourse import settings as settings_files
+from fuchsiacourse import shard as shards
+from fuchsiacourse import shard_runner
+from fuchsiacourse import shard_upkeep
+from fuchsiacourse import store as stores
+from fuchsiacourse import target_client as target_clients
+from fuchsiacourse import target_row
+from fuchsiacourse import timers as timer_service
+from fuchsiacourse import verdict as verdicts
+
+WITHDRAWN = "withdrawn"
+STARTED = "started"
+# The reply proves nothing; the entry treats it like STARTED.
+UNKNOWN = "unknown"
+
+# Times an entry follows a not_owner reply; the last hop executes.
+_MAX_HOPS = 2
+_MAX_IDS = 100_000
+# Added to the longest deadline for delays between processes.
+_PREDECESSOR_MARGIN_S = 5.0
+_TICK_S = 0.02
+_PAUSE_S = timer_service.PAUSE_THRESHOLD_S
+_NOT_OWNER_RETRY_S = 0.05
+
+Refusal = execute_replies.Refusal
+ShardKey = tuple[str, str]
+NewHealth = collections.abc.Callable[[shards.Shard], typing.Any]
+
+
+class DispatchService:
+    """Runs requests of the shards that this process owns.
+
+    Args:
+        settings: Settings of dispatch.
+        clock: Source of time.
+        timers: Timer service of the process.
+        rng: Source of randomness.
+        members: Members of the fleet.
+        config: Configuration in force.
+        target_client: Port to the targets.
+        store: Port to the platform's object API.
+        invariants: Receives the checks.
+        log: Logger.
+        metrics: Metrics of the process, by default none.
+        new_health: Makes the health of a shard, by default
+            ``health.Health``.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: settings_files.DispatchSettings,
+        clock: clocks.Clock,
+        timers: timer_service.Timers,
+        rng: random.Random,
+        members: member_tables.Members,
+        config: config_table.ConfigTable,
+        target_client: target_clients.TargetClient,
+        store: stores.Store,
+        invariants: invariant_checks.Invariants,
+        log: typing.Any,
+        metrics: metric_tables.Metrics | None = None,
+        new_health: NewHealth | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._timers = timers
+        self._members = members
+        self._config = config
+        self._target_client = target_client
+        self._invariants = invariants
+        self._log = log
+        self._metrics = metrics
+        self._upkeep = shard_upkeep.ShardUpkeep(
+            settings=settings,
+            clock=clock,
+            timers=timers,
+            rng=rng,
+            self_id=members.self.id,
+            target_client=target_client,
+            store=store,
+            invariants=invariants,
+            log=log,
+            new_health=new_health,
+        )
+        self._runners_by_key: dict[ShardKey, shard_runner.ShardRunner] = {}
+        self._owners_by_key: dict[ShardKey, member_rows.Member | None] = {}
+        self._known_ids = known_ids.KnownIds(max_ids=_MAX_IDS)
+        self._live_keys_by_id: dict[str, ShardKey] = {}
+        self._sequence = itertools.count(1)
+        self._is_draining = False
+        self._started_s: float | None = None
+        self._last_tick_s = 0.0
+        members.subscribe(self._member_changed)
+        config.subscribe(self._config_changed)
+
+    @property
+    def runners(self) -> list[shard_runner.ShardRunner]:
+        """Runners of the shards in use."""
+        return list(self._runners_by_key.values())
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self._is_draining
+
+    def start(self) -> None:
+        """Starts the timers; the first call does it otherwise."""
+        if self._started_s is not None:
+            return
+        self._started_s = self._last_tick_s = self._clock.now()
+        self._timers.on_wake(self._woken)
+        self._timers.every(_TICK_S, self._tick)
+        self._timers.every(1.0, self._drop_idle)
+        self._upkeep.start(self._owned_runners)
+
+    async def execute(
+        self, request: fleet_pb2.ExecuteRequest
+    ) -> fleet_pb2.ExecuteReply:
+        """Runs a request, or refuses it."""
+        self.start()
+        now = self._clock.now()
+        self._check_pause(now)
+        reply = self._refusal(request, now)
+        if reply is None:
+            reply = await self._run(request, now)
+        self._count(request.service, reply)
+        return reply
+
+    def _refusal(
+        self, request: fleet_pb2.ExecuteRequest, now: float
+    ) -> fleet_pb2.ExecuteReply | None:
+        id = request.request_id
+        if id in self._live_keys_by_id or self._known_ids.was_sent(id, now):
+            return execute_replies.refused(
+                id,
+                Refusal.DUPLICATE,
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        if self._known_ids.was_withdrawn(id, now):
+            return execute_replies.refused(id, Refusal.WITHDRAWN)
+        if self._is_draining:
+            return execute_replies.refused(id, Refusal.DRAINING)
+        if self._known_ids.is_full(now):
+            return execute_replies.refused(
+                id, Refusal.OVERLOAD, retry_after_s=1.0
+            )
+        service = self._config.services_by_name.get(request.service)
+        if service is None or request.kind not in service.kinds_by_name:
+            return execute_replies.refused(id, Refusal.UNKNOWN_SERVICE)
+        if self._upkeep.is_quarantined(request.service, request.fingerprint):
+            return execute_replies.refused(id, Refusal.QUARANTINED)
+        return self._not_owner(request)
+
+    def _not_owner(
+        self, request: fleet_pb2.ExecuteRequest
+    ) -> fleet_pb2.ExecuteReply | None:
+        owner = self._owner((request.service, request.region))
+        if owner is self._members.self or owner is None:
+            return None
+        if request.hops >= _MAX_HOPS:
+            return None
+        return execute_replies.refused(
+            request.request_id,
+            Refusal.NOT_OWNER,
+            owner=owner.rpc_address,
+            retry_after_s=_NOT_OWNER_RETRY_S,
+        )
+
+    async def _run(
+        self, request: fleet_pb2.ExecuteRequest, now: float
+    ) -> fleet_pb2.ExecuteReply:
+        service = self._config.services_by_name[request.service]
+        key = request.service, request.region
+        runner = self._runner(service, request.region)
+        row = request_row.RequestRow(
+            request=request,
+            kind=service.kinds_by_name[request.kind],
+            sequence=next(self._sequence),
+            arrived_s=now,
+            deadline_s=now + request.deadline_ms / 1000.0,
+            reply=asyncio.get_running_loop().create_future(),
+        )
+        self._live_keys_by_id[row.id] = key
+        try:
+            runner.submit(row, now)
+            return await row.reply
+        except asyncio.CancelledError:
+            self._caller_gone(runner, row)
+            raise
+        finally:
+            del self._live_keys_by_id[row.id]
+            if row.attempts_made:
+                self._known_ids.add_sent(
+                    row.id, row.kind.idempotent, self._clock.now()
+                )
+
+    def _caller_gone(
+        self, runner: shard_runner.ShardRunner, row: request_row.RequestRow
+    ) -> None:
+        """Ends a request whose Execute call was cancelled.
+
+        A running attempt that is not idempotent goes on to its end, because
+        cancelling it halfway helps nobody.
+        """
+        if row.state is request_row.RequestState.DONE:
+            return
+        if row.runs_by_id and not row.kind.idempotent:
+            return
+        runner.abandon(row, Refusal.WITHDRAWN, target_row.Outcome.CANCELLED)
+
+    async def withdraw(
+        self, request: fleet_pb2.WithdrawRequest
+    ) -> fleet_pb2.WithdrawReply:
+        """Withdraws a request that has not been sent to a target."""
+        self.start()
+        return fleet_pb2.WithdrawReply(
+            request_id=request.request_id,
+            outcome=self._withdraw(request, self._clock.now()),
+        )
+
+    def _withdraw(self, request: fleet_pb2.WithdrawRequest, now: float) -> str:
+        id = request.request_id
+        if self._known_ids.was_sent(id, now):
+            return STARTED
+        key = self._live_keys_by_id.get(id)
+        if key is not None:
+            return self._withdraw_live(self._runners_by_key[key], id, now)
+        if self._may_be_of_predecessor(now):
+            return UNKNOWN
+        return WITHDRAWN if self._known_ids.withdraw(id, now) else UNKNOWN
+
+    def _withdraw_live(
+        self, runner: shard_runner.ShardRunner, id: str, now: float
+    ) -> str:
+        row = runner.row_of(id)
+        if row is None or row.may_have_run:
+            return STARTED
+        is_kept = self._known_ids.withdraw_queued(id, now)
+        runner.refuse(row, Refusal.WITHDRAWN)
+        return WITHDRAWN if is_kept else UNKNOWN
+
+    def _may_be_of_predecessor(self, now: float) -> bool:
+        """Whether another process at this address may have run a request.
+
+        After a restart, a withdrawal can arrive for a request that the
+        previous process at the same address had sent to a target.
+        """
+        longest_ms = max(
+            (
+                kind.deadline_ms
+                for service in self._config.services_by_name.values()
+                for kind in service.kinds
+            ),
+            default=0,
+        )
+        age_s = now - self._started_s
+        return age_s < longest_ms / 1000.0 + _PREDECESSOR_MARGIN_S
+
+    async def drain(self) -> None:
+        """Refuses what is queued and waits for what is at targets."""
+        self.start()
+        self._is_draining = True
+        for runner in self.runners:
+            runner.is_draining = True
+            for row in runner.queued_rows():
+                runner.refuse(row, Refusal.DRAINING)
+        limit_s = self._clock.now() + self._settings.drain_max_s
+        while self._live_keys_by_id and self._clock.now() < limit_s:
+            await self._clock.sleep(_TICK_S)
+        self._invariants.check(
+            invariant_checks.InvariantId.GRACEFUL_STOP,
+            not self._live_keys_by_id,
+            requests=len(self._live_keys_by_id),
+        )
+        logs.event(self._log, "dispatch_drained")
+
+    def _runner(
+        self, service: service_file.ServiceFile, region: str
+    ) -> shard_runner.ShardRunner:
+        key = service.service, region
+        runner = self._runners_by_key.get(key)
+        if runner is not None:
+            return runner
+        shard = shards.Shard(service=service, region=region)
+        runner = shard_runner.ShardRunner(
+            shard=shard,
+            health=self._upkeep.health_of(shard),
+            settings=self._settings,
+            clock=self._clock,
+            timers=self._timers,
+            target_client=self._target_client,
+            owner_address=self._members.self.rpc_address,
+            invariants=self._invariants,
+            log=self._log,
+            on_lost=lambda row, attempt: self._upkeep.connection_lost(
+                key, row, attempt
+            ),
+        )
+        self._runners_by_key[key] = runner
+        self._upkeep.added(runner)
+        return runner
+
+    def _owner(self, key: ShardKey) -> member_rows.Member | None:
+        if key not in self._owners_by_key:
+            self._owners_by_key[key] = self._members.owner(*key)
+        return self._owners_by_key[key]
+
+    def _owns(self, key: ShardKey) -> bool:
+        return self._owner(key) is self._members.self
+
+    def _owned_runners(self) -> list[shard_runner.ShardRunner]:
+        return [
+            runner
+            for key, runner in self._runners_by_key.items()
+            if self._owns(key)
+        ]
+
+    def _member_changed(self, row: member_rows.Member) -> None:
+        if row.role != member_tables.DISPATCH:
+            return
+        self._owners_by_key.clear()
+        self._recheck_owners()
+
+    def _recheck_owners(self) -> None:
+        """Sends queued requests on that another process owns now."""
+        for key, runner in self._runners_by_key.items():
+            if not self._owns(key):
+                self._send_on(runner)
+
+    def _send_on(self, runner: shard_runner.ShardRunner) -> None:
+        for row in runner.queued_rows():
+            reply = self._not_owner(row.request)
+            if reply is None or row.may_have_run:
+                continue
+            runner.refuse(row, Refusal.NOT_OWNER, owner=reply.owner)
+
+    def _config_changed(self) -> None:
+        for key, runner in self._runners_by_key.items():
+            service = self._config.services_by_name.get(key[0])
+            if service is not None:
+                runner.replace(service)
+                continue
+            for row in runner.queued_rows():
+                runner.refuse(row, Refusal.UNKNOWN_SERVICE)
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        self._check_pause(now)
+        self._last_tick_s = now
+        for runner in self._runners_by_key.values():
+            runner.tick(now)
+
+    def _check_pause(self, now: float) -> None:
+        if now - self._last_tick_s > _PAUSE_S:
+            self._woken(now - self._last_tick_s)
+
+    def _woken(self, pause_s: float) -> None:
+        """Rechecks deadlines and owners before anything is sent."""
+        now = self._clock.now()
+        self._last_tick_s = now
+        logs.warning(self._log, "process_paused", seconds=round(pause_s, 3))
+        for runner in self._runners_by_key.values():
+            runner.expire(now)
+        self._recheck_owners()
+
+    def _drop_idle(self) -> None:
+        for key, runner in list(self._runners_by_key.items()):
+            is_configured = key[0] in self._config.services_by_name
+            if runner.is_idle and not (is_configured and self._owns(key)):
+                del self._runners_by_key[key]
+                self._upkeep.dropped(runner)
+
+    def _count(self, service: str, reply: fleet_pb2.ExecuteReply) -> None:
+        if self._metrics is None:
+            return
+        known = service in self._config.services_by_name
+        self._metrics.count(
+            "dispatch_replies",
+            "Replies to Execute calls.",
+            service=service if known else "unknown",
+            outcome=reply.refusal or "answered",
+        )
--- /dev/null
+++ b/fuchsiacourse/request_row.py
@@ -0,0 +1,173 @@
+"""Requests that dispatch holds, and their attempts at targets."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import typing
+
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import service_file
+from fuchsiacourse import target_client
+from fuchsiacourse import target_row
+from fuchsiacourse import timers
+from fuchsiacourse import verdict
+
+
+class RequestState(enum.Enum):
+    """Where a request is."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class AttemptRun:
+    """The task of one attempt at a target.
+
+    Args:
+        id: Unique within the process.
+        attempt: The attempt as the target's row shows it.
+        target: Row of the target; stays valid when the target is removed
+            from the configuration.
+    """
+
+    __slots__ = (
+        "id",
+        "attempt",
+        "target",
+        "handle",
+        "is_entered",
+        "cancelled_as",
+    )
+
+    def __init__(
+        self,
+        *,
+        id: str,
+        attempt: target_row.Attempt,
+        target: target_row.TargetRow,
+    ) -> None:
+        self.id = id
+        self.attempt = attempt
+        self.target = target
+        self.handle: timers.TimerHandle | None = None
+        self.is_entered = False
+        # Outcome that a requested cancellation is reported as.
+        self.cancelled_as: target_row.Outcome | None = None
+
+    def cancel(self, outcome: target_row.Outcome) -> None:
+        """Asks for the end of the attempt; its slot is freed at the end.
+
+        A task that is cancelled before its first step never runs its
+        cleanup, so one that has not started only sees the mark.
+        """
+        if self.cancelled_as is not None:
+            return
+        self.cancelled_as = outcome
+        if self.is_entered and self.handle is not None:
+            self.handle.cancel()
+
+
+class RequestRow:
+    """One request in the queue or at targets.
+
+    Args:
+        request: The request as the entry sent it.
+        kind: Its kind.
+        sequence: Order of arrival within the process.
+        arrived_s: Monotonic time of arrival in seconds.
+        deadline_s: Monotonic time of the deadline in seconds.
+        reply: Receives the reply.
+    """
+
+    __slots__ = (
+        "request",
+        "kind",
+        "sequence",
+        "arrived_s",
+        "deadline_s",
+        "reply",
+        "state",
+        "runs_by_id",
+        "attempts_made",
+        "unproved_sends",
+        "is_uncertain",
+        "tried_target_ids",
+        "error_answer",
+        "error_target_id",
+        "last_outcome",
+        "slot_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: fleet_pb2.ExecuteRequest,
+        kind: service_file.RequestKind,
+        sequence: int,
+        arrived_s: float,
+        deadline_s: float,
+        reply: asyncio.Future[fleet_pb2.ExecuteReply],
+    ) -> None:
+        self.request = request
+        self.kind = kind
+        self.sequence = sequence
+        self.arrived_s = arrived_s
+        self.deadline_s = deadline_s
+        self.reply = reply
+        self.state = RequestState.QUEUED
+        self.runs_by_id: dict[str, AttemptRun] = {}
+        self.attempts_made = 0
+        # Attempts that are not proved to have run nothing; only the
+        # invariant checks read it, the replies follow may_have_run.
+        self.unproved_sends = 0
+        # Set once an attempt ended without proof that it did not run.
+        self.is_uncertain = False
+        self.tried_target_ids: set[str] = set()
+        # Whole answer with an error status, passed on if nothing better
+        # comes.
+        self.error_answer: target_client.TargetAnswer | None = None
+        self.error_target_id = ""
+        self.last_outcome: target_row.Outcome | None = None
+        # Slot time of all its finished attempts.
+        self.slot_s = 0.0
+
+    @property
+    def id(self) -> str:
+        """Identifier of the request."""
+        return self.request.request_id
+
+    @property
+    def order(self) -> tuple[float, int]:
+        """Position among the requests of its kind."""
+        return self.deadline_s, self.sequence
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an execution can't be excluded."""
+        return (
+            self.is_uncertain
+            or self.error_answer is not None
+            or bool(self.runs_by_id)
+        )
+
+    @property
+    def verdict(self) -> verdict.Verdict:
+        """What is known of the execution if no answer is passed on."""
+        if self.may_have_run:
+            return verdict.Verdict.MAY_HAVE_RUN
+        return verdict.Verdict.NOT_RUN
+
+    def finish(self, reply: fleet_pb2.ExecuteReply) -> None:
+        """Ends the request and hands over its reply."""
+        self.state = RequestState.DONE
+        if not self.reply.done():
+            self.reply.set_result(reply)
+
+    def has_running(self, exclude: typing.Any = None) -> bool:
+        """Whether an attempt other than the excluded one is running."""
+        return any(
+            run is not exclude and run.cancelled_as is None
+            for run in self.runs_by_id.values()
+        )
--- /dev/null
+++ b/fuchsiacourse/shard_runner.py
@@ -0,0 +1,424 @@
+"""Runs the requests of one shard at its targets."""
+
+from __future__ import annotations
+
+import collections.abc
+import heapq
+import itertools
+import typing
+
+import sortedcontainers
+
+from fuchsiacourse import admission
+from fuchsiacourse import attempt_runner
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import execute_replies
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import leaving_targets
+from fuchsiacourse import offers
+from fuchsiacourse import request_queue
+from fuchsiacourse import request_row
+from fuchsiacourse import run_times
+from fuchsiacourse import service_file
+from fuchsiacourse import settings as settings_files
+from fuchsiacourse import shard as shards
+from fuchsiacourse import shard_targets
+from fuchsiacourse import share_budget
+from fuchsiacourse import target_choice
+from fuchsiacourse import target_client as target_clients
+from fuchsiacourse import target_row
+from fuchsiacourse import timers as timer_service
+
+_MAX_ATTEMPTS = 6
+# Requests of a kind that are looked at when the first can't be bound, for
+# example because its only free target failed it before.
+_BIND_DEPTH = 8
+_HEDGE_RECHECK_S = 0.02
+
+Outcome = target_row.Outcome
+Refusal = execute_replies.Refusal
+RequestRow = request_row.RequestRow
+LostCallback = collections.abc.Callable[
+    [target_row.TargetRow, target_row.Attempt], None
+]
+
+
+class ShardRunner:
+    """Binds queued requests to free slots and runs them.
+
+    Args:
+        shard: Tables of the shard.
+        health: Health of the shard's targets (``health.Health``).
+        settings: Settings of dispatch.
+        clock: Source of time.
+        timers: Runs the attempts' tasks.
+        target_client: Port to the targets.
+        owner_address: Own address, told in replies.
+        invariants: Receives the checks.
+        log: Logger.
+        on_lost: Called with each attempt whose connection was lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: shards.Shard,
+        health: typing.Any,
+        settings: settings_files.DispatchSettings,
+        clock: clocks.Clock,
+        timers: timer_service.Timers,
+        target_client: target_clients.TargetClient,
+        owner_address: str,
+        invariants: invariant_checks.Invariants,
+        log: typing.Any,
+        on_lost: LostCallback | None = None,
+    ) -> None:
+        self.shard = shard
+        self.health = health
+        self.queue = request_queue.RequestQueue()
+        self.times = run_times.RunTimes()
+        self.admission = admission.Admission(
+            queue=self.queue, times=self.times
+        )
+        self.targets = shard_targets.ShardTargets(shard=shard)
+        self.leaving = leaving_targets.LeavingTargets(invariants=invariants)
+        self._attempts = attempt_runner.AttemptRunner(
+            shard=shard,
+            health=health,
+            clock=clock,
+            timers=timers,
+            target_client=target_client,
+            leaving=self.leaving,
+            invariants=invariants,
+            log=log,
+            on_ended=self._ended,
+        )
+        self.is_draining = False
+        self._settings = settings
+        self._clock = clock
+        self._owner_address = owner_address
+        self._invariants = invariants
+        self._on_lost = on_lost
+        self._rows_by_id: dict[str, RequestRow] = {}
+        # All requests, by deadline.
+        self._rows_by_order = sortedcontainers.SortedDict()
+        self._hedges: list[tuple[float, int, RequestRow]] = []
+        self._retries = share_budget.ShareBudget(share=settings.retry_share)
+        self._hedge_budget = share_budget.ShareBudget(
+            share=settings.hedge_share
+        )
+        self._offers = offers.Offers()
+        self._choice = target_choice.TargetChoice(
+            targets=self.targets,
+            health=health,
+            offers=self._offers,
+            attempts=self._attempts,
+            short_slot_share=settings.short_slot_share,
+        )
+        self._counter = itertools.count()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is queued and no slot is in use."""
+        return not self._rows_by_id and not self.targets.in_flight
+
+    @property
+    def queue_s(self) -> float:
+        """Expected wait of a new short request in seconds."""
+        if not self.queue:
+            return 0.0
+        return self.admission.retry_after_s(self.targets.usable_slots)
+
+    def row_of(self, request_id: str) -> RequestRow | None:
+        """Returns a request that is queued or running."""
+        return self._rows_by_id.get(request_id)
+
+    def submit(self, row: RequestRow, now: float) -> None:
+        """Admits a request to the queue or refuses it."""
+        self._retries.earn()
+        self._hedge_budget.earn()
+        self._rows_by_id[row.id] = row
+        self._rows_by_order[row.order] = row
+        self.queue.push(row)
+        if not self._admit(row, now):
+            return
+        for crowded in self.admission.crowded_out(
+            now, self.targets.usable_slots
+        ):
+            self.refuse(crowded, Refusal.OVERLOAD)
+        self.bind(now)
+
+    def _admit(self, row: RequestRow, now: float) -> bool:
+        slots = self.targets.usable_slots
+        if not slots:
+            self.refuse(row, Refusal.NO_TARGET)
+            return False
+        if len(self.queue) > self._settings.queue_max_requests:
+            least = self.admission.least_valuable()
+            self.refuse(least or row, Refusal.OVERLOAD)
+            if row.state is request_row.RequestState.DONE:
+                return False
+        if self.targets.has_free_slot and len(self.queue) == 1:
+            return True
+        if self.admission.meets_deadline(row, now, slots):
+            return True
+        self.refuse(row, Refusal.OVERLOAD)
+        return False
+
+    def refuse(
+        self, row: RequestRow, refusal: Refusal, *, owner: str = ""
+    ) -> None:
+        """Ends a queued request without an answer."""
+        self._forget(row)
+        if row.error_answer is not None:
+            self._reply_answer(row, row.error_answer, row.error_target_id)
+            return
+        verdict = row.verdict
+        self._invariants.check(
+            invariant_checks.InvariantId.NOT_RUN,
+            not verdict.is_certain or row.unproved_sends == 0,
+            request_id=row.id,
+        )
+        row.finish(
+            execute_replies.refused(
+                row.id,
+                refusal,
+                verdict=verdict,
+                retry_after_s=self.admission.retry_after_s(
+                    self.targets.usable_slots
+                ),
+                owner=owner or self._owner_address,
+                queue_s=self.queue_s,
+            )
+        )
+
+    def queued_rows(self) -> list[RequestRow]:
+        """Returns the requests in the queue, by deadline."""
+        return [
+            row
+            for row in self._rows_by_order.values()
+            if row.state is request_row.RequestState.QUEUED
+        ]
+
+    def bind(self, now: float) -> None:
+        """Starts queued requests on free slots."""
+        if not self.queue or not self.targets.has_free_slot:
+            return
+        for kind_queue in self.admission.ordered(self.targets.usable_slots):
+            self._bind_kind(kind_queue, now)
+
+    def _bind_kind(
+        self, kind_queue: request_queue.KindQueue, now: float
+    ) -> None:
+        is_progressing = True
+        while is_progressing and kind_queue:
+            is_progressing = False
+            for row in kind_queue.first(_BIND_DEPTH):
+                if row.deadline_s <= now:
+                    self.refuse(row, Refusal.DEADLINE)
+                    is_progressing = True
+                    continue
+                target = self._choice.choose(row, now)
+                if target is None:
+                    continue
+                self.queue.remove(row)
+                self._start(row, target, now)
+                is_progressing = True
+
+    def _start(
+        self,
+        row: RequestRow,
+        target: target_row.TargetRow,
+        now: float,
+        *,
+        is_hedge: bool = False,
+    ) -> None:
+        self._attempts.start(row, target, now, is_hedge=is_hedge)
+        if row.kind.is_short and row.kind.idempotent and not is_hedge:
+            due_s = now + self.times.straggler_s(row.kind)
+            heapq.heappush(self._hedges, (due_s, next(self._counter), row))
+
+    def _ended(
+        self,
+        row: RequestRow,
+        run: request_row.AttemptRun,
+        outcome: Outcome,
+        answer: target_clients.TargetAnswer | None,
+    ) -> None:
+        now = self._clock.now()
+        self._learn(row, run, outcome, now)
+        self._limit_offers(run.target, outcome, now)
+        if outcome is Outcome.CONNECTION_LOST and self._on_lost is not None:
+            self._on_lost(run.target, run.attempt)
+        if row.state is request_row.RequestState.RUNNING:
+            self._settle(row, run, outcome, answer, now)
+        self.targets.released(run.target)
+        self.bind(now)
+
+    def _limit_offers(
+        self, target: target_row.TargetRow, outcome: Outcome, now: float
+    ) -> None:
+        if outcome is Outcome.SHED:
+            self._offers.shed(target, now)
+        elif outcome is Outcome.UNREACHABLE:
+            self._offers.unreachable(target, now)
+        elif outcome is Outcome.OK:
+            self._offers.answered(target)
+
+    def _learn(
+        self,
+        row: RequestRow,
+        run: request_row.AttemptRun,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        run_s = now - run.attempt.started_s
+        row.slot_s += run_s
+        if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
+            return
+        if outcome is not Outcome.ERROR_STATUS:
+            self.times.add_run_time(row.kind, run_s)
+        if not row.runs_by_id:
+            self.times.add_slot_time(row.kind, row.slot_s)
+            row.slot_s = 0.0
+
+    def _settle(
+        self,
+        row: RequestRow,
+        run: request_row.AttemptRun,
+        outcome: Outcome,
+        answer: target_clients.TargetAnswer | None,
+        now: float,
+    ) -> None:
+        row.last_outcome = outcome
+        if outcome is Outcome.OK:
+            self._complete(row, answer, run.target.id)
+            return
+        if outcome is Outcome.ERROR_STATUS:
+            row.error_answer = answer
+            row.error_target_id = run.target.id
+        elif outcome not in (Outcome.SHED, Outcome.UNREACHABLE):
+            row.is_uncertain = True
+        if row.has_running():
+            return
+        if self._may_retry(row, outcome, now):
+            row.state = request_row.RequestState.QUEUED
+            self.queue.push(row)
+            return
+        self.refuse(row, _failure(outcome, row))
+
+    def _may_retry(
+        self, row: RequestRow, outcome: Outcome, now: float
+    ) -> bool:
+        if self.is_draining or now >= row.deadline_s:
+            return False
+        if row.attempts_made >= _MAX_ATTEMPTS or not self.targets.usable:
+            return False
+        if not row.kind.idempotent and row.may_have_run:
+            return False
+        if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
+            return True
+        return self._retries.take()
+
+    def _complete(
+        self,
+        row: RequestRow,
+        answer: target_clients.TargetAnswer,
+        target_id: str,
+    ) -> None:
+        self._forget(row)
+        for other in list(row.runs_by_id.values()):
+            other.cancel(Outcome.CANCELLED)
+        self._reply_answer(row, answer, target_id)
+
+    def _reply_answer(
+        self,
+        row: RequestRow,
+        answer: target_clients.TargetAnswer,
+        target_id: str,
+    ) -> None:
+        self._invariants.check(
+            invariant_checks.InvariantId.WHOLE_ANSWER,
+            answer.request_id == row.id,
+            request_id=row.id,
+            answer_to=answer.request_id,
+        )
+        row.finish(
+            execute_replies.answered(
+                row.id,
+                answer,
+                target_id=target_id,
+                owner=self._owner_address,
+                queue_s=self.queue_s,
+            )
+        )
+
+    def _forget(self, row: RequestRow) -> None:
+        if row.state is request_row.RequestState.QUEUED:
+            self.queue.remove(row)
+        self._rows_by_id.pop(row.id, None)
+        self._rows_by_order.pop(row.order, None)
+        row.state = request_row.RequestState.DONE
+
+    def tick(self, now: float) -> None:
+        """Does what time alone brings about."""
+        self.health.tick(now)
+        self.expire(now)
+        self.hedge(now)
+        self.bind(now)
+
+    def expire(self, now: float) -> None:
+        """Ends the requests whose deadline has passed."""
+        while self._rows_by_order:
+            row = self._rows_by_order.peekitem(0)[1]
+            if row.deadline_s > now:
+                return
+            self.abandon(row, Refusal.DEADLINE, Outcome.TIMEOUT)
+
+    def abandon(
+        self, row: RequestRow, refusal: Refusal, outcome: Outcome
+    ) -> None:
+        """Ends a request whose answer nobody waits for any more.
+
+        The slots of its attempts are freed when they have been cancelled.
+        """
+        self.refuse(row, refusal)
+        for run in list(row.runs_by_id.values()):
+            run.cancel(outcome)
+
+    def hedge(self, now: float) -> None:
+        """Starts second attempts of stragglers."""
+        while self._hedges and self._hedges[0][0] <= now:
+            _, sequence, row = heapq.heappop(self._hedges)
+            if row.state is not request_row.RequestState.RUNNING:
+                continue
+            if len(row.runs_by_id) != 1 or not row.has_running():
+                continue
+            if not self._start_hedge(row, now):
+                due_s = now + _HEDGE_RECHECK_S
+                heapq.heappush(self._hedges, (due_s, sequence, row))
+
+    def _start_hedge(self, row: RequestRow, now: float) -> bool:
+        if self.is_draining or row.attempts_made >= _MAX_ATTEMPTS:
+            return True
+        target = self._choice.choose(row, now, is_hedge=True)
+        if target is None or not self._hedge_budget.take():
+            return False
+        self._start(row, target, now, is_hedge=True)
+        return True
+
+    def replace(self, service: service_file.ServiceFile) -> None:
+        """Takes over a new service file; running attempts go on."""
+        self.targets.replace(service)
+        current = self.shard.targets_by_id
+        self._offers.keep_only(set(current))
+        self.leaving.keep_only(current)
+        self.queue.replace_kinds(service.kinds_by_name)
+
+
+def _failure(outcome: Outcome, row: RequestRow) -> Refusal:
+    if row.may_have_run:
+        return Refusal.TARGET_FAILED
+    if outcome is Outcome.SHED:
+        return Refusal.OVERLOAD
+    return Refusal.NO_TARGET
--- /dev/null
+++ b/fuchsiacourse/target_choice.py
@@ -0,0 +1,75 @@
+"""Choice of the target for one attempt."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import attempt_runner
+from fuchsiacourse import offers
+from fuchsiacourse import request_row
+from fuchsiacourse import shard_targets
+from fuchsiacourse import target_row
+
+
+class TargetChoice:
+    """Chooses among the targets that health would offer a request to.
+
+    Args:
+        targets: Targets of the shard.
+        health: Health of the shard's targets (``health.Health``).
+        offers: Limits after shedding.
+        attempts: Counts the slots held by long work.
+        short_slot_share: Share of the slots that long work can't take.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: shard_targets.ShardTargets,
+        health: typing.Any,
+        offers: offers.Offers,
+        attempts: attempt_runner.AttemptRunner,
+        short_slot_share: float,
+    ) -> None:
+        self._targets = targets
+        self._health = health
+        self._offers = offers
+        self._attempts = attempts
+        self._long_share = 1.0 - short_slot_share
+
+    def choose(
+        self,
+        row: request_row.RequestRow,
+        now: float,
+        *,
+        is_hedge: bool = False,
+    ) -> target_row.TargetRow | None:
+        """Returns a target with a free slot, or None.
+
+        A target that was tried before is used again only when every usable
+        target has been tried, and never for a hedge.
+        """
+        if not row.kind.is_short and not self._may_take_long():
+            return None
+        untried = {
+            target.id
+            for target in self._targets.usable
+            if target.id not in row.tried_target_ids
+        }
+        for target in self._health.candidates(row.kind, now):
+            if target.leaving or target.free_slots < 1:
+                continue
+            if not self._offers.allows(target, now):
+                continue
+            if (untried or is_hedge) and target.id not in untried:
+                continue
+            if is_hedge and self._health.is_canary(target):
+                continue
+            return target
+        return None
+
+    def _may_take_long(self) -> bool:
+        if self._long_share >= 1.0:
+            return True
+        limit = int(self._long_share * self._targets.usable_slots)
+        return self._attempts.long_in_flight < max(1, limit)
--- a/fuchsiacourse/target_client.py
+++ b/fuchsiacourse/target_client.py
@@ -17,6 +17,7 @@
         headers: Header names and values.
         body: Request body.
         deadline_s: Seconds left until the caller's deadline.
+        connection_limit: Connections that the target accepts.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "headers",
         "body",
         "deadline_s",
+        "connection_limit",
     )
 
     def __init__(
@@ -41,6 +43,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         deadline_s: float,
+        connection_limit: int = 100,
     ) -> None:
         self.target_id = target_id
         self.address = address
@@ -50,6 +53,7 @@
         self.headers = headers
         self.body = body
         self.deadline_s = deadline_s
+        self.connection_limit = connection_limit
 
 
 class TargetAnswer:
--- /dev/null
+++ b/tests/test_dispatch_service.py
@@ -0,0 +1,178 @@
+"""Tests of the dispatch service over fake targets."""
+
+import asyncio
+import unittest
+
+from bench import dispatch_world
+from bench import virtual_loop
+from fuchsiacourse import fleet_pb2
+
+LOOKUP = dispatch_world.LOOKUP
+BOOKING = dispatch_world.BOOKING
+# Longer than the time after a start in which unknown requests may have
+# been run by a predecessor.
+SETTLED_S = 20.0
+
+
+class DispatchCase(unittest.TestCase):
+    """Runs a coroutine with a new world on the virtual loop."""
+
+    def run_world(self, main, **options):
+        async def run():
+            world = dispatch_world.DispatchWorld(**options)
+            try:
+                await main(world)
+                self.assertEqual([], world.broken)
+                self.assertEqual([], world.failures)
+            finally:
+                world.close()
+
+        virtual_loop.run(run())
+
+
+class DispatchServiceTest(DispatchCase):
+    """Requests must be run as the page of the design says."""
+
+    def test_answer_is_passed_on(self):
+        """Guards against an answer without verdict, digest or target."""
+
+        async def main(world):
+            reply = await world.execute(world.request(id="a-1"))
+            self.assertEqual(fleet_pb2.RAN, reply.verdict)
+            self.assertEqual("", reply.refusal)
+            self.assertIn(b"a-1", reply.body)
+            self.assertEqual(64, len(reply.body_digest))
+            self.assertTrue(reply.target_id)
+
+        self.run_world(main)
+
+    def test_slots_are_never_exceeded(self):
+        """Guards against offering a target more than its slots."""
+
+        async def main(world):
+            calls = [
+                world.execute(world.request(deadline_ms=10_000))
+                for _ in range(60)
+            ]
+            replies = await asyncio.gather(*calls)
+            self.assertEqual({""}, {reply.refusal for reply in replies})
+            self.assertEqual(0, world.targets.shed_count)
+            self.assertEqual(3, world.target(1).most_in_flight)
+
+        self.run_world(main)
+
+    def test_connection_limit_below_slots_holds(self):
+        """Guards against more connections than a target accepts."""
+
+        async def main(world):
+            await asyncio.gather(
+                *(
+                    world.execute(world.request(deadline_ms=10_000))
+                    for _ in range(20)
+                )
+            )
+            self.assertEqual(2, world.target(1).most_in_flight)
+
+        file = dispatch_world.service(connection_limit=2)
+        self.run_world(main, file=file)
+
+    def test_duplicate_runs_nothing(self):
+        """Guards against a duplicated message running a booking twice."""
+
+        async def main(world):
+            request = world.request(BOOKING)
+            first = world.execute(request)
+            second = await world.execute(request)
+            self.assertEqual("duplicate", second.refusal)
+            self.assertEqual(fleet_pb2.MAY_HAVE_RUN, second.verdict)
+            self.assertEqual(fleet_pb2.RAN, (await first).verdict)
+            third = await world.execute(request)
+            self.assertEqual("duplicate", third.refusal)
+            self.assertEqual(1, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_withdrawal_of_queued_unknown_and_started(self):
+        """Guards against a confirmed withdrawal of something that ran."""
+
+        async def main(world):
+            await asyncio.sleep(SETTLED_S)
+            running = world.request(BOOKING)
+            started = world.execute(running)
+            others = [world.execute(world.request()) for _ in range(5)]
+            queued = world.request(BOOKING)
+            waiting = world.execute(queued)
+            await asyncio.sleep(0.002)
+            self.assertEqual("withdrawn", await world.withdraw(queued))
+            self.assertEqual("started", await world.withdraw(running))
+            reply = await waiting
+            self.assertEqual("withdrawn", reply.refusal)
+            self.assertEqual(fleet_pb2.NOT_RUN, reply.verdict)
+            await asyncio.gather(started, *others)
+            self.assertEqual("started", await world.withdraw(running))
+            unknown = world.request(BOOKING)
+            self.assertEqual("withdrawn", await world.withdraw(unknown))
+            late = await world.execute(unknown)
+            self.assertEqual("withdrawn", late.refusal)
+            for request in (queued, unknown):
+                self.assertEqual([], world.targets.runs_of(request.request_id))
+
+        self.run_world(main)
+
+    def test_withdrawal_soon_after_a_start_proves_nothing(self):
+        """Guards against vouching for a predecessor at this address."""
+
+        async def main(world):
+            outcome = await world.withdraw(world.request(BOOKING))
+            self.assertEqual("unknown", outcome)
+
+        self.run_world(main)
+
+    def test_non_owner_names_the_owner_until_the_last_hop(self):
+        """Guards against a request that is sent around for ever."""
+
+        async def main(world):
+            other = dispatch_world.member("other", port=7100)
+            key = dispatch_world.SERVICE, dispatch_world.REGION
+            while world.members.owner(*key) is not other:
+                world.members.by_id.pop(other.id, None)
+                other.id += "x"
+                world.members.by_id[other.id] = other
+            world.members.notify(other)
+            reply = await world.execute(world.request(hops=1))
+            self.assertEqual("not_owner", reply.refusal)
+            self.assertEqual(other.rpc_address, reply.owner)
+            self.assertEqual(fleet_pb2.NOT_RUN, reply.verdict)
+            reply = await world.execute(world.request(hops=2))
+            self.assertEqual(fleet_pb2.RAN, reply.verdict)
+
+        self.run_world(main)
+
+    def test_drain_refuses_queued_and_finishes_running(self):
+        """Guards against a planned stop that cuts off a request."""
+
+        async def main(world):
+            calls = [world.execute(world.request(BOOKING)) for _ in range(9)]
+            await asyncio.sleep(0.001)
+            await world.dispatch.drain()
+            replies = await asyncio.gather(*calls)
+            refusals = [reply.refusal for reply in replies]
+            self.assertEqual(3, refusals.count("draining"))
+            self.assertEqual(6, refusals.count(""))
+            late = await world.execute(world.request())
+            self.assertEqual("draining", late.refusal)
+            self.assertEqual(6, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_unknown_service_and_kind_are_refused(self):
+        """Guards against an exception for an old entry's request."""
+
+        async def main(world):
+            request = world.request()
+            request.kind = "none"
+            reply = await world.execute(request)
+            self.assertEqual("unknown_service", reply.refusal)
+            self.assertEqual(404, reply.status)
+
+        self.run_world(main)
