--- /dev/null
+++ b/fuchsiacourse/stub_target.py
@@ -0,0 +1,229 @@
+"""A target that runs requests in memory and can be made to fail."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import time
+import typing
+
+import pydantic
+
+from fuchsiacourse import service_file
+
+_MAX_RECORDS = 100_000
+_STRAGGLER_FACTOR = 30.0
+
+
+class StubFaults(pydantic.BaseModel):
+    """Faults of a target, as ``/control`` sets them.
+
+    Shares are between 0 and 1. The faults of ``flapping`` targets act only
+    in the first half of each period. A faulty target stays healthy to
+    probes unless ``probes_healthy`` is false.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    slow_factor: float = pydantic.Field(default=1.0, gt=0)
+    wrong_share: float = pydantic.Field(default=0.0, ge=0, le=1)
+    truncated_share: float = pydantic.Field(default=0.0, ge=0, le=1)
+    error_share: float = pydantic.Field(default=0.0, ge=0, le=1)
+    lost_share: float = pydantic.Field(default=0.0, ge=0, le=1)
+    hangs: bool = False
+    flapping_period_s: float = pydantic.Field(default=0.0, ge=0)
+    probes_healthy: bool = True
+    draining: bool = False
+    cold_s: float = pydantic.Field(default=0.0, ge=0)
+    cold_factor: float = pydantic.Field(default=3.0, gt=0)
+    crash_mark: str = pydantic.Field(
+        default="", description="A body with this text crashes the target."
+    )
+    restart_s: float = pydantic.Field(default=1.0, ge=0)
+
+
+class StubRun:
+    """One execution as the target saw it."""
+
+    __slots__ = ("request_id", "kind", "booking", "started_s", "end", "body")
+
+    def __init__(
+        self, *, request_id: str, kind: str, booking: int, body: str
+    ) -> None:
+        self.request_id = request_id
+        self.kind = kind
+        self.booking = booking
+        self.started_s = time.time()
+        # "running", "complete", "cancelled", "deadline" or "crashed".
+        self.end = "running"
+        self.body = body
+
+    def as_json(self) -> dict[str, typing.Any]:
+        """Returns the record for ``/record``."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class StubTarget:
+    """Slots, run times, faults and the record of one target.
+
+    Args:
+        target: The target as the service file describes it.
+        service: Its service.
+        rng: Source of run times and faults.
+        straggler_share: Share of the requests that run 30 times longer.
+        time_scale: Factor of every run time.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: service_file.Target,
+        service: service_file.ServiceFile,
+        rng: random.Random,
+        straggler_share: float = 0.01,
+        time_scale: float = 1.0,
+    ) -> None:
+        self.target = target
+        self.service = service
+        self.faults = StubFaults()
+        self.runs: collections.deque[StubRun] = collections.deque(
+            maxlen=_MAX_RECORDS
+        )
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.shed = 0
+        self._rng = rng
+        self._straggler_share = straggler_share
+        self._time_scale = time_scale
+        self._bookings = 0
+        self._starts = 0
+        self._faults_since_s = time.monotonic()
+        self._started_s = time.monotonic()
+        self.restart()
+
+    @property
+    def incarnation(self) -> str:
+        """Identifier of the target's present start."""
+        return f"{self.target.id}/{self._starts}"
+
+    @property
+    def is_warming(self) -> bool:
+        """Whether the target is in its cold start."""
+        return time.monotonic() - self._started_s < self.faults.cold_s
+
+    @property
+    def is_faulty(self) -> bool:
+        """Whether the faults act now."""
+        period_s = self.faults.flapping_period_s
+        if not period_s:
+            return True
+        age_s = time.monotonic() - self._faults_since_s
+        return age_s % period_s < period_s / 2
+
+    def restart(self) -> None:
+        """Starts a new incarnation; draining ends with the old one."""
+        self._starts += 1
+        self._started_s = time.monotonic()
+        self.faults.draining = False
+
+    def set_faults(self, faults: StubFaults) -> None:
+        """Replaces the faults; a cold start begins now."""
+        self.faults = faults
+        self._faults_since_s = time.monotonic()
+        if faults.cold_s:
+            self._started_s = time.monotonic()
+
+    def happens(self, share: float) -> bool:
+        """Whether a fault with this share strikes a request."""
+        return self.is_faulty and self._rng.random() < share
+
+    def crashes(self, body: bytes) -> bool:
+        """Whether a request with this body crashes the target."""
+        mark = self.faults.crash_mark
+        return bool(mark) and mark.encode() in body
+
+    def kind_of(
+        self, method: str, path: str
+    ) -> service_file.RequestKind | None:
+        """Returns the request kind of a path, by the longest prefix."""
+        matching = [
+            kind
+            for kind in self.service.kinds
+            if kind.method == method
+            and f"{path}/".startswith(kind.route[1].rstrip("/") + "/")
+        ]
+        return max(matching, key=lambda kind: len(kind.route[1]), default=None)
+
+    def started(
+        self, *, request_id: str, kind: service_file.RequestKind, body: bytes
+    ) -> StubRun | None:
+        """Takes a slot; returns None if the request is shed."""
+        if self.in_flight >= self.target.slots:
+            self.shed += 1
+            return None
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        if not kind.idempotent:
+            self._bookings += 1
+        run = StubRun(
+            request_id=request_id,
+            kind=kind.name,
+            booking=0 if kind.idempotent else self._bookings,
+            body=body[:64].decode(errors="replace"),
+        )
+        self.runs.append(run)
+        return run
+
+    async def work(
+        self,
+        run: StubRun,
+        kind: service_file.RequestKind,
+        deadline_s: float,
+    ) -> bool:
+        """Runs a request; returns whether it ended by its deadline."""
+        run_s = self._run_s(kind)
+        try:
+            await asyncio.sleep(min(run_s, deadline_s))
+            run.end = "complete" if run_s <= deadline_s else "deadline"
+        except asyncio.CancelledError:
+            run.end = "cancelled"
+            raise
+        finally:
+            self.in_flight -= 1
+        return run_s <= deadline_s
+
+    def answer(
+        self, run: StubRun, kind: service_file.RequestKind
+    ) -> dict[str, typing.Any]:
+        """Returns the body that answers a request."""
+        content: dict[str, typing.Any] = {
+            name: f"{name} of {run.request_id}"
+            for name in kind.answer_checks.json_fields
+        }
+        content["request"] = run.request_id
+        content["target"] = self.target.id
+        if run.booking:
+            content["booking"] = f"{self.incarnation}/{run.booking}"
+        return content
+
+    def report(self) -> dict[str, typing.Any]:
+        """Returns the body of the health report."""
+        return {
+            "healthy": self.faults.probes_healthy,
+            "draining": self.faults.draining,
+            "warming": self.is_warming,
+            "load": self.in_flight,
+            "incarnation": self.incarnation,
+        }
+
+    def _run_s(self, kind: service_file.RequestKind) -> float:
+        if self.faults.hangs and self.is_faulty:
+            return 1e6
+        mean_s = kind.expected_ms / 1000.0 * self._time_scale
+        run_s = self._rng.expovariate(1.0 / mean_s)
+        if self._rng.random() < self._straggler_share:
+            run_s *= _STRAGGLER_FACTOR
+        if self.is_faulty:
+            run_s *= self.faults.slow_factor
+        return run_s * (self.faults.cold_factor if self.is_warming else 1.0)
--- /dev/null
+++ b/tests/test_target_stub.py
@@ -0,0 +1,151 @@
+"""Tests of the target stub through the real target client."""
+
+import asyncio
+import json
+import random
+import socket
+import unittest
+
+import aiohttp
+
+from bench import dispatch_world
+from fuchsiacourse import aiohttp_target_client
+from fuchsiacourse import errors
+from fuchsiacourse import stub_target
+from fuchsiacourse import stub_target_server
+from fuchsiacourse import system_clock
+from fuchsiacourse import target_client
+
+
+def free_address() -> str:
+    """Returns a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class TargetStubTest(unittest.IsolatedAsyncioTestCase):
+    """The stub must fail in the ways that the fleet has to bear."""
+
+    async def asyncSetUp(self):
+        file = dispatch_world.service(targets=1)
+        self.address = free_address()
+        self.target = stub_target.StubTarget(
+            target=file.targets[0].model_copy(
+                update={"address": self.address}
+            ),
+            service=file,
+            rng=random.Random(1),
+            straggler_share=0.0,
+            time_scale=0.1,
+        )
+        server = stub_target_server.StubTargetServer(target=self.target)
+        await server.start()
+        self.client = aiohttp_target_client.AiohttpTargetClient(
+            clock=system_clock.SystemClock()
+        )
+        self.addAsyncCleanup(server.stop)
+        self.addAsyncCleanup(self.client.close)
+
+    async def control(self, **faults):
+        async with aiohttp.ClientSession() as session:
+            async with session.put(
+                f"http://{self.address}/control", data=json.dumps(faults)
+            ) as response:
+                return response.status
+
+    async def record(self):
+        async with aiohttp.ClientSession() as session:
+            async with session.get(
+                f"http://{self.address}/record"
+            ) as response:
+                return await response.json()
+
+    async def book(self, id="a-1", *, deadline_s=5.0, body=b"{}"):
+        return await self.client.send(
+            target_client.TargetCall(
+                target_id="target-1",
+                address=self.address,
+                request_id=id,
+                method="POST",
+                path="/booking/1",
+                headers=[],
+                body=body,
+                deadline_s=deadline_s,
+            )
+        )
+
+    async def test_booking_is_answered_and_recorded(self):
+        """Guards against a record that a soak run can't check replies by."""
+        answer = await self.book()
+        self.assertEqual(200, answer.status)
+        self.assertEqual("a-1", answer.request_id)
+        self.assertTrue(json.loads(answer.body)["booking"])
+        runs = (await self.record())["runs"]
+        self.assertEqual(["a-1"], [run["request_id"] for run in runs])
+        self.assertEqual("complete", runs[0]["end"])
+
+    async def test_request_beyond_the_slots_is_shed_and_not_run(self):
+        """Guards against a shed status for something that ran."""
+        answers = await asyncio.gather(
+            *(self.book(f"a-{number}") for number in range(5))
+        )
+        statuses = sorted(answer.status for answer in answers)
+        self.assertEqual([200, 200, 200, 503, 503], statuses)
+        self.assertEqual(3, len((await self.record())["runs"]))
+
+    async def test_faults_reach_the_client_as_they_should(self):
+        """Guards against faults that the client doesn't notice."""
+        await self.control(truncated_share=1.0)
+        with self.assertRaises(errors.TargetBadAnswer):
+            await self.book()
+        await self.control(lost_share=1.0)
+        with self.assertRaises(errors.TargetUnsure):
+            await self.book()
+        await self.control(error_share=1.0)
+        self.assertEqual(500, (await self.book()).status)
+        await self.control(wrong_share=1.0)
+        self.assertEqual("another", (await self.book()).request_id)
+        self.assertEqual(422, await self.control(slow=2))
+
+    async def test_draining_is_told_in_answer_and_report(self):
+        """Guards against a drain that only the host list shows."""
+        await self.control(draining=True, cold_s=60.0)
+        answer = await self.book()
+        self.assertEqual("draining", answer.header("Target-State"))
+        report = await self.client.probe(self.address, path="/health")
+        self.assertTrue(report.healthy and report.draining)
+        self.assertTrue(report.warming)
+
+    async def test_deadline_and_cancellation_free_the_slot(self):
+        """Guards against a given-up request that holds its slot."""
+        await self.control(hangs=True)
+        answer = await self.book(deadline_s=0.05)
+        self.assertEqual(504, answer.status)
+        task = asyncio.ensure_future(self.book("a-2"))
+        while self.target.in_flight == 0:
+            await asyncio.sleep(0.005)
+        task.cancel()
+        while self.target.in_flight:
+            await asyncio.sleep(0.005)
+        ends = [run["end"] for run in (await self.record())["runs"]]
+        self.assertEqual(["deadline", "cancelled"], ends)
+
+    async def test_crash_loses_requests_and_changes_the_incarnation(self):
+        """Guards against a crash that only one request notices."""
+        before = self.target.incarnation
+        await self.control(hangs=True, crash_mark="poison", restart_s=0.05)
+        other = asyncio.ensure_future(self.book("a-1"))
+        while not self.target.in_flight:
+            await asyncio.sleep(0.005)
+        with self.assertRaises(errors.TargetUnsure):
+            await self.book("a-2", body=b"poison")
+        with self.assertRaises(errors.TargetUnsure):
+            await other
+        with self.assertRaises(errors.TargetUnreachable):
+            await self.book("a-3")
+        while self.target.incarnation == before:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        report = await self.client.probe(self.address, path="/health")
+        self.assertEqual(self.target.incarnation, report.incarnation)
