Build the stub targets' servers inside the running loop

Cause: the program failed at its start, because aiohttp's server takes the running loop and the tests had always one.

Change: the servers are made in the coroutine; a test starts the program.

--- a/fuchsiacourse/target_stub.py
+++ b/fuchsiacourse/target_stub.py
@@ -41,19 +41,17 @@
     try:
         service = service_file.load(service_path)
         targets = _selected(service, target_ids or [])
-        servers = [
-            stub_target_server.StubTargetServer(
-                target=stub_target.StubTarget(
-                    target=target,
-                    service=service,
-                    rng=random.Random(f"{seed}/{target.id}"),
-                    straggler_share=straggler_share,
-                    time_scale=time_scale,
-                )
+        stubs = [
+            stub_target.StubTarget(
+                target=target,
+                service=service,
+                rng=random.Random(f"{seed}/{target.id}"),
+                straggler_share=straggler_share,
+                time_scale=time_scale,
             )
             for target in targets
         ]
-        asyncio.run(_serve(servers))
+        asyncio.run(serve(stubs))
     except (errors.FuchsiacourseError, OSError) as error:
         print(error, file=sys.stderr)
         raise typer.Exit(EXIT_BAD_INPUT) from error
@@ -74,14 +72,16 @@
     ]
 
 
-async def _serve(
-    servers: list[stub_target_server.StubTargetServer],
-) -> None:
+async def serve(stubs: list[stub_target.StubTarget]) -> None:
+    """Serves targets until the process is told to stop."""
     log = logs.configure(program="target-stub")
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    servers = [
+        stub_target_server.StubTargetServer(target=stub) for stub in stubs
+    ]
     for server in servers:
         await server.start()
     logs.event(log, "targets_listening", count=len(servers))
--- a/tests/test_target_stub.py
+++ b/tests/test_target_stub.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import json
+import pathlib
 import random
+import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 
 import aiohttp
@@ -149,3 +154,33 @@
         await asyncio.sleep(0.05)
         report = await self.client.probe(self.address, path="/health")
         self.assertEqual(self.target.incarnation, report.incarnation)
+
+
+class TargetStubProgramTest(unittest.TestCase):
+    """The program must start, serve and stop."""
+
+    def test_program_serves_until_sigterm(self):
+        """Guards against a program that fails outside of a test's loop."""
+        address = free_address()
+        file = dispatch_world.service(targets=1)
+        target = file.targets[0].model_copy(update={"address": address})
+        content = file.model_copy(update={"targets": [target]})
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory, "larder.json")
+            path.write_text(content.model_dump_json(), encoding="utf-8")
+            process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "fuchsiacourse.target_stub",
+                    "--service",
+                    str(path),
+                ],
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+            line = process.stderr.readline()
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=10)
+        self.assertIn("targets_listening", line)
+        self.assertEqual(0, process.returncode)
