--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/black --quiet fuchsiacourse bench tests
 
 proto: setup
-	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. \
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -I . --python_out=. \
 	  --grpclib_python_out=. fuchsiacourse/fleet.proto
 
 schema: setup
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,204 @@
+"""Runs a small fleet with real requests and shows what happened.
+
+Four hosts in two regions, the samples of Glenmorach Preserves, load with
+bookings, a configuration change and a planned stop of one host under
+load. Exits with 0 if every guarantee held.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import rich.console
+import rich.table
+
+from bench import local_fleet
+from bench import run_check
+from fuchsiacourse import arrival_profile
+from fuchsiacourse import load_mix
+from fuchsiacourse import load_run
+from fuchsiacourse import service_file
+from fuchsiacourse import system_clock
+
+SAMPLES = pathlib.Path("samples/glenmorach")
+ZONES = (
+    ("tay-a", "tayside"),
+    ("lot-a", "lothian"),
+    ("tay-b", "tayside"),
+    ("lot-b", "lothian"),
+)
+RATE_PER_S = 60.0
+LOAD_S = 12.0
+CHANGE_AFTER_S = 2.0
+STOP_AFTER_S = 4.0
+IN_FORCE_LIMIT_S = 5.0
+STOP_LIMIT_S = 25.0
+POLL_S = 0.1
+SEED = 1
+
+
+class Demo:
+    """One run of the demonstration.
+
+    Args:
+        fleet: Processes to start.
+    """
+
+    def __init__(self, *, fleet: local_fleet.LocalFleet) -> None:
+        self._fleet = fleet
+        self._places = [
+            local_fleet.HostPlace(
+                ip=fleet.host_ip(number),
+                availability_zone=zone,
+                region=region,
+            )
+            for number, (zone, region) in enumerate(ZONES, start=1)
+        ]
+        self._services: list[service_file.ServiceFile] = []
+        self._operator = str(fleet.folder / "operator.json")
+        self.table = rich.table.Table("what", "result", title="Run")
+        self.failures: list[str] = []
+        self._expected_members = 2 * len(self._places)
+
+    async def run(self) -> load_run.LoadRun:
+        """Starts everything, sends load and stops everything."""
+        await self._start()
+        self._check(
+            await self._wait_in_force(),
+            "in force on all members after the first publish",
+        )
+        load = load_run.LoadRun(
+            addresses=[
+                f"{place.ip}:{local_fleet.HTTP_PORT}" for place in self._places
+            ],
+            profile=arrival_profile.SteadyProfile(
+                rate_per_s=RATE_PER_S, length_s=LOAD_S
+            ),
+            mix=load_mix.LoadMix(services=self._services),
+            clock=system_clock.SystemClock(),
+            rng=random.Random(SEED),
+        )
+        await asyncio.gather(load.run(), self._change(), self._stop_host())
+        await self._compare(load)
+        codes = await self._fleet.stop()
+        bad = {name: code for name, code in codes.items() if code != 0}
+        self.table.add_row("processes ended", f"{len(codes)}, bad: {bad}")
+        if bad:
+            self.failures.append(f"exit codes {bad}")
+        return load
+
+    async def _start(self) -> None:
+        fleet = self._fleet
+        fleet.write_operator_settings()
+        await fleet.start_platform()
+        self._services = fleet.copy_services(SAMPLES)
+        for service in self._services:
+            await fleet.start_targets(service.service)
+        seeds = [
+            f"{place.ip}:{local_fleet.DISPATCH_GOSSIP_PORT}"
+            for place in self._places[:2]
+        ]
+        names = []
+        for place in self._places:
+            names += [
+                (await fleet.start_entry(place, seeds=seeds)).name,
+                (await fleet.start_dispatch(place, seeds=seeds)).name,
+            ]
+        await fleet.publish()
+        await fleet.wait_ready(names)
+
+    async def _wait_in_force(self) -> float | None:
+        """Returns the seconds until ctl shows one number everywhere."""
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        while loop.time() - begin < 2 * IN_FORCE_LIMIT_S:
+            if await self._is_in_force():
+                return loop.time() - begin
+            await asyncio.sleep(POLL_S)
+        return None
+
+    async def _is_in_force(self) -> bool:
+        code, output = await self._fleet.run(
+            "ctl", "status", "--settings", self._operator, "--json"
+        )
+        if code != 0:
+            return False
+        status = json.loads(output)
+        rows = [row for row in status["members"] if row["state"] in ("alive",)]
+        number = status["number"]
+        return len(rows) >= self._expected_members and all(
+            row["number"] == number for row in rows
+        )
+
+    async def _change(self) -> None:
+        await asyncio.sleep(CHANGE_AFTER_S)
+        path = self._fleet.folder / "services" / "larder.json"
+        content = json.loads(path.read_text(encoding="utf-8"))
+        content["floor_slots"] -= 1
+        path.write_text(json.dumps(content), encoding="utf-8")
+        await self._fleet.publish()
+        elapsed_s = await self._wait_in_force()
+        self._check(elapsed_s, "changed file in force on all members")
+
+    async def _stop_host(self) -> None:
+        await asyncio.sleep(STOP_AFTER_S)
+        ip = self._places[-1].ip
+        self._expected_members -= 2
+        for program in ("entry", "dispatch"):
+            process = self._fleet.processes_by_name[f"{program}-{ip}"]
+            process.signal(signal.SIGTERM)
+            code = await process.wait(STOP_LIMIT_S)
+            self.table.add_row(
+                f"planned stop of {process.name} under load", f"exit {code}"
+            )
+
+    async def _compare(self, load: load_run.LoadRun) -> None:
+        bodies = await run_check.read_bodies(self._services)
+        found = run_check.problems(bodies, load.calls)
+        unanswered = [call for call in load.calls if call.result.status == 0]
+        self.table.add_row("requests", str(len(load.calls)))
+        self.table.add_row("sent again", str(load.result.resends))
+        self.table.add_row("worth in time", f"{load.result.worth_ratio:.1%}")
+        self.table.add_row("without an answer", str(len(unanswered)))
+        self.table.add_row("broken guarantees", str(len(found)))
+        self.failures += found
+        if unanswered:
+            self.failures.append(f"{len(unanswered)} calls had no answer")
+
+    def _check(self, elapsed_s: float | None, what: str) -> None:
+        if elapsed_s is None or elapsed_s > IN_FORCE_LIMIT_S:
+            self.failures.append(f"not in time: {what}")
+        shown = "never" if elapsed_s is None else f"{elapsed_s:.2f} s"
+        self.table.add_row(what, f"{shown} (limit {IN_FORCE_LIMIT_S} s)")
+
+
+async def demonstrate(folder: pathlib.Path) -> int:
+    """Runs the demonstration and returns the exit code."""
+    console = rich.console.Console()
+    fleet = local_fleet.LocalFleet(folder=folder)
+    demo = Demo(fleet=fleet)
+    try:
+        load = await demo.run()
+    finally:
+        await fleet.stop()
+    console.print(load.result.table())
+    console.print(demo.table)
+    for failure in demo.failures:
+        console.print(f"failed: {failure}", style="red", markup=False)
+    return 1 if demo.failures else 0
+
+
+def main() -> int:
+    """Returns the exit code of the demonstration."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(demonstrate(pathlib.Path(folder)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/local_fleet.py
+++ b/bench/local_fleet.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from fuchsiacourse import service_file
+
 GOSSIP_PORT = 7946
 RPC_PORT = 7947
 HTTP_PORT = 8080
@@ -237,6 +239,88 @@
             name, "dispatch", "--settings", str(path), status=status
         )
 
+    def write_operator_settings(self) -> pathlib.Path:
+        """Writes the settings of publish, ctl and report."""
+        return self.write_json(
+            "operator.json",
+            {
+                "program": "operator",
+                "platform": {"url": self.platform_url},
+                "operator": "local",
+            },
+        )
+
+    async def start_platform(self, **changes: typing.Any) -> LocalProcess:
+        """Starts the platform stub; changes override its settings."""
+        content = {
+            "program": "platform-stub",
+            "http_address": self.platform_address,
+        }
+        path = self.write_json("platform.json", content | changes)
+        started = await self.start(
+            "platform", "platform_stub", "--settings", str(path)
+        )
+        await self._wait_listening(self.platform_address)
+        return started
+
+    def copy_services(
+        self, samples: pathlib.Path
+    ) -> list[service_file.ServiceFile]:
+        """Copies service files with target addresses of this fleet."""
+        services = []
+        for number, path in enumerate(sorted(samples.glob("*.json")), 1):
+            content = json.loads(path.read_text(encoding="utf-8"))
+            for index, target in enumerate(content["targets"]):
+                port = TARGET_PORT + index
+                target["address"] = f"{self.target_ip(number)}:{port}"
+            copied = self.write_json(f"services/{path.name}", content)
+            services.append(service_file.load(copied))
+        return services
+
+    async def start_targets(
+        self, service: str, *arguments: str
+    ) -> LocalProcess:
+        """Starts the stub targets of a copied service."""
+        path = self.folder / "services" / f"{service}.json"
+        started = await self.start(
+            f"targets-{service}",
+            "target_stub",
+            "--service",
+            str(path),
+            *arguments,
+        )
+        for target in service_file.load(path).targets:
+            await self._wait_listening(target.address)
+        return started
+
+    async def publish(self) -> str:
+        """Publishes the copied services and returns what was printed.
+
+        Raises:
+            RuntimeError: The publish failed.
+        """
+        code, output = await self.run(
+            "publish",
+            str(self.folder / "services"),
+            "--settings",
+            str(self.folder / "operator.json"),
+        )
+        if code != 0:
+            raise RuntimeError(f"publish exited with {code}:\n{output}")
+        return output
+
+    async def _wait_listening(self, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(ip, int(port))
+                except ConnectionError:
+                    await asyncio.sleep(POLL_S)
+                    continue
+                writer.close()
+                return
+
     async def wait_ready(self, names: typing.Iterable[str]) -> None:
         """Waits until the status ports of processes report ready.
 
--- a/fuchsiacourse/careful_caller.py
+++ b/fuchsiacourse/careful_caller.py
@@ -33,6 +33,7 @@
         attempts: Number of sendings under all keys.
         keys: Keys that were used, in order.
         closed_keys: Keys that were answered not-run.
+        cut_off: Attempts that were sent and got no whole answer.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "attempts",
         "keys",
         "closed_keys",
+        "cut_off",
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         attempts: int = 1,
         keys: collections.abc.Sequence[str] = (),
         closed_keys: collections.abc.Sequence[str] = (),
+        cut_off: int = 0,
     ) -> None:
         self.status = status
         self.verdict = verdict
@@ -60,6 +63,7 @@
         self.attempts = attempts
         self.keys = tuple(keys)
         self.closed_keys = tuple(closed_keys)
+        self.cut_off = cut_off
 
 
 class _AddressList:
@@ -145,6 +149,7 @@
         keys: list[str] = []
         closed: list[str] = []
         attempt = 1
+        cut_off = 0
         result = CallResult(status=0, verdict=verdicts.Verdict.NOT_RUN)
         for turn in range(1, self._max_attempts + 1):
             try:
@@ -163,6 +168,8 @@
                 key=keys[-1] if keys else "",
                 attempt=attempt,
             )
+            cut_off += result.cut_off
+            result.cut_off = cut_off
             result.attempts = turn
             result.keys = tuple(keys)
             if result.verdict is verdicts.Verdict.RAN:
@@ -211,10 +218,13 @@
                     verdict=_read_verdict(response),
                     body=content,
                 )
-        except (aiohttp.ClientError, TimeoutError):
-            # Without an answer nothing is known, even if this attempt
-            # never connected: an earlier one may still be running.
+        except aiohttp.ClientConnectorError:
+            # This attempt was not sent, but an earlier one may still run.
             return CallResult(status=0, verdict=verdicts.Verdict.MAY_HAVE_RUN)
+        except (aiohttp.ClientError, TimeoutError):
+            return CallResult(
+                status=0, verdict=verdicts.Verdict.MAY_HAVE_RUN, cut_off=1
+            )
 
     async def _current_list(self) -> _AddressList:
         async with self._refresh:
--- /dev/null
+++ b/fuchsiacourse/dispatch.py
@@ -0,0 +1,85 @@
+"""Program that owns shards and sends requests to targets."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import typer
+
+from fuchsiacourse import aiohttp_target_client
+from fuchsiacourse import dispatch_service
+from fuchsiacourse import member
+from fuchsiacourse import members
+from fuchsiacourse import node_program
+from fuchsiacourse import settings
+
+# Gossip reaches every member within this time.
+LINGER_S = 2.0
+
+app = typer.Typer(add_completion=False)
+
+
+class DispatchProgram(node_program.NodeProgram[settings.DispatchSettings]):
+    """Dispatch process: shards, health and the targets' connections.
+
+    Args:
+        options: Checked settings.
+    """
+
+    def __init__(self, options: settings.DispatchSettings) -> None:
+        super().__init__(settings=options, role=members.DISPATCH)
+        self._target_client = aiohttp_target_client.AiohttpTargetClient(
+            clock=self.clock
+        )
+        self.service = dispatch_service.DispatchService(
+            settings=options,
+            clock=self.clock,
+            timers=self.timers,
+            rng=self.rng,
+            members=self.node.members,
+            config=self.node.config,
+            target_client=self._target_client,
+            store=self.store,
+            invariants=self.node.invariants,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self.rpc_server.add_dispatch(
+            execute=self.service.execute, withdraw=self.service.withdraw
+        )
+
+    async def start_service(self) -> None:
+        """Starts the timers of the shards."""
+        self.service.start()
+
+    async def drain_service(self) -> None:
+        """Passes on what is queued and finishes what is at targets."""
+        self.node.set_state(member.State.LEAVING)
+        await self.service.drain()
+        # Entries that have not heard of the stop yet get a certain refusal
+        # from this process, which a closed connection would not give them.
+        await self.clock.sleep(LINGER_S)
+
+    async def stop_service(self) -> None:
+        """Closes the connections to targets."""
+        await self._target_client.close()
+
+
+@app.command()
+def main(
+    settings_path: typing.Annotated[
+        pathlib.Path,
+        typer.Option("--settings", help="JSON settings of this dispatch."),
+    ],
+) -> None:
+    """Owns shards of services and sends their requests to targets.
+
+    Runs until SIGTERM or SIGINT, then stops gracefully. Exits with 2 if the
+    settings are wrong.
+    """
+    node_program.run(settings_path, settings.DispatchSettings, DispatchProgram)
+
+
+if __name__ == "__main__":
+    app()
--- a/fuchsiacourse/load.py
+++ b/fuchsiacourse/load.py
@@ -78,7 +78,7 @@
             ),
         )
         result = asyncio.run(load.run())
-    console.print(_table(result))
+    console.print(result.table())
     if out is not None:
         out.write_text(result.to_json() + "\n", encoding="utf-8")
 
@@ -119,28 +119,5 @@
     table.add_row(name, figure, f"{old:.3g}", f"{new:.3g}", change)
 
 
-def _table(result: load_result.LoadResult) -> rich.table.Table:
-    table = rich.table.Table(
-        "kind", "sent", "in time", "p50 ms", "p99 ms", "p99.9 ms", "verdicts"
-    )
-    for name, item in sorted(result.kinds_by_name.items()):
-        table.add_row(
-            name,
-            str(item.sent),
-            str(item.good),
-            f"{item.percentile_ms(50.0):.1f}",
-            f"{item.percentile_ms(99.0):.1f}",
-            f"{item.percentile_ms(99.9):.1f}",
-            ", ".join(
-                f"{verdict} {count}"
-                for verdict, count in sorted(item.verdicts.items())
-            ),
-        )
-    table.add_row(
-        "worth in time", "", f"{result.worth_ratio:.1%}", "", "", "", ""
-    )
-    return table
-
-
 if __name__ == "__main__":
     app()
--- a/fuchsiacourse/load_result.py
+++ b/fuchsiacourse/load_result.py
@@ -7,6 +7,7 @@
 import typing
 
 import hdrh.histogram
+import rich.table
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
@@ -97,3 +98,30 @@
                 for name, item in self.kinds_by_name.items()
             },
         }
+
+    def table(self) -> rich.table.Table:
+        """Returns the result as a table for a terminal."""
+        table = rich.table.Table(
+            "kind",
+            "sent",
+            "in time",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "verdicts",
+        )
+        for name, item in sorted(self.kinds_by_name.items()):
+            table.add_row(
+                name,
+                str(item.sent),
+                str(item.good),
+                f"{item.percentile_ms(50.0):.1f}",
+                f"{item.percentile_ms(99.0):.1f}",
+                f"{item.percentile_ms(99.9):.1f}",
+                ", ".join(
+                    f"{verdict} {count}"
+                    for verdict, count in sorted(item.verdicts.items())
+                ),
+            )
+        table.add_row("worth in time", "", f"{self.worth_ratio:.1%}")
+        return table
--- a/fuchsiacourse/load_run.py
+++ b/fuchsiacourse/load_run.py
@@ -23,6 +23,29 @@
 Progress = typing.Callable[[int, int], None]
 
 
+class LoadCall:
+    """One request of a run, for checks against the targets' records.
+
+    Args:
+        item: Kind of request.
+        body: Body that was sent; unique for each request with a body.
+        result: What the caller was told.
+    """
+
+    __slots__ = ("item", "body", "result")
+
+    def __init__(
+        self,
+        *,
+        item: load_mix.LoadItem,
+        body: bytes,
+        result: careful_caller.CallResult,
+    ) -> None:
+        self.item = item
+        self.body = body
+        self.result = result
+
+
 class LoadRun:
     """Sends requests at the times of a profile, whatever is answered.
 
@@ -60,7 +83,7 @@
         self._sent = 0
         self._finished = 0
         self.result = load_result.LoadResult()
-        self.calls: list[careful_caller.CallResult] = []
+        self.calls: list[LoadCall] = []
 
     async def run(self) -> load_result.LoadResult:
         """Sends the load and waits for every answer."""
@@ -133,7 +156,7 @@
             worth=kind.worth,
         )
         self.result.resends += call.attempts - 1
-        self.calls.append(call)
+        self.calls.append(LoadCall(item=item, body=body, result=call))
         self._finished += 1
         self._report()
 
--- /dev/null
+++ b/fuchsiacourse/node.py
@@ -0,0 +1,150 @@
+"""Membership and configuration of one process of the fleet."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import config_agent
+from fuchsiacourse import config_table
+from fuchsiacourse import datagram as datagrams
+from fuchsiacourse import gossip
+from fuchsiacourse import identity
+from fuchsiacourse import in_force
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import members as member_tables
+from fuchsiacourse import metrics as metric_tables
+from fuchsiacourse import peers as peer_ports
+from fuchsiacourse import settings as settings_files
+from fuchsiacourse import store as stores
+from fuchsiacourse import timers as timer_services
+
+
+class Node:
+    """The part that entry and dispatch share.
+
+    Args:
+        settings: Settings of the program.
+        role: ``entry`` or ``dispatch``.
+        clock: Source of time.
+        timers: Timer service of the process.
+        rng: Source of randomness.
+        datagram: Port to the gossip network.
+        store: Platform's object API.
+        peers: Port to other processes.
+        log: Logger.
+        metrics: Metrics of the process, by default none.
+        on_broken: Called for each broken invariant, by default not set.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: settings_files.NodeSettings,
+        role: str,
+        clock: clocks.Clock,
+        timers: timer_services.Timers,
+        rng: random.Random,
+        datagram: datagrams.Datagram,
+        store: stores.Store,
+        peers: peer_ports.Peers,
+        log: typing.Any,
+        metrics: metric_tables.Metrics | None = None,
+        on_broken: invariant_checks.OnBroken | None = None,
+    ) -> None:
+        self.members = member_tables.Members(
+            self_row=_own_row(settings, role, clock, rng)
+        )
+        self.invariants = invariant_checks.Invariants(
+            log=log, on_broken=on_broken
+        )
+        self.config = config_table.ConfigTable(invariants=self.invariants)
+        self.gossip = gossip.Gossip(
+            clock=clock,
+            timers=timers,
+            rng=rng,
+            members=self.members,
+            datagram=datagram,
+            store=store,
+            seeds=settings.seeds,
+            deployment_key=settings.deployment_key,
+            log=log,
+            metrics=metrics,
+        )
+        self.config_agent = config_agent.ConfigAgent(
+            clock=clock,
+            timers=timers,
+            rng=rng,
+            members=self.members,
+            config=self.config,
+            store=store,
+            peers=peers,
+            gossip=self.gossip,
+            log=log,
+        )
+        self._reporter = in_force.InForceReporter(
+            clock=clock,
+            timers=timers,
+            rng=rng,
+            members=self.members,
+            store=store,
+            log=log,
+        )
+        self._announced = member_rows.State.ALIVE
+        self.members.subscribe(self._announce_own_state)
+        self.gossip.on_config_number(self.config_agent.on_number)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is in force and no stop is under way."""
+        state = self.members.self.state
+        return self.config.number > 0 and state is member_rows.State.ALIVE
+
+    def start(self) -> None:
+        """Joins the fleet; returns at once."""
+        self.gossip.start()
+        self.config_agent.start()
+        self._reporter.start()
+
+    def set_state(self, state: member_rows.State) -> None:
+        """Changes the own state and tells the fleet of it."""
+        row = self.members.self
+        row.state = state
+        row.sequence += 1
+        self.members.notify(row)
+
+    def close(self) -> None:
+        """Stops all activity; announces nothing."""
+        self._reporter.close()
+        self.config_agent.close()
+        self.gossip.close()
+
+    def _announce_own_state(self, row: member_rows.Member) -> None:
+        if row is not self.members.self or row.state is self._announced:
+            return
+        if row.state in (
+            member_rows.State.LEAVING,
+            member_rows.State.LEFT,
+        ):
+            self._announced = row.state
+            self.gossip.announce(row.state, row.successor)
+
+
+def _own_row(
+    settings: settings_files.NodeSettings,
+    role: str,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> member_rows.Member:
+    return member_rows.Member(
+        id=identity.new_incarnation(rng=rng, wall_s=clock.wall()),
+        role=role,
+        host=settings.host,
+        availability_zone=settings.availability_zone,
+        region=settings.region,
+        gossip_address=settings.gossip_address,
+        rpc_address=settings.rpc_address,
+        http_address=getattr(settings, "http_address", ""),
+    )
