--- /dev/null
+++ b/bench/paused_clock.py
@@ -0,0 +1,38 @@
+"""Virtual clock of a process that can be paused."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bench import virtual_loop
+
+
+class PausedClock(virtual_loop.VirtualClock):
+    """Clock whose waits do not end while the process is paused.
+
+    Time goes on meanwhile, as it does for a process that the host's
+    kernel has stopped.
+
+    Args:
+        wall_offset_s: Error of this clock's wall time in seconds.
+    """
+
+    __slots__ = ("_running",)
+
+    def __init__(self, *, wall_offset_s: float = 0.0) -> None:
+        super().__init__(wall_offset_s=wall_offset_s)
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def pause(self) -> None:
+        """Stops the process."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Continues the process."""
+        self._running.set()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Waits for a number of virtual seconds and the end of a pause."""
+        await asyncio.sleep(delay_s)
+        await self._running.wait()
--- /dev/null
+++ b/fuchsiacourse/gossip.py
@@ -0,0 +1,399 @@
+"""Gossip membership: SWIM over datagrams."""
+
+from __future__ import annotations
+
+import collections.abc
+import functools
+import math
+import random
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import datagram as datagrams
+from fuchsiacourse import dissemination
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import gossip_codec
+from fuchsiacourse import gossip_probes
+from fuchsiacourse import gossip_seeds
+from fuchsiacourse import gossip_transport
+from fuchsiacourse import logs
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import member_merge
+from fuchsiacourse import members as member_table
+from fuchsiacourse import metrics as metric_tables
+from fuchsiacourse import probe_schedule
+from fuchsiacourse import store as stores
+from fuchsiacourse import table_exchange
+from fuchsiacourse import table_sync
+from fuchsiacourse import timers as timer_services
+
+# Interval at which tables are compared with a random member and a lost
+# member or seed is contacted, in seconds.
+SYNC_INTERVAL_S = 10.0
+SYNC_JITTER = 0.3
+
+# Times after the start at which a new member compares tables too, in
+# seconds. It repairs what was lost from the first reply, and what the first
+# member did not know yet when many start together.
+JOIN_SYNCS_S = (1.0, 2.0, 4.0)
+
+# A leaving process sends its last state to more members, because it may
+# close at once and can't repeat it.
+FAREWELL_FANOUT = 8
+
+# Shortest wait for a deadline. A timer may fire a little early by rounding,
+# and waiting again for no time at all would not let the time pass.
+MIN_WAIT_S = 0.001
+
+FORGET_INTERVAL_S = 60.0
+
+# Members learned in replies during this time after the start are known to
+# the others already, so they are not told again.
+JOIN_S = 5.0
+
+OnConfigNumber = typing.Callable[[int, member_rows.Member], None]
+Packet = fleet_pb2.GossipPacket
+State = member_rows.State
+MergeResult = member_merge.MergeResult
+
+
+class Gossip:
+    """Keeps the member table up to date.
+
+    Args:
+        clock: Source of time.
+        timers: Timer service of the process.
+        rng: Source of randomness.
+        members: Table to keep; its own row is announced.
+        datagram: Port to the network.
+        store: Source of the platform's host list; may be unavailable.
+        seeds: Gossip addresses of some other members.
+        deployment_key: Secret that the members of a deployment share.
+        log: Logger.
+        metrics: Metrics of the process, None for none.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        timers: timer_services.Timers,
+        rng: random.Random,
+        members: member_table.Members,
+        datagram: datagrams.Datagram,
+        store: stores.Store,
+        seeds: collections.abc.Sequence[str],
+        deployment_key: str,
+        log: typing.Any,
+        metrics: metric_tables.Metrics | None = None,
+    ) -> None:
+        self._clock = clock
+        self._timers = timers
+        self._members = members
+        self._log = log
+        self._merge = member_merge.MemberMerge(members=members)
+        self._sync = table_sync.TableSync(members=members, merge=self._merge)
+        self._schedule = probe_schedule.ProbeSchedule(members=members, rng=rng)
+        self.transport = gossip_transport.GossipTransport(
+            datagram=datagram,
+            members=members,
+            deployment_key=deployment_key,
+            handler=self._handle,
+            metrics=metrics,
+        )
+        self._exchange = table_exchange.TableExchange(
+            clock=clock, timers=timers, transmit=self.transport.send
+        )
+        self._updates = dissemination.Dissemination(
+            timers=timers,
+            members=members,
+            schedule=self._schedule,
+            encoder=self._encode,
+            transmit=self.transport.send,
+        )
+        self._send = self._updates.send
+        self._probes = gossip_probes.GossipProbes(
+            clock=clock,
+            timers=timers,
+            rng=rng,
+            schedule=self._schedule,
+            send=self._send,
+            on_failed=self._on_probe_failed,
+        )
+        self._seeds = gossip_seeds.GossipSeeds(
+            clock=clock,
+            timers=timers,
+            rng=rng,
+            members=members,
+            store=store,
+            seeds=seeds,
+            contact=self._request_table,
+        )
+        self._config_callbacks: list[OnConfigNumber] = []
+        self._handles: list[timer_services.TimerHandle] = []
+        self._started_s = 0.0
+        self._is_closed = False
+        self._next_expiry_s = math.inf
+
+    def on_config_number(self, callback: OnConfigNumber) -> None:
+        """Subscribes to configuration numbers above the own one.
+
+        Args:
+            callback: Called with the number and the member that has it,
+                for each packet that shows it.
+        """
+        self._config_callbacks.append(callback)
+
+    def start(self) -> None:
+        """Joins the fleet; needs a running event loop."""
+        self._started_s = self._clock.now()
+        self._members.self.state_since = self._started_s
+        self.transport.open()
+        self._timers.on_wake(self._on_wake)
+        self._handles = [
+            self._timers.every(
+                gossip_probes.PERIOD_S,
+                self._tick,
+                jitter=gossip_probes.PERIOD_JITTER,
+            ),
+            self._timers.every(
+                SYNC_INTERVAL_S, self._compare, jitter=SYNC_JITTER
+            ),
+            self._timers.every(FORGET_INTERVAL_S, self._forget),
+            *self._seeds.start(),
+        ]
+        for delay_s in JOIN_SYNCS_S:
+            self._timers.after(delay_s, self._compare)
+
+    def close(self) -> None:
+        """Stops sending and receiving; announces nothing."""
+        self._is_closed = True
+        self._updates.close()
+        for handle in self._handles:
+            handle.cancel()
+
+    def set_config_number(self, number: int) -> None:
+        """Tells the fleet of the configuration in force here."""
+        own = self._members.self
+        if number <= own.config_number:
+            return
+        own.config_number = number
+        self._updates.add(own.id, is_complete=False, is_urgent=False)
+        self._updates.push()
+        self._members.notify(own)
+
+    def announce(self, state: State, successor: str = "") -> None:
+        """Tells the fleet of a planned change of the own state.
+
+        Args:
+            state: New state, LEAVING or LEFT.
+            successor: Identifier of the member that took the ledger over.
+        """
+        own = self._members.self
+        own.state = state
+        own.state_since = self._clock.now()
+        own.successor = successor or own.successor
+        own.sequence += 1
+        self._tell(own, is_complete=False)
+        self._updates.push(FAREWELL_FANOUT)
+
+    def _tick(self) -> None:
+        if self._members.self.state is not State.LEFT:
+            self._probes.tick(self._members.self.id)
+
+    def _compare(self) -> None:
+        if self._is_closed:
+            return
+        now_s = self._clock.now()
+        for row in self._schedule.sample(1, in_use=True):
+            for chunk in self._sync.next_round(now_s=now_s):
+                self._exchange.request(row.gossip_address, chunk)
+        lost = self._seeds.choose_lost()
+        if lost is not None:
+            self._ping_lost(lost)
+
+    def _ping_lost(self, row: member_rows.Member) -> None:
+        self._send(
+            row.gossip_address,
+            Packet.PING,
+            subject=row.id,
+            records=self._accusation(row.id),
+        )
+
+    def _forget(self) -> None:
+        for id in self._merge.forget_gone(now_s=self._clock.now()):
+            self._schedule.remove(id)
+
+    def _on_wake(self, late_s: float) -> None:
+        if self._is_closed:
+            return
+        logs.event(self._log, "gossip_resumed", late_s=round(late_s, 3))
+        self._probes.reset()
+        self._merge.restart_deadlines(now_s=self._clock.now())
+        self._await_deadline()
+
+    def _handle(self, packet: Packet) -> None:
+        if self._is_closed:
+            return
+        for record in packet.updates:
+            if not gossip_codec.is_wanted(record):
+                self._apply(record, packet)
+        self._note_sender(packet)
+        if packet.kind == Packet.PING:
+            self._answer_ping(packet)
+        elif packet.kind == Packet.ACK:
+            self._probes.answered(packet)
+        elif packet.kind == Packet.PING_REQUEST:
+            self._probes.relay(packet)
+        elif packet.kind == Packet.SYNC_REQUEST:
+            reply = self._sync.reply(packet, now_s=self._clock.now())
+            self._exchange.reply(packet.sender_address, reply)
+        wanted = self._sync.wanted(packet, now_s=self._clock.now())
+        if wanted:
+            self._exchange.reply(packet.sender_address, wanted)
+
+    def _note_sender(self, packet: Packet) -> None:
+        row = self._members.by_id.get(packet.sender)
+        if row is None:
+            asked = fleet_pb2.MemberRecord(id=packet.sender)
+            self._send(packet.sender_address, Packet.PUSH, records=[asked])
+            return
+        if packet.config_number > row.config_number:
+            row.config_number = packet.config_number
+            self._updates.add(row.id, is_complete=False, is_urgent=False)
+            self._members.notify(row)
+        self._show_config_number(row)
+        is_accused = bool(self._accusation(row.id))
+        if is_accused and packet.kind != Packet.PING:
+            self._accuse(row)
+
+    def _answer_ping(self, packet: Packet) -> None:
+        if packet.subject != self._members.self.id:
+            # The sender knows an earlier process at this address.
+            own = self._sync.own_record(self._clock.now())
+            self._send(packet.sender_address, Packet.PUSH, records=[own])
+            return
+        self._send(
+            packet.sender_address,
+            Packet.ACK,
+            nonce=packet.nonce,
+            subject=packet.subject,
+            records=self._accusation(packet.sender),
+        )
+
+    def _apply(self, record: fleet_pb2.MemberRecord, packet: Packet) -> None:
+        now_s = self._clock.now()
+        was_dead = self._is_dead(record.id)
+        result = self._merge.merge(record, now_s=now_s)
+        if result is MergeResult.NOTHING:
+            return
+        if result is MergeResult.REFUTE:
+            self._refute(packet)
+            return
+        row = self._members.by_id[record.id]
+        if result is MergeResult.CONFIG:
+            self._updates.add(row.id, is_complete=False, is_urgent=False)
+            self._members.notify(row)
+        elif result is MergeResult.CHALLENGED:
+            self._accuse(row, record)
+        elif result is MergeResult.ADDED:
+            self._on_added(row, packet)
+        else:
+            self._tell(row, is_complete=was_dead)
+            if was_dead and not row.is_gone:
+                self._request_table(row.gossip_address)
+        self._show_config_number(row)
+        self._await_deadline()
+
+    def _on_added(self, row: member_rows.Member, packet: Packet) -> None:
+        self._schedule.add(row)
+        is_joining = self._clock.now() - self._started_s < JOIN_S
+        is_reply = packet.kind == Packet.SYNC_REPLY
+        is_known = is_joining and is_reply and row.id != packet.sender
+        if is_known or row.state is State.DEAD:
+            self._members.notify(row)
+        else:
+            self._tell(row, is_complete=True)
+        for earlier in self._merge.replaced_by(row, now_s=self._clock.now()):
+            self._tell(earlier, is_complete=False)
+
+    def _is_dead(self, id: str) -> bool:
+        row = self._members.by_id.get(id)
+        return row is not None and row.state is State.DEAD
+
+    def _refute(self, packet: Packet) -> None:
+        self._tell(self._members.self, is_complete=True)
+        own = self._sync.own_record(self._clock.now())
+        self._send(packet.sender_address, Packet.PUSH, records=[own])
+
+    def _accusation(self, id: str) -> list[fleet_pb2.MemberRecord]:
+        row = self._members.by_id.get(id)
+        if row is None:
+            return []
+        if self._merge.told_state(row) not in (State.SUSPECT, State.DEAD):
+            return []
+        return [self._encode(id, False)]
+
+    def _accuse(
+        self,
+        row: member_rows.Member,
+        record: fleet_pb2.MemberRecord | None = None,
+    ) -> None:
+        records = [record] if record else self._accusation(row.id)
+        send = functools.partial(
+            self._send, row.gossip_address, Packet.PUSH, records=records
+        )
+        send()
+        if record is not None:
+            self._timers.after(member_merge.CHALLENGE_S / 2, send)
+
+    def _on_probe_failed(self, row: member_rows.Member) -> None:
+        if self._is_closed:
+            return
+        if self._merge.suspect(row, now_s=self._clock.now()):
+            self._tell(row, is_complete=False)
+            self._accuse(row)
+            self._await_deadline()
+
+    def _await_deadline(self) -> None:
+        due_s = self._merge.next_due_s
+        if due_s is None or due_s >= self._next_expiry_s:
+            return
+        self._next_expiry_s = due_s
+        delay_s = max(MIN_WAIT_S, due_s - self._clock.now())
+        self._timers.after(delay_s, self._expire)
+
+    def _expire(self) -> None:
+        self._next_expiry_s = math.inf
+        for row in self._merge.expire(now_s=self._clock.now()):
+            self._tell(row, is_complete=False)
+        self._await_deadline()
+
+    def _tell(self, row: member_rows.Member, *, is_complete: bool) -> None:
+        logs.event(
+            self._log,
+            "member_changed",
+            member=row.id,
+            role=row.role,
+            state=self._merge.told_state(row).value,
+            sequence=row.sequence,
+        )
+        self._updates.add(row.id, is_complete=is_complete, is_urgent=True)
+        self._members.notify(row)
+
+    def _show_config_number(self, row: member_rows.Member) -> None:
+        if row.config_number <= self._members.self.config_number:
+            return
+        if not row.is_gone:
+            for callback in self._config_callbacks:
+                callback(row.config_number, row)
+
+    def _request_table(self, address: str) -> None:
+        now_s = self._clock.now()
+        self._exchange.request(address, self._sync.whole_table(now_s=now_s))
+
+    def _encode(
+        self, id: str, is_complete: bool
+    ) -> fleet_pb2.MemberRecord | None:
+        now_s = self._clock.now()
+        return self._sync.record(id, complete=is_complete, now_s=now_s)
--- /dev/null
+++ b/fuchsiacourse/member_merge.py
@@ -0,0 +1,303 @@
+"""Rules by which gossip changes the member table."""
+
+from __future__ import annotations
+
+import enum
+
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import gossip_codec
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import members as member_table
+
+State = member_rows.State
+
+# Time that a suspected member has to refute, in seconds.
+SUSPICION_S = 1.5
+
+# Time that a member held alive has to answer a report of its death. After
+# a split each side holds the other for dead; applying such reports at once
+# would take every healthy member out of use for a moment.
+CHALLENGE_S = 0.5
+
+# Longer than the hour for which regions may lose each other, so that the
+# members on the other side are still known when the link returns.
+GONE_KEPT_S = 7200.0
+
+# Time for which a member that left can't be added again by a record from a
+# member that was cut off meanwhile.
+LEFT_REMEMBERED_S = 86_400.0
+
+# Between records of one sequence number the higher rank wins.
+_RANKS = {
+    State.ALIVE: 0,
+    State.LEAVING: 0,
+    State.SUSPECT: 1,
+    State.DEAD: 2,
+    State.LEFT: 3,
+}
+
+
+class MergeResult(enum.Enum):
+    """What a record did to the table."""
+
+    NOTHING = "nothing"
+    ADDED = "added"
+    CHANGED = "changed"
+    # Only the configuration number rose.
+    CONFIG = "config"
+    # The own process must raise its sequence.
+    REFUTE = "refute"
+    # The subject is asked to refute before its state changes.
+    CHALLENGED = "challenged"
+
+
+class _Deadline:
+    """Time until which a member must refute, or is held dead."""
+
+    __slots__ = ("due_s", "sequence", "is_challenge")
+
+    def __init__(
+        self, *, due_s: float, sequence: int, is_challenge: bool
+    ) -> None:
+        self.due_s = due_s
+        self.sequence = sequence
+        self.is_challenge = is_challenge
+
+
+class MemberMerge:
+    """Applies records to the member table.
+
+    Args:
+        members: Table to change.
+    """
+
+    def __init__(self, *, members: member_table.Members) -> None:
+        self._members = members
+        self._deadlines_by_id: dict[str, _Deadline] = {}
+        self._left_at_by_id: dict[str, float] = {}
+
+    @property
+    def next_due_s(self) -> float | None:
+        """Monotonic time of the next deadline, None without one."""
+        deadlines = self._deadlines_by_id.values()
+        return min((item.due_s for item in deadlines), default=None)
+
+    def told_state(self, row: member_rows.Member) -> State:
+        """Returns the state to tell other members of a row.
+
+        A suspected member that leaves stays LEAVING in the table, so that
+        it does not come back into use, and is told as SUSPECT.
+        """
+        deadline = self._deadlines_by_id.get(row.id)
+        if deadline is None or deadline.is_challenge:
+            return row.state
+        return State.SUSPECT
+
+    def merge(
+        self, record: fleet_pb2.MemberRecord, *, now_s: float
+    ) -> MergeResult:
+        """Applies one record.
+
+        Args:
+            record: Valid record with a state.
+            now_s: Monotonic time in seconds.
+        """
+        if record.id == self._members.self.id:
+            return self._merge_own(record)
+        row = self._members.by_id.get(record.id)
+        if row is None:
+            return self._add(record, now_s)
+        result = self._merge_known(row, record, now_s)
+        if record.config_number > row.config_number:
+            row.config_number = record.config_number
+            if result is MergeResult.NOTHING:
+                return MergeResult.CONFIG
+        return result
+
+    def is_newer(
+        self, row: member_rows.Member, record: fleet_pb2.MemberRecord
+    ) -> bool:
+        """Whether the table knows more of a member than a record tells."""
+        if row.config_number > record.config_number:
+            return True
+        state = gossip_codec.state_of(record)
+        if State.LEFT in (row.state, state):
+            return state is not State.LEFT
+        return (row.sequence, _RANKS[self.told_state(row)]) > (
+            record.sequence,
+            _RANKS[state],
+        )
+
+    def suspect(self, row: member_rows.Member, *, now_s: float) -> bool:
+        """Suspects a member that did not answer; returns whether new."""
+        if row.is_gone or self.told_state(row) is State.SUSPECT:
+            return False
+        self._start_suspicion(row, now_s)
+        return True
+
+    def expire(self, *, now_s: float) -> list[member_rows.Member]:
+        """Returns the members that did not refute in time, now dead."""
+        due = [
+            id
+            for id, deadline in self._deadlines_by_id.items()
+            if deadline.due_s <= now_s
+        ]
+        dead = []
+        for id in due:
+            row = self._members.by_id[id]
+            row.sequence = max(
+                row.sequence, self._deadlines_by_id[id].sequence
+            )
+            self._set_state(row, State.DEAD, now_s)
+            dead.append(row)
+        return dead
+
+    def replaced_by(
+        self, row: member_rows.Member, *, now_s: float
+    ) -> list[member_rows.Member]:
+        """Returns earlier processes at a new member's address, now dead."""
+        earlier = [
+            other
+            for other in self._members.by_id.values()
+            if other.gossip_address == row.gossip_address
+            and other.id < row.id
+            and not other.is_gone
+            and other is not self._members.self
+        ]
+        for other in earlier:
+            self._set_state(other, State.DEAD, now_s)
+        return earlier
+
+    def restart_deadlines(self, *, now_s: float) -> None:
+        """Gives every suspected member its full time again.
+
+        Refutations may have been missed while the process was paused.
+        """
+        for deadline in self._deadlines_by_id.values():
+            deadline.due_s = now_s + (
+                CHALLENGE_S if deadline.is_challenge else SUSPICION_S
+            )
+
+    def forget_gone(self, *, now_s: float) -> list[str]:
+        """Removes members that are gone for long; returns their ids."""
+        expired = [
+            row.id
+            for row in self._members.by_id.values()
+            if row.is_gone
+            and now_s - row.state_since > GONE_KEPT_S
+            and row is not self._members.self
+        ]
+        for id in expired:
+            del self._members.by_id[id]
+        for id, left_at_s in list(self._left_at_by_id.items()):
+            if now_s - left_at_s > LEFT_REMEMBERED_S:
+                del self._left_at_by_id[id]
+        return expired
+
+    def _merge_own(self, record: fleet_pb2.MemberRecord) -> MergeResult:
+        row = self._members.self
+        state = gossip_codec.state_of(record)
+        if row.state is State.LEFT:
+            return MergeResult.NOTHING
+        is_accusation = _RANKS[state] > 0 and record.sequence >= row.sequence
+        if not is_accusation and record.sequence <= row.sequence:
+            return MergeResult.NOTHING
+        row.sequence = record.sequence + 1
+        return MergeResult.REFUTE
+
+    def _add(
+        self, record: fleet_pb2.MemberRecord, now_s: float
+    ) -> MergeResult:
+        is_old = record.gone_s >= GONE_KEPT_S
+        if not record.role or is_old or record.id in self._left_at_by_id:
+            return MergeResult.NOTHING
+        row = gossip_codec.row_of(record)
+        row.state_since = now_s - record.gone_s
+        self._members.by_id[row.id] = row
+        if row.state is State.SUSPECT:
+            self._start_suspicion(row, now_s)
+        if row.state is State.LEFT:
+            self._left_at_by_id[row.id] = row.state_since
+        return MergeResult.ADDED
+
+    def _merge_known(
+        self,
+        row: member_rows.Member,
+        record: fleet_pb2.MemberRecord,
+        now_s: float,
+    ) -> MergeResult:
+        state = gossip_codec.state_of(record)
+        if State.LEFT in (row.state, state):
+            return self._merge_left(row, record, now_s)
+        known = (row.sequence, _RANKS[self.told_state(row)])
+        if (record.sequence, _RANKS[state]) <= known:
+            return MergeResult.NOTHING
+        if state is State.DEAD:
+            return self._merge_death(row, record, now_s)
+        row.sequence = record.sequence
+        if state is State.SUSPECT:
+            self._start_suspicion(row, now_s)
+            return MergeResult.CHANGED
+        if row.state is State.LEAVING:
+            state = State.LEAVING
+        self._set_state(row, state, now_s)
+        return MergeResult.CHANGED
+
+    def _merge_left(
+        self,
+        row: member_rows.Member,
+        record: fleet_pb2.MemberRecord,
+        now_s: float,
+    ) -> MergeResult:
+        if record.state != fleet_pb2.LEFT:
+            return MergeResult.NOTHING
+        is_known = row.state is State.LEFT
+        if is_known and (row.successor or not record.successor):
+            return MergeResult.NOTHING
+        row.successor = record.successor
+        row.sequence = max(row.sequence, record.sequence)
+        if not is_known:
+            self._set_state(row, State.LEFT, now_s)
+        return MergeResult.CHANGED
+
+    def _merge_death(
+        self,
+        row: member_rows.Member,
+        record: fleet_pb2.MemberRecord,
+        now_s: float,
+    ) -> MergeResult:
+        deadline = self._deadlines_by_id.get(row.id)
+        if row.state is State.DEAD or (
+            deadline is not None and not deadline.is_challenge
+        ):
+            row.sequence = record.sequence
+            self._set_state(row, State.DEAD, now_s)
+            return MergeResult.CHANGED
+        if deadline is not None:
+            deadline.sequence = max(deadline.sequence, record.sequence)
+            return MergeResult.NOTHING
+        self._deadlines_by_id[row.id] = _Deadline(
+            due_s=now_s + CHALLENGE_S,
+            sequence=record.sequence,
+            is_challenge=True,
+        )
+        return MergeResult.CHALLENGED
+
+    def _start_suspicion(self, row: member_rows.Member, now_s: float) -> None:
+        if row.state is not State.LEAVING:
+            self._set_state(row, State.SUSPECT, now_s)
+        self._deadlines_by_id[row.id] = _Deadline(
+            due_s=now_s + SUSPICION_S,
+            sequence=row.sequence,
+            is_challenge=False,
+        )
+
+    def _set_state(
+        self, row: member_rows.Member, state: State, now_s: float
+    ) -> None:
+        self._deadlines_by_id.pop(row.id, None)
+        if row.state is not state:
+            row.state = state
+            row.state_since = now_s
+        if state is State.LEFT:
+            self._left_at_by_id[row.id] = now_s
--- a/fuchsiacourse/rendezvous.py
+++ b/fuchsiacourse/rendezvous.py
@@ -9,7 +9,7 @@
 
 def weight(key: str, member_id: str) -> int:
     """Returns the weight of one member for a key."""
-    return xxhash.xxh64_intdigest(f"{key}\0{member_id}")
+    return xxhash.xxh64_intdigest(f"{key}\0{member_id}".encode())
 
 
 def ranked(key: str, member_ids: collections.abc.Iterable[str]) -> list[str]:
--- /dev/null
+++ b/fuchsiacourse/udp_datagram.py
@@ -0,0 +1,93 @@
+"""Datagrams over UDP."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+
+from fuchsiacourse import datagram
+
+_MAX_PORT = 65535
+
+
+class UdpDatagram(datagram.Datagram, asyncio.DatagramProtocol):
+    """Datagram endpoint of the running event loop.
+
+    Args:
+        address: Own address as ``ip:port``.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._transport: asyncio.DatagramTransport | None = None
+        self._receiver: datagram.Receiver | None = None
+        self.errors = 0
+
+    @property
+    def address(self) -> str:
+        """Own address as ``ip:port``."""
+        return self._address
+
+    async def open(self) -> None:
+        """Binds the socket.
+
+        With port 0 in the address the system chooses the port.
+
+        Raises:
+            ValueError: The address is malformed.
+            OSError: The address can't be bound.
+        """
+        pair = _split(self._address)
+        if pair is None:
+            raise ValueError(f"{self._address} is not an address ip:port")
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=pair
+        )
+        self._transport = transport
+        self._address = _joined(transport.get_extra_info("sockname"))
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def send(self, address: str, payload: bytes) -> None:
+        """Sends a datagram; never raises for a network failure."""
+        pair = _split(address)
+        if self._transport is None or pair is None:
+            self.errors += 1
+            return
+        self._transport.sendto(payload, pair)
+
+    def set_receiver(self, receiver: datagram.Receiver) -> None:
+        """Sets the function called with sender address and payload."""
+        self._receiver = receiver
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Passes a datagram to the receiver."""
+        if self._receiver is not None:
+            self._receiver(_joined(addr), data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Counts an error that the network reported."""
+        self.errors += 1
+
+
+def _split(address: str) -> tuple[str, int] | None:
+    """Returns host and port, None for what the socket would not take.
+
+    asyncio closes the endpoint on an error other than OSError, and a host
+    name would block the loop while it is resolved.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        pair = str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        return None
+    return pair if 0 <= pair[1] <= _MAX_PORT else None
+
+
+def _joined(pair: tuple[str, int]) -> str:
+    return f"{pair[0]}:{pair[1]}"
