Let the watchers of a region poll in turns

Change: the three watchers poll a third of the interval apart by their wall clocks. A watcher without others polls at a random phase.

The call rate is unchanged.

--- a/fuchsiacourse/config_watch.py
+++ b/fuchsiacourse/config_watch.py
@@ -18,7 +18,7 @@
 WATCHERS_PER_REGION = 3
 WATCH_S = 30.0
 POLL_S = 10.0
-_POLL_JITTER = 0.2
+_TURN_MIN_S = 0.5
 # A watcher must see a publish soon after an outage; the few watchers can
 # afford short waits.
 _BACKOFF_MAX_S = 2.0
@@ -32,7 +32,9 @@
 class ConfigWatch:
     """Watches and polls the manifest while this process is a watcher.
 
-    The poll finds a change that a hung watch does not show.
+    The poll finds a change that a hung watch does not show. The watchers
+    of a region poll in turns by their wall clocks, so that a region reads
+    the manifest every POLL_S / WATCHERS_PER_REGION.
 
     Args:
         clock: Source of time.
@@ -62,6 +64,9 @@
         self._store = store
         self._on_manifest = on_manifest
         self._log = log
+        # Without other members the turns are random, because then many
+        # processes may be alone at once.
+        self._lone_turn_s = rng.uniform(0.0, POLL_S)
         self._handles: list[timer_service.TimerHandle] = []
 
     @property
@@ -70,19 +75,22 @@
 
         Entries watch only where no dispatch process is alive.
         """
+        return self._members.self.id in self._watchers()
+
+    def _watchers(self) -> list[str]:
         own = self._members.self
         rows = self._members.alive(
             member_table.DISPATCH, region=own.region
         ) or self._members.alive(member_table.ENTRY, region=own.region)
         ids = {row.id for row in rows} or {own.id}
         order = rendezvous.ranked(f"manifest/{own.region}", ids)
-        return own.id in order[:WATCHERS_PER_REGION]
+        return order[:WATCHERS_PER_REGION]
 
     def start(self) -> None:
         """Starts to watch and to poll when this process is a watcher."""
         self._handles = [
             self._timers.spawn(self._watch()),
-            self._timers.every(POLL_S, self._poll, jitter=_POLL_JITTER),
+            self._timers.spawn(self._poll()),
         ]
 
     def close(self) -> None:
@@ -115,15 +123,28 @@
                 self._on_object(item)
 
     async def _poll(self) -> None:
-        if not self.is_watcher:
-            return
-        try:
-            found = await self._store.get(manifests.KEY)
-        except errors.StoreError as error:
-            self._log_failed("poll", error)
-            return
-        if found is not None:
-            self._on_object(found)
+        while True:
+            await self._clock.sleep(self._until_turn())
+            if not self.is_watcher:
+                continue
+            try:
+                found = await self._store.get(manifests.KEY)
+            except errors.StoreError as error:
+                self._log_failed("poll", error)
+                continue
+            if found is not None:
+                self._on_object(found)
+
+    def _until_turn(self) -> float:
+        """Returns the seconds until this watcher's next poll."""
+        own_id = self._members.self.id
+        watchers = self._watchers()
+        turn_s = self._lone_turn_s
+        if own_id in watchers and len(watchers) > 1:
+            turn_s = watchers.index(own_id) * POLL_S / WATCHERS_PER_REGION
+        wait_s = (turn_s - self._clock.wall()) % POLL_S
+        # A poll just before its turn must not be followed by another one.
+        return wait_s if wait_s > _TURN_MIN_S else wait_s + POLL_S
 
     def _on_object(self, item: stores.StoredObject) -> None:
         if item.key != manifests.KEY or item.deleted:
--- a/tests/test_config_agent.py
+++ b/tests/test_config_agent.py
@@ -215,7 +215,7 @@
             bench.platform.faults.hang_watches = True
             await asyncio.sleep(40)
             number = await self.publish(bench, 1)
-            await bench.time_until(number, 15.0)
+            await bench.time_until(number, IN_FORCE_BOUND_S)
 
         self.run_fleet(scenario)
 
