--- a/bench/entry_fakes.py
+++ b/bench/entry_fakes.py
@@ -135,8 +135,7 @@
     its own body.
     """
 
-    def __init__(self, *, member_id: str, rng: random.Random) -> None:
-        self.member_id = member_id
+    def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
         self.queue_s = (0.0, 0.0)
         self.run_s = (0.02, 0.02)
@@ -186,12 +185,10 @@
         self, request: fleet_pb2.WithdrawRequest
     ) -> fleet_pb2.WithdrawReply:
         """Withdraws a request that has not started."""
-        outcome = "unknown"
-        if request.member in ("", self.member_id):
-            state = self._state_by_id.get(request.request_id, "queued")
-            outcome = "withdrawn" if state != "started" else "started"
-            if outcome == "withdrawn":
-                self._state_by_id[request.request_id] = outcome
+        outcome = self._state_by_id.get(request.request_id, "queued")
+        if outcome != "started":
+            outcome = "withdrawn"
+            self._state_by_id[request.request_id] = outcome
         return fleet_pb2.WithdrawReply(
             request_id=request.request_id, outcome=outcome
         )
@@ -348,8 +345,7 @@
             for i in range(dispatchers)
         ]
         self.dispatchers = [
-            FakeDispatch(member_id=row.id, rng=self.rng)
-            for row in self.dispatch_rows
+            FakeDispatch(rng=self.rng) for _ in self.dispatch_rows
         ]
         self.tables = [self._table(row) for row in self.entry_rows]
         self.entries = [
--- a/fuchsiacourse/entry_app.py
+++ b/fuchsiacourse/entry_app.py
@@ -74,7 +74,9 @@
         proxy = _Proxy(service=service, settings=settings)
         self.add_route(ADDRESSES_PATH, _Addresses(service=service))
         self.add_sink(proxy.handle, prefix="/")
-        self.add_error_handler(Exception, proxy.handle_error)
+        # falcon has its own handlers for the narrower classes.
+        for kind in (Exception, falcon.HTTPError, falcon.HTTPStatus):
+            self.add_error_handler(kind, proxy.handle_error)
 
     async def __call__(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
@@ -308,8 +310,6 @@
     for name, value in _passed_on(answer.headers, _ANSWER_ONLY):
         if name.lower() == "content-type":
             resp.content_type = value
-        elif name.lower() == "set-cookie":
-            resp.append_header(name, value)
         else:
             resp.append_header(name, value)
     resp.set_header("request-id", answer.request_id)
--- a/fuchsiacourse/entry_service.py
+++ b/fuchsiacourse/entry_service.py
@@ -26,6 +26,7 @@
 from fuchsiacourse import logs
 from fuchsiacourse import members as member_tables
 from fuchsiacourse import metrics as metric_sets
+from fuchsiacourse import owner_ranking
 from fuchsiacourse import peers as peer_ports
 from fuchsiacourse import problem
 from fuchsiacourse import region_choice
@@ -95,9 +96,11 @@
             block_size=settings.key_block_size,
             lifetime_s=settings.key_block_lifetime_s,
         )
+        self._owners = owner_ranking.OwnerRanking(members=members)
         self._executor = executors.Executor(
             clock=clock,
             members=members,
+            owners=self._owners,
             peers=peers,
             regions=region_choice.RegionChoice(
                 clock=clock,
@@ -309,10 +312,10 @@
 
     def _admit(self, execution: executions.Execution) -> None:
         account = execution.request.account
-        entries = self._members.alive(
-            member_tables.ENTRY, region=self._settings.region
+        keepers = min(
+            self._settings.entries_per_account,
+            self._owners.entries(self._settings.region),
         )
-        keepers = min(self._settings.entries_per_account, len(entries))
         wait_s = self._limits.wait_s(
             execution.route.service, account, keepers=max(1, keepers)
         )
--- a/fuchsiacourse/executor.py
+++ b/fuchsiacourse/executor.py
@@ -14,7 +14,9 @@
 from fuchsiacourse import logs
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
+from fuchsiacourse import owner_ranking
 from fuchsiacourse import peers as peer_ports
+from fuchsiacourse import problem
 from fuchsiacourse import region_choice
 from fuchsiacourse import sending as sendings
 from fuchsiacourse import token_bucket
@@ -23,6 +25,9 @@
 
 # Time for the reply to a withdrawal.
 WITHDRAW_TIMEOUT_S = 0.5
+# A booking that has started is waited for this long after its deadline, so
+# that its caller's next attempt can learn the answer.
+LATE_ANSWER_S = 30.0
 # Redirections to the owner that are followed.
 MAX_HOPS = 2
 # Sendings of one request within a region.
@@ -65,6 +70,7 @@
     Args:
         clock: Source of time.
         members: Member table.
+        owners: Owners of shards.
         peers: Port to dispatch.
         regions: Choice of regions.
         invariants: Checks of at-most-once and of whole answers.
@@ -76,6 +82,7 @@
         *,
         clock: clocks.Clock,
         members: member_tables.Members,
+        owners: owner_ranking.OwnerRanking,
         peers: peer_ports.Peers,
         regions: region_choice.RegionChoice,
         invariants: invariant_checks.Invariants,
@@ -83,6 +90,7 @@
     ) -> None:
         self._clock = clock
         self._members = members
+        self._owners = owners
         self._peers = peers
         self._regions = regions
         self._invariants = invariants
@@ -108,15 +116,13 @@
         self._retries.adjust(RETRY_SHARE)
         refusal: errors.RefusedError | None = None
         for region in self._regions.order(execution):
-            if not self._regions.admits(execution, region):
-                continue
             try:
                 return await self._run_in(execution, region)
             except _RegionRefused as error:
-                refusal = error.refusal
-        raise refusal or execution.refusal(
-            503, "No region can serve the request", retry_after_s=1.0
-        )
+                refusal = refusal or error.refusal
+        if refusal is None:
+            refusal = execution.refusal(503, "No region has targets")
+        raise problem.copied(refusal, verdict=execution.verdict)
 
     async def _run_in(
         self, execution: executions.Execution, region: str
@@ -128,7 +134,8 @@
             hops = hops + 1 if address else 0
             if not address:
                 address = self._next_owner(execution.service, region, tried)
-            if not address:
+            # Each sending takes its own share of the region link.
+            if not address or not self._regions.admits(execution, region):
                 break
             tried.add(address)
             sending = self._new_sending(address, region, hops)
@@ -138,12 +145,12 @@
             address = step
         raise _RegionRefused(
             execution.refusal(
-                503, "No dispatch process is reachable", retry_after_s=1.0
+                503, "No dispatch process can be used", retry_after_s=1.0
             )
         )
 
     def _next_owner(self, service: str, region: str, tried: set[str]) -> str:
-        for row in self._members.ranked_owners(service, region):
+        for row in self._owners.candidates(service, region):
             if row.rpc_address not in tried:
                 return row.rpc_address
         return ""
@@ -152,17 +159,9 @@
         self, address: str, region: str, hops: int
     ) -> sendings.Sending:
         self._sendings += 1
-        member_id = next(
-            (
-                row.id
-                for row in self._members.by_id.values()
-                if row.rpc_address == address and not row.is_gone
-            ),
-            "",
-        )
         return sendings.Sending(
             address=address,
-            member_id=member_id,
+            member_id=self._owners.member_id(address),
             region=region,
             hops=hops,
             request_id=f"{self._members.self.id}-{self._sendings}",
@@ -212,7 +211,7 @@
         return await self._peers.execute(
             sending.address,
             sending.message(execution, remaining_s),
-            timeout_s=remaining_s + 2 * WITHDRAW_TIMEOUT_S,
+            timeout_s=remaining_s + 2 * WITHDRAW_TIMEOUT_S + LATE_ANSWER_S,
         )
 
     def _conclude(
@@ -345,6 +344,14 @@
                 return self._conclude(execution, sending, call)
             if _is_withdrawn(sending, withdrawal):
                 execution.unproved_sendings -= 1
+            elif not execution.is_idempotent:
+                await waiting.until(
+                    self._clock,
+                    call,
+                    at=execution.deadline_at + LATE_ANSWER_S,
+                )
+                if call.done():
+                    return self._conclude(execution, sending, call)
             raise execution.refusal(504, "Deadline has passed")
         finally:
             waiting.abandon(withdrawal)
--- a/fuchsiacourse/sending.py
+++ b/fuchsiacourse/sending.py
@@ -72,7 +72,6 @@
             request_id=self.request_id,
             service=execution.service,
             region=self.region,
-            member=self.member_id,
         )
 
     def is_whole(self, reply: fleet_pb2.ExecuteReply) -> bool:
