--- /dev/null
+++ b/fuchsiacourse/ejection_agent.py
@@ -0,0 +1,298 @@
+"""Ejection of targets through the status object of their service."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import config_table
+from fuchsiacourse import errors
+from fuchsiacourse import floor
+from fuchsiacourse import health as healths
+from fuchsiacourse import invariants as invariant_checks
+from fuchsiacourse import logs
+from fuchsiacourse import service_status
+from fuchsiacourse import shard as shards
+from fuchsiacourse import status_plan
+from fuchsiacourse import store as stores
+from fuchsiacourse import target_row
+
+# Time between reads while the service has ejections or recent releases.
+ACTIVE_READ_INTERVAL_S = 2.0
+# Time between reads while it has none; without ejections an old status can
+# do no harm, and an ejection begins with a conditional write.
+IDLE_READ_INTERVAL_S = 60.0
+# Time for which a status may be used after the start of its read.
+VIEW_VALID_S = 20.0
+# Time between writes that neither eject nor restore the floor.
+WRITE_INTERVAL_S = 1.0
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 10.0
+# Conflicts that are resolved within one call of run_once.
+MAX_ATTEMPTS = 3
+HELD_LOG_INTERVAL_S = 10.0
+
+_OUT = (target_row.TargetState.EJECTED, target_row.TargetState.CANARY)
+
+
+class EjectionAgent:
+    """Keeps the ejections of one shard in step with the status object.
+
+    Why the floor holds although several processes decide: the object is
+    the one point of serialisation. Each ejection is a conditional update
+    that counts every target named in the object (ejected, leaving, cold or
+    released, of all regions) as not healthy, so two owners can't both use
+    the same spare capacity; the later write fails and is planned anew. A
+    target of another region counts as healthy unless the object names it,
+    because its own owner writes its leaving and cold targets there. A
+    process acts on an ejection only after it has read it or its write has
+    been confirmed, and only for VIEW_VALID_S after the start of that call.
+    An entry that is taken back stays in ``released``, and counts as not
+    healthy, until a writer has seen it there for longer than that. So at
+    any time the ejections in effect anywhere are among the ejected and
+    released targets of the newest object. A writer with an older
+    configuration than the object's ejects nothing. The object must not be
+    deleted while processes run.
+
+    Platform unavailable: nothing is ejected, known ejections lapse to
+    suspicion after VIEW_VALID_S, and re-admission by canaries takes effect
+    in this process at once and in the object with the next write.
+
+    Budget of the whole deployment, for n shards of which a have ejections
+    and c health changes a second (ejection, re-admission, leaving, cold):
+    n / 60 + a / 2 reads a second and c writes a second, at most one write
+    a second for each shard except for ejections. 11,400 shards with 570
+    ejecting make 475 reads a second of the platform's 2,000. After errors
+    a shard waits from 0.5 s to 10 s.
+
+    Args:
+        shard: Tables of the shard.
+        health: Health of the shard's targets.
+        store: Platform.
+        clock: Source of time.
+        config: Newest configuration of this process.
+        self_id: Member id of this process.
+        log: Logger.
+        invariants: Checks of the floor.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: shards.Shard,
+        health: healths.Health,
+        store: stores.Store,
+        clock: clocks.Clock,
+        config: config_table.ConfigTable,
+        self_id: str,
+        log: typing.Any,
+        invariants: invariant_checks.Invariants,
+    ) -> None:
+        self._shard = shard
+        self._health = health
+        self._store = store
+        self._clock = clock
+        self._config = config
+        self._self_id = self_id
+        self._log = log
+        self._invariants = invariants
+        self._status = service_status.ServiceStatus(
+            service=shard.service.service
+        )
+        self._version = stores.CREATE_ONLY
+        # Start of the last call that confirmed the status.
+        self._confirmed_s: float | None = None
+        self._first_seen_s: dict[str, float] = {}
+        self._retry_at_s = 0.0
+        self._failures = 0
+        self._wrote_at_s = -WRITE_INTERVAL_S
+        self._releases = 0
+        self._held_logged_s = -HELD_LOG_INTERVAL_S
+        self._running = False
+
+    @property
+    def status(self) -> service_status.ServiceStatus:
+        """The status object as last confirmed."""
+        return self._status
+
+    async def run_once(self) -> None:
+        """Applies the newest knowledge and calls the platform if due."""
+        if self._running:
+            return
+        self._running = True
+        try:
+            await self._run()
+        finally:
+            self._running = False
+
+    async def _run(self) -> None:
+        self._apply()
+        if self._clock.now() < self._retry_at_s:
+            return
+        try:
+            await self._exchange()
+            self._failures = 0
+        except errors.StoreError as error:
+            self._back_off(error)
+        self._apply()
+
+    def _back_off(self, error: errors.StoreError) -> None:
+        delay_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2.0**self._failures)
+        self._failures += 1
+        self._retry_at_s = self._clock.now() + delay_s
+        logs.event(
+            self._log,
+            "status_not_exchanged",
+            service=self._status.service,
+            region=self._shard.region,
+            error=repr(error),
+            retry_s=delay_s,
+        )
+
+    async def _exchange(self) -> None:
+        if self._is_read_due():
+            await self._read()
+        for _ in range(MAX_ATTEMPTS):
+            plan = self._plan()
+            if plan is None:
+                return
+            try:
+                await self._write(plan)
+                return
+            except errors.VersionConflict:
+                await self._read()
+            except errors.StoreUnsure:
+                # Only the object itself tells whether the write took
+                # effect. A write that takes effect later is still
+                # conditional on the version it was planned for.
+                await self._read()
+                return
+
+    def _is_read_due(self) -> bool:
+        if self._confirmed_s is None:
+            return True
+        active = self._status.ejected or self._status.released
+        interval_s = ACTIVE_READ_INTERVAL_S if active else IDLE_READ_INTERVAL_S
+        return self._clock.now() - self._confirmed_s >= interval_s
+
+    async def _read(self) -> None:
+        started_s = self._clock.now()
+        name = self._status.service
+        stored = await self._store.get(service_status.key(name))
+        if stored is None:
+            status = service_status.ServiceStatus(service=name)
+            self._adopt(status, stores.CREATE_ONLY, started_s)
+            return
+        status = service_status.decode(stored.value, service=name)
+        self._adopt(status, stored.version, started_s)
+
+    async def _write(self, plan: status_plan.StatusPlan) -> None:
+        started_s = self._clock.now()
+        self._wrote_at_s = started_s
+        version = await self._store.put(
+            service_status.key(plan.status.service),
+            plan.status.encode(),
+            if_version=self._version,
+        )
+        self._adopt(plan.status, version, started_s)
+        for id in plan.ejected:
+            entry = plan.status.ejected[id]
+            logs.warning(
+                self._log,
+                "target_ejected",
+                service=plan.status.service,
+                target=id,
+                reason=entry.reason,
+                backoff_s=entry.backoff_s,
+                **entry.evidence,
+            )
+        for id in plan.released:
+            logs.event(
+                self._log,
+                "target_readmitted",
+                service=plan.status.service,
+                target=id,
+            )
+
+    def _adopt(
+        self,
+        status: service_status.ServiceStatus,
+        version: int,
+        started_s: float,
+    ) -> None:
+        now = self._clock.now()
+        self._status = status
+        self._version = version
+        self._confirmed_s = started_s
+        self._first_seen_s = {
+            token: self._first_seen_s.get(token, now)
+            for token in status.released.values()
+        }
+
+    def _plan(self) -> status_plan.StatusPlan | None:
+        """Returns the change to write now, or None."""
+        now = self._clock.now()
+        service = self._config.services_by_name.get(self._status.service)
+        if service is None:
+            return None
+        planner = status_plan.Planner(
+            service=service,
+            config_number=self._config.number,
+            shard=self._shard,
+            health=self._health,
+            self_id=self._self_id,
+            first_seen_s=self._first_seen_s,
+            now=now,
+            wall=self._clock.wall(),
+        )
+        plan = planner.plan(self._status, next_release=self._releases)
+        if plan.held and now - self._held_logged_s >= HELD_LOG_INTERVAL_S:
+            self._held_logged_s = now
+            logs.warning(
+                self._log,
+                "ejection_held_by_floor",
+                service=service.service,
+                targets=plan.held,
+                floor_slots=service.floor_slots,
+            )
+        if plan.status.encode() == self._status.encode():
+            return None
+        if not plan.is_urgent and now - self._wrote_at_s < WRITE_INTERVAL_S:
+            return None
+        self._releases += len(plan.released)
+        return plan
+
+    def _apply(self) -> None:
+        if self._confirmed_s is None:
+            return
+        service = self._config.services_by_name.get(self._status.service)
+        if service is None:
+            return
+        now = self._clock.now()
+        in_effect = floor.in_effect(
+            service, self._status, self._health.unhealthy_ids(now)
+        )
+        valid_until_s = self._confirmed_s + VIEW_VALID_S
+        self._health.apply(
+            self._status,
+            in_effect,
+            valid_until_s=valid_until_s,
+            now=now,
+            wall=self._clock.wall(),
+        )
+        out = {
+            row.id
+            for row in self._shard.targets_by_id.values()
+            if row.state in _OUT
+        }
+        slots = floor.usable_slots(
+            service, self._status, out, self._health.unhealthy_ids(now)
+        )
+        self._invariants.check(
+            invariant_checks.InvariantId.FLOOR,
+            not out or slots >= service.floor_slots,
+            service=service.service,
+            ejected=sorted(out),
+            usable_slots=slots,
+            floor_slots=service.floor_slots,
+        )
--- /dev/null
+++ b/fuchsiacourse/evidence.py
@@ -0,0 +1,170 @@
+"""Observations of targets, kept in a bounded size.
+
+Latencies go into histograms with logarithmic buckets that lose weight over
+time. Recent shares of late and failed attempts follow changes of load
+within about two seconds.
+"""
+
+from __future__ import annotations
+
+import math
+
+SMALLEST_S = 0.0005
+BUCKET_RATIO = 1.1
+BUCKETS = 150
+_LOG_RATIO = math.log(BUCKET_RATIO)
+
+# Time in which the recent counts lose all but 1/e of their weight.
+RECENT_S = 2.0
+# Observations at the expected share that are added to the recent counts.
+PRIOR_COUNT = 5.0
+
+
+def bucket(latency_s: float) -> int:
+    """Returns the bucket of a latency in seconds."""
+    if latency_s <= SMALLEST_S:
+        return 0
+    index = int(math.log(latency_s / SMALLEST_S) / _LOG_RATIO) + 1
+    return min(index, BUCKETS - 1)
+
+
+def upper_edge(index: int) -> float:
+    """Returns the longest latency of a bucket in seconds."""
+    return SMALLEST_S * BUCKET_RATIO**index
+
+
+class Recent:
+    """Recent counts of one target and kind.
+
+    ``late`` and ``very_late`` count attempts over the two limits of
+    latency, ``errors`` failed answers and ``sheds`` declined requests.
+    """
+
+    __slots__ = ("count", "late", "very_late", "errors", "sheds", "at_s")
+
+    def __init__(self) -> None:
+        self.count = 0.0
+        self.late = 0.0
+        self.very_late = 0.0
+        self.errors = 0.0
+        self.sheds = 0.0
+        self.at_s = 0.0
+
+    def decay(self, now: float) -> None:
+        """Takes weight off the counts for the time that has passed."""
+        if now <= self.at_s:
+            return
+        factor = math.exp((self.at_s - now) / RECENT_S)
+        self.at_s = now
+        self.count *= factor
+        self.late *= factor
+        self.very_late *= factor
+        self.errors *= factor
+        self.sheds *= factor
+
+    def share(self, counted: float, expected: float, now: float) -> float:
+        """Returns a share of the recent attempts.
+
+        Args:
+            counted: One of the counts.
+            expected: Share that a healthy target has.
+            now: Monotonic time in seconds.
+        """
+        factor = math.exp(min(0.0, self.at_s - now) / RECENT_S)
+        return (counted * factor + expected * PRIOR_COUNT) / (
+            self.count * factor + PRIOR_COUNT
+        )
+
+
+class KindEvidence:
+    """Evidence on one target for one kind, or for all kinds together."""
+
+    __slots__ = (
+        "buckets",
+        "weight",
+        "recent",
+        "latency_score",
+        "error_score",
+        "scored_at_s",
+        "late_levels",
+        "expectation",
+    )
+
+    def __init__(self) -> None:
+        self.buckets = [0.0] * BUCKETS
+        self.weight = 0.0
+        self.recent = Recent()
+        self.latency_score = 0.0
+        self.error_score = 0.0
+        self.scored_at_s = 0.0
+        # Limits that unfinished attempts have passed, by request.
+        self.late_levels: dict[str, int] = {}
+        # What the peers let expect; owned by the detector.
+        self.expectation: Expectation | None = None
+
+    def scale(self, factor: float) -> None:
+        """Takes weight off the histogram."""
+        self.buckets = [value * factor for value in self.buckets]
+        self.weight *= factor
+
+    def reset_scores(self, now: float) -> None:
+        """Forgets the scores, for example when an ejection starts."""
+        self.latency_score = 0.0
+        self.error_score = 0.0
+        self.scored_at_s = now
+
+
+class Expectation:
+    """What a healthy target does, judged by its peers.
+
+    Args:
+        late_s: Latency that one in ten healthy attempts exceeds.
+        very_late_s: Latency that one in fifty exceeds.
+        limits_until_s: Time at which the limits are computed anew.
+    """
+
+    __slots__ = (
+        "late_s",
+        "very_late_s",
+        "limits_until_s",
+        "late",
+        "very_late",
+        "errors",
+        "sheds",
+        "shares_until_s",
+    )
+
+    def __init__(
+        self, *, late_s: float, very_late_s: float, limits_until_s: float
+    ) -> None:
+        self.late_s = late_s
+        self.very_late_s = very_late_s
+        self.limits_until_s = limits_until_s
+        self.late = 0.0
+        self.very_late = 0.0
+        self.errors = 0.0
+        self.sheds = 0.0
+        self.shares_until_s = 0.0
+
+
+def quantiles(
+    pool: KindEvidence, own: KindEvidence, shares: tuple[float, ...]
+) -> list[float]:
+    """Returns latencies that given shares of the peers' attempts exceed.
+
+    Args:
+        pool: Evidence on all targets together.
+        own: Evidence on the target that is left out.
+        shares: Shares in falling order.
+    """
+    left = pool.weight - own.weight
+    limits = [left * share for share in shares]
+    found: list[float] = []
+    above = 0.0
+    for index in range(BUCKETS - 1, -1, -1):
+        above += pool.buckets[index] - own.buckets[index]
+        while len(found) < len(limits) and above > limits[-1 - len(found)]:
+            found.append(upper_edge(index))
+    while len(found) < len(limits):
+        found.append(upper_edge(0))
+    return found[::-1]
--- /dev/null
+++ b/fuchsiacourse/floor.py
@@ -0,0 +1,129 @@
+"""Floor of a service's healthy capacity.
+
+A target is healthy here if it is in the service file and neither ejected,
+leaving, cold nor unknown. Every function is pure, so that all processes
+with the same configuration and the same status object agree.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+import math
+
+from fuchsiacourse import service_file
+from fuchsiacourse import service_status
+
+
+def healthy_slots(
+    service: service_file.ServiceFile, unhealthy: Collection[str]
+) -> int:
+    """Returns the slots of the targets that are not listed as unhealthy."""
+    return sum(
+        target.slots
+        for target in service.targets
+        if target.id not in unhealthy
+    )
+
+
+def readmission_order(status: service_status.ServiceStatus) -> list[str]:
+    """Returns ejected targets, those to re-admit first at the front.
+
+    The oldest ejection comes first because that target has had the longest
+    time to recover.
+    """
+    return sorted(
+        status.ejected, key=lambda id: (status.ejected[id].since, id)
+    )
+
+
+def in_effect(
+    service: service_file.ServiceFile,
+    status: service_status.ServiceStatus,
+    unhealthy: Collection[str] = (),
+) -> set[str]:
+    """Returns the ejections that the floor allows to be in effect.
+
+    Args:
+        service: Newest service file.
+        status: Status object.
+        unhealthy: Targets known here to be leaving or cold.
+    """
+    out = set(status.leaving) | set(status.cold) | set(unhealthy)
+    ejected = set(status.ejected) & set(service.targets_by_id)
+    slots = healthy_slots(service, out | ejected)
+    for id in readmission_order(status):
+        if slots >= service.floor_slots:
+            break
+        if id in ejected and id not in out:
+            ejected.discard(id)
+            slots += service.targets_by_id[id].slots
+    if slots < service.floor_slots:
+        return set()
+    return ejected
+
+
+def usable(
+    service: service_file.ServiceFile,
+    status: service_status.ServiceStatus,
+    unhealthy: Collection[str] = (),
+) -> set[str]:
+    """Returns the targets that no ejection in effect takes out of use."""
+    return set(service.targets_by_id) - in_effect(service, status, unhealthy)
+
+
+def may_eject(
+    service: service_file.ServiceFile,
+    status: service_status.ServiceStatus,
+    target_id: str,
+    unhealthy: Collection[str] = (),
+) -> bool:
+    """Tells whether an ejection leaves the floor.
+
+    Targets whose release may not be known everywhere count as ejected.
+
+    Args:
+        service: Newest service file.
+        status: Status object that the write is conditional on.
+        target_id: Target to eject.
+        unhealthy: Targets known here to be leaving, cold or unknown.
+    """
+    out = {target_id, *unhealthy}
+    for ids in (
+        status.ejected,
+        status.leaving,
+        status.cold,
+        status.released,
+    ):
+        out.update(ids)
+    return healthy_slots(service, out) >= service.floor_slots
+
+
+def usable_slots(
+    service: service_file.ServiceFile,
+    status: service_status.ServiceStatus,
+    ejected: Collection[str],
+    unhealthy: Collection[str],
+) -> int:
+    """Returns the slots that are left beside ejections in effect.
+
+    Args:
+        service: Newest service file.
+        status: Status object.
+        ejected: Ejections in effect in this process.
+        unhealthy: Targets known here to be leaving or cold.
+    """
+    elsewhere = in_effect(service, status, unhealthy)
+    out = {*ejected, *elsewhere, *status.leaving, *status.cold, *unhealthy}
+    return healthy_slots(service, out)
+
+
+def shard_floor(service: service_file.ServiceFile, region: str) -> int:
+    """Returns the part of the floor that suspicion must leave in a region.
+
+    Suspicion is known in its own region only, so each region keeps a part
+    in proportion to its slots, rounded up.
+    """
+    slots = sum(
+        target.slots for target in service.targets if target.region == region
+    )
+    return math.ceil(service.floor_slots * slots / service.total_slots)
--- /dev/null
+++ b/fuchsiacourse/quarantine.py
@@ -0,0 +1,174 @@
+"""Requests that crash the targets that run them."""
+
+from __future__ import annotations
+
+import collections
+import json
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse import logs
+from fuchsiacourse import store as stores
+
+# Crashes of different targets after which a fingerprint is refused.
+CRASHES = 2
+# Time within which the crashes must happen, in seconds.
+CRASH_WINDOW_S = 600.0
+# Time for which a fingerprint stays refused, in seconds.
+QUARANTINE_S = 3600.0
+READ_INTERVAL_S = 5.0
+RETRY_INTERVAL_S = 2.0
+# Fingerprints kept in the object and, with one crash, in memory.
+MAX_FINGERPRINTS = 1000
+
+Explained = typing.Callable[[list[str]], None]
+
+
+class Quarantine:
+    """Fingerprints that are refused everywhere.
+
+    A fingerprint in flight at the crashes of two targets is quarantined in
+    this process at once and everywhere through ``quarantine/<service>``.
+    A complete answer clears the marks of a fingerprint, because a popular
+    request can be in flight at two crashes by chance.
+
+    Reads: one every READ_INTERVAL_S for each owned shard; writes: one for
+    each new fingerprint.
+
+    Args:
+        service: Name of the service.
+        store: Platform.
+        clock: Source of time.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        store: stores.Store,
+        clock: clocks.Clock,
+        log: typing.Any,
+    ) -> None:
+        self._service = service
+        self._store = store
+        self._clock = clock
+        self._log = log
+        # Unix time of the end by fingerprint.
+        self._until_by_fingerprint: dict[str, float] = {}
+        self._unwritten: set[str] = set()
+        self._marks: collections.OrderedDict[str, dict[str, float]] = (
+            collections.OrderedDict()
+        )
+        self._next_call_s = 0.0
+        self._subscribers: list[Explained] = []
+
+    @property
+    def key(self) -> str:
+        """Key of the object."""
+        return f"quarantine/{self._service}"
+
+    def subscribe(self, subscriber: Explained) -> None:
+        """Calls a function with the targets whose crashes are explained."""
+        self._subscribers.append(subscriber)
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Tells whether requests of a fingerprint are refused."""
+        until = self._until_by_fingerprint.get(fingerprint)
+        return until is not None and until > self._clock.wall()
+
+    def crashed(self, fingerprint: str, target_id: str, now: float) -> None:
+        """Records that a request was in flight when a target crashed.
+
+        Args:
+            fingerprint: Digest of the request.
+            target_id: Target that crashed.
+            now: Monotonic time in seconds.
+        """
+        marks = self._marks.setdefault(fingerprint, {})
+        marks[target_id] = now
+        self._marks.move_to_end(fingerprint)
+        while len(self._marks) > MAX_FINGERPRINTS:
+            self._marks.popitem(last=False)
+        for id, at in list(marks.items()):
+            if now - at > CRASH_WINDOW_S:
+                del marks[id]
+        if len(marks) < CRASHES:
+            return
+        if not self.is_quarantined(fingerprint):
+            logs.warning(
+                self._log,
+                "request_quarantined",
+                service=self._service,
+                fingerprint=fingerprint,
+                targets=sorted(marks),
+            )
+            until = self._clock.wall() + QUARANTINE_S
+            self._until_by_fingerprint[fingerprint] = until
+            self._unwritten.add(fingerprint)
+            self._next_call_s = min(self._next_call_s, now)
+        for subscriber in self._subscribers:
+            subscriber(sorted(marks))
+
+    def answered(self, fingerprint: str) -> None:
+        """Clears the marks of a request that a target has answered."""
+        self._marks.pop(fingerprint, None)
+
+    async def run_once(self) -> None:
+        """Exchanges fingerprints with the platform when a call is due."""
+        now = self._clock.now()
+        if now < self._next_call_s:
+            return
+        self._next_call_s = now + READ_INTERVAL_S
+        try:
+            await self._exchange()
+        except errors.StoreError as error:
+            # A write that may have taken effect is settled by the next
+            # read, because the fingerprints stay in ``_unwritten``.
+            self._next_call_s = now + RETRY_INTERVAL_S
+            logs.event(
+                self._log,
+                "quarantine_not_exchanged",
+                service=self._service,
+                error=repr(error),
+            )
+
+    async def _exchange(self) -> None:
+        stored = await self._store.get(self.key)
+        content = _decode(stored.value) if stored is not None else {}
+        wall = self._clock.wall()
+        for fingerprint, until in content.items():
+            known = self._until_by_fingerprint.get(fingerprint, 0.0)
+            self._until_by_fingerprint[fingerprint] = max(known, until)
+        self._until_by_fingerprint = {
+            fingerprint: until
+            for fingerprint, until in self._until_by_fingerprint.items()
+            if until > wall
+        }
+        self._unwritten &= set(self._until_by_fingerprint)
+        self._unwritten -= set(content)
+        if not self._unwritten:
+            return
+        sent = set(self._unwritten)
+        newest = sorted(
+            self._until_by_fingerprint.items(), key=lambda item: item[1]
+        )[-MAX_FINGERPRINTS:]
+        await self._store.put(
+            self.key,
+            json.dumps(dict(newest), sort_keys=True).encode(),
+            if_version=(
+                stored.version if stored is not None else stores.CREATE_ONLY
+            ),
+        )
+        self._unwritten -= sent
+
+
+def _decode(value: bytes) -> dict[str, float]:
+    try:
+        return {
+            str(fingerprint): float(until)
+            for fingerprint, until in json.loads(value).items()
+        }
+    except (AttributeError, TypeError, ValueError) as error:
+        raise errors.StoreError(f"not a quarantine object: {error}") from error
--- /dev/null
+++ b/fuchsiacourse/status_plan.py
@@ -0,0 +1,181 @@
+"""The next content of a status object."""
+
+from __future__ import annotations
+
+from fuchsiacourse import floor
+from fuchsiacourse import health as healths
+from fuchsiacourse import service_file
+from fuchsiacourse import service_status
+from fuchsiacourse import shard as shards
+
+# Time for which a release must have been seen before the capacity counts
+# again; longer than the 20 s for which a process may use an old status, so
+# that clocks of different speed do no harm.
+RELEASE_HOLD_S = 25.0
+
+
+class StatusPlan:
+    """A change of the status object.
+
+    Args:
+        status: Content to write.
+    """
+
+    __slots__ = ("status", "ejected", "released", "held", "is_urgent")
+
+    def __init__(self, *, status: service_status.ServiceStatus) -> None:
+        self.status = status
+        self.ejected: list[str] = []
+        self.released: list[str] = []
+        # Targets that the floor keeps in use.
+        self.held: list[str] = []
+        self.is_urgent = False
+
+
+class Planner:
+    """Plans the change of a status object by the owner of a shard.
+
+    Args:
+        service: Newest service file of this process.
+        config_number: Number of its configuration.
+        shard: Tables of the shard.
+        health: Health of the shard's targets.
+        self_id: Member id of this process.
+        first_seen_s: When this process first saw each release.
+        now: Monotonic time in seconds.
+        wall: Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: service_file.ServiceFile,
+        config_number: int,
+        shard: shards.Shard,
+        health: healths.Health,
+        self_id: str,
+        first_seen_s: dict[str, float],
+        now: float,
+        wall: float,
+    ) -> None:
+        self._service = service
+        self._config_number = config_number
+        self._health = health
+        self._self_id = self_id
+        self._first_seen_s = first_seen_s
+        self._now = now
+        self._wall = wall
+        self._rows = [
+            row
+            for row in shard.targets_by_id.values()
+            if row.id in service.targets_by_id
+        ]
+
+    def plan(
+        self, status: service_status.ServiceStatus, *, next_release: int
+    ) -> StatusPlan:
+        """Returns the change that this process wants.
+
+        Args:
+            status: Present content.
+            next_release: Number that makes new releases unique.
+        """
+        plan = StatusPlan(status=status.copy())
+        is_newest = self._config_number >= status.config_number
+        if is_newest:
+            plan.status.config_number = self._config_number
+            self._drop_removed(plan.status)
+        self._forget_releases(plan.status)
+        self._write_own(plan.status)
+        self._release_good(plan, next_release)
+        self._restore_floor(plan, next_release)
+        if is_newest:
+            self._eject(plan)
+        if not plan.ejected and not plan.released and not status.ejected:
+            # The number matters with ejections only; without any, a
+            # publish should not cost a write for each service.
+            if _same_targets(plan.status, status):
+                plan.status.config_number = status.config_number
+        return plan
+
+    def _drop_removed(self, status: service_status.ServiceStatus) -> None:
+        for ids in (
+            status.ejected,
+            status.leaving,
+            status.cold,
+            status.released,
+        ):
+            for id in set(ids) - set(self._service.targets_by_id):
+                del ids[id]
+
+    def _forget_releases(self, status: service_status.ServiceStatus) -> None:
+        for id, token in list(status.released.items()):
+            seen_s = self._first_seen_s.get(token, self._now)
+            if self._now - seen_s >= RELEASE_HOLD_S:
+                del status.released[id]
+
+    def _write_own(self, status: service_status.ServiceStatus) -> None:
+        for row in self._rows:
+            if row.leaving:
+                status.leaving[row.id] = row.incarnation
+            elif row.incarnation != status.leaving.get(row.id, ""):
+                status.leaving.pop(row.id, None)
+            if self._health.is_cold(row, self._now):
+                status.cold[row.id] = row.incarnation
+            else:
+                status.cold.pop(row.id, None)
+
+    def _release_good(self, plan: StatusPlan, next_release: int) -> None:
+        for row in self._rows:
+            if row.id in plan.status.ejected and (
+                self._health.is_readmitted(row)
+            ):
+                self._release(plan, row.id, next_release)
+
+    def _restore_floor(self, plan: StatusPlan, next_release: int) -> None:
+        """Re-admits targets if others left, cooled or the floor rose."""
+        status = plan.status
+        kept = floor.in_effect(self._service, status)
+        for id in floor.readmission_order(status):
+            useless = id in status.leaving or id in status.cold
+            if id in kept or useless or id not in self._service.targets_by_id:
+                continue
+            self._release(plan, id, next_release)
+            plan.is_urgent = True
+
+    def _release(
+        self, plan: StatusPlan, target_id: str, next_release: int
+    ) -> None:
+        del plan.status.ejected[target_id]
+        number = next_release + len(plan.released)
+        plan.status.released[target_id] = f"{self._self_id}/{number}"
+        plan.released.append(target_id)
+
+    def _eject(self, plan: StatusPlan) -> None:
+        unknown = self._health.unknown_ids(self._now)
+        for row in self._health.pending_ejections(self._now):
+            if row.id not in self._service.targets_by_id:
+                continue
+            if row.id in plan.released or row.id in plan.status.ejected:
+                continue
+            if not floor.may_eject(
+                self._service, plan.status, row.id, unknown
+            ):
+                plan.held.append(row.id)
+                continue
+            plan.status.released.pop(row.id, None)
+            plan.status.ejected[row.id] = self._health.ejection(
+                row, by=self._self_id, now=self._now, wall=self._wall
+            )
+            plan.ejected.append(row.id)
+            plan.is_urgent = True
+
+
+def _same_targets(
+    one: service_status.ServiceStatus, other: service_status.ServiceStatus
+) -> bool:
+    return (
+        one.leaving == other.leaving
+        and one.cold == other.cold
+        and one.released == other.released
+    )
--- /dev/null
+++ b/fuchsiacourse/target_states.py
@@ -0,0 +1,298 @@
+"""States of the targets of one shard and the changes between them."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import candidates as orders
+from fuchsiacourse import detector as detectors
+from fuchsiacourse import floor
+from fuchsiacourse import logs
+from fuchsiacourse import service_status
+from fuchsiacourse import shard as shards
+from fuchsiacourse import target_health
+from fuchsiacourse import target_row
+
+# Shares of the threshold at which a target becomes suspect and at which it
+# is no longer so.
+SUSPECT_SHARE = 0.5
+CLEAR_SHARE = 0.25
+# Failed probes or bad reports in a row that make a target suspect.
+WEAK_SIGNS = 3
+# An ejection younger than this counts as happening at the same time.
+AT_ONCE_S = 30.0
+FIRST_BACKOFF_S = 5.0
+MAX_BACKOFF_S = 300.0
+# Healthy time after which the backoff starts anew.
+BACKOFF_RESET_S = 600.0
+# A canary without requests is re-admitted after this time on probes alone.
+IDLE_CANARY_S = 30.0
+
+_State = target_row.TargetState
+_Outcome = target_row.Outcome
+# States in which a target receives canary requests at most.
+OUT = (_State.EJECTED, _State.CANARY)
+
+
+class TargetStates:
+    """Changes the states of targets.
+
+    Args:
+        shard: Tables of the shard.
+        detector: Evidence on the targets.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: shards.Shard,
+        detector: detectors.Detector,
+        log: typing.Any,
+    ) -> None:
+        self._shard = shard
+        self._detector = detector
+        self._log = log
+        # End of the time for which the applied status may be used.
+        self.valid_until_s = 0.0
+
+    def enter(
+        self, row: target_row.TargetRow, state: _State, now: float
+    ) -> None:
+        """Puts a target into a state."""
+        if row.state is state:
+            return
+        details = target_health.of(row, now)
+        previous = row.state
+        row.state = state
+        row.state_since_s = now
+        details.is_suspect = state is _State.SUSPECT
+        details.canary_offered = False
+        details.cold_since_s = now if state is _State.COLD else None
+        if state is _State.CANARY:
+            details.good_canaries = 0
+            details.good_probes = 0
+            details.canary_used = False
+        logs.event(
+            self._log,
+            "target_state",
+            service=self._shard.service.service,
+            target=row.id,
+            state=state.value,
+            previous=previous.value,
+        )
+
+    def set_leaving(
+        self, row: target_row.TargetRow, now: float, *, source: str
+    ) -> None:
+        """Marks a target's present process as leaving."""
+        if row.leaving:
+            return
+        row.leaving = True
+        target_health.of(row, now).leaving_since_s = now
+        logs.event(
+            self._log,
+            "target_leaving",
+            service=self._shard.service.service,
+            target=row.id,
+            source=source,
+        )
+
+    def restart(self, row: target_row.TargetRow, now: float) -> None:
+        """Begins anew with another process of a target."""
+        details = target_health.of(row, now)
+        row.leaving = False
+        details.leaving_since_s = None
+        details.weak_signs = 0
+        self._detector.forget(row)
+        if row.state in OUT:
+            # The ejection was of another process: test it now.
+            self.enter(row, _State.CANARY, now)
+            return
+        details.condemned_since_s = None
+        self.enter(row, _State.COLD, now)
+
+    def eject(
+        self,
+        row: target_row.TargetRow,
+        listed: service_status.Ejection,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Puts an ejection of the status object into effect."""
+        details = target_health.of(row, now)
+        # The age comes from wall clocks, whose errors only shift the time
+        # of the first canary.
+        age_s = min(max(0.0, wall - listed.since), listed.backoff_s)
+        details.ejected_at_s = now - age_s
+        details.retry_at_s = details.ejected_at_s + listed.backoff_s
+        details.backoff_s = listed.backoff_s
+        details.reason = listed.reason
+        details.sick_kind = str(listed.evidence.get("kind", ""))
+        details.condemned_since_s = None
+        self._detector.reset(row, now)
+        self.enter(row, _State.EJECTED, now)
+
+    def lapse(self, now: float) -> None:
+        """Ends ejections whose status object was not read for too long."""
+        if now <= self.valid_until_s:
+            return
+        for row in self._shard.targets_by_id.values():
+            if row.state in OUT:
+                self.enter(row, _State.SUSPECT, now)
+
+    def advance(self, row: target_row.TargetRow, now: float) -> None:
+        """Changes the states that depend on time."""
+        details = target_health.of(row, now)
+        age_s = now - row.state_since_s
+        if row.state is _State.EJECTED:
+            if now >= details.retry_at_s:
+                self.enter(row, _State.CANARY, now)
+        elif row.state is _State.CANARY:
+            if (
+                age_s >= IDLE_CANARY_S
+                and not details.canary_used
+                and details.good_probes >= orders.CANARIES_NEEDED
+            ):
+                self._readmit(row, now)
+        elif row.state is _State.COLD:
+            warming = row.report is not None and row.report.warming
+            if age_s >= orders.SLOW_START_S and not warming:
+                self.enter(row, _State.HEALTHY, now)
+        self.judge(row, now)
+
+    def judge_canary(
+        self,
+        row: target_row.TargetRow,
+        good: bool,
+        outcome: target_row.Outcome,
+        now: float,
+    ) -> None:
+        """Counts a test of a canary, or of a suspect that is listed.
+
+        A suspect is listed as ejected when its ejection has lapsed or the
+        floor has re-admitted it.
+        """
+        details = target_health.of(row, now)
+        if row.state not in (_State.CANARY, _State.SUSPECT):
+            return
+        if good and outcome is _Outcome.OK:
+            details.good_canaries += 1
+            if (
+                details.is_listed
+                and details.good_canaries >= orders.CANARIES_NEEDED
+            ):
+                self._readmit(row, now)
+        if good:
+            return
+        details.good_canaries = 0
+        if row.state is not _State.CANARY:
+            return
+        details.backoff_s = min(MAX_BACKOFF_S, 2.0 * details.backoff_s)
+        details.retry_at_s = now + details.backoff_s
+        self._detector.reset(row, now)
+        self.enter(row, _State.EJECTED, now)
+
+    def judge(self, row: target_row.TargetRow, now: float) -> None:
+        """Updates suspicion and the wish to eject of one target."""
+        if row.state in OUT:
+            return
+        details = target_health.of(row, now)
+        score = self._detector.score(row, now)
+        threshold = self._detector.threshold
+        if score.value < threshold:
+            details.condemned_since_s = None
+        elif details.condemned_since_s is None:
+            details.condemned_since_s = now
+            details.reason = score.reason
+        share = CLEAR_SHARE if details.is_suspect else SUSPECT_SHARE
+        suspect = (
+            score.value >= share * threshold
+            or details.weak_signs >= WEAK_SIGNS
+            or (details.is_listed and not details.is_readmitted)
+        )
+        if suspect == details.is_suspect:
+            return
+        details.is_suspect = suspect
+        if suspect:
+            details.sick_kind = score.kind
+        self.update_suspects(now)
+
+    def update_suspects(self, now: float) -> None:
+        """Uses suspects last, but the least suspicious if too many are."""
+        service = self._shard.service
+        needed = floor.shard_floor(service, self._shard.region)
+        suspects = []
+        slots = 0
+        for row in self._shard.targets_by_id.values():
+            if row.leaving or row.state in OUT:
+                continue
+            details = target_health.of(row, now)
+            if details.is_suspect:
+                score = self._detector.score(row, now).value
+                suspects.append((score, row.id, row))
+            else:
+                if row.state is _State.SUSPECT:
+                    self._set_suspicion(row, False, now)
+                slots += row.target.slots
+        for item in sorted(suspects, key=lambda item: item[:2]):
+            row = item[2]
+            self._set_suspicion(row, slots >= needed, now)
+            if slots < needed:
+                slots += row.target.slots
+
+    def is_common_fault(self, row: target_row.TargetRow, now: float) -> bool:
+        """Tells whether most targets of the shard or zone fail at once.
+
+        Targets ejected long ago count neither way. A zone with one target
+        is not judged, because that target would always be most of it.
+        """
+        zone = row.target.availability_zone
+        counts = [0, 0]
+        sick = [0, 0]
+        for other in self._shard.targets_by_id.values():
+            details = target_health.of(other, now)
+            out = other.state in OUT
+            if out and now - details.ejected_at_s > AT_ONCE_S:
+                continue
+            in_zone = other.target.availability_zone == zone
+            unhealthy = out or details.is_suspect
+            for index, counted in enumerate((True, in_zone)):
+                counts[index] += counted
+                sick[index] += counted and unhealthy
+        if 2 * sick[0] > counts[0]:
+            return True
+        return counts[1] > 1 and 2 * sick[1] > counts[1]
+
+    def next_backoff_s(self, row: target_row.TargetRow, now: float) -> float:
+        """Returns the backoff of a new ejection in seconds.
+
+        It doubles for a target that was re-admitted a short time ago. The
+        owner remembers this; a new owner begins with the first backoff.
+        """
+        details = target_health.of(row, now)
+        since = details.readmitted_at_s
+        if not details.backoff_s or since is None:
+            return FIRST_BACKOFF_S
+        if now - since > BACKOFF_RESET_S:
+            return FIRST_BACKOFF_S
+        return min(MAX_BACKOFF_S, 2.0 * details.backoff_s)
+
+    def _readmit(self, row: target_row.TargetRow, now: float) -> None:
+        details = target_health.of(row, now)
+        details.is_readmitted = details.is_listed
+        details.readmitted_at_s = now
+        self._detector.reset(row, now)
+        self.enter(row, _State.COLD, now)
+
+    def _set_suspicion(
+        self, row: target_row.TargetRow, suspect: bool, now: float
+    ) -> None:
+        if suspect and row.state in (_State.HEALTHY, _State.COLD):
+            row.state = _State.SUSPECT
+            row.state_since_s = now
+        elif not suspect and row.state is _State.SUSPECT:
+            since = target_health.of(row, now).cold_since_s
+            cold = since is not None and now - since < orders.SLOW_START_S
+            row.state = _State.COLD if cold else _State.HEALTHY
+            row.state_since_s = since if cold else now
