Add the soak with fake peers, callers, operators and random faults

Cause: the guarantees need a run of several real services under faults. Change: bench/soak.py with small modules, an in-memory peer network, and mutations that switch safeguards off. Dispatch runs with bench's plain health until detection is part of it.

--- a/bench/fake_datagrams.py
+++ b/bench/fake_datagrams.py
@@ -41,10 +41,9 @@
     def _arrive(self, source: str, destination: str, payload: bytes) -> None:
         endpoint = self._endpoints_by_address.get(destination)
         if endpoint is not None:
-            self.links.deliver(
-                fake_links.ip_of(destination),
-                functools.partial(endpoint.receive, source, payload),
-            )
+            gate = self.links.gate(fake_links.ip_of(destination))
+            receive = functools.partial(endpoint.receive, source, payload)
+            gate.deliver(receive, is_datagram=True)
 
 
 class FakeDatagram(datagram.Datagram):
--- a/bench/fake_links.py
+++ b/bench/fake_links.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import random
-import typing
 
-# Datagrams that a paused process keeps in its socket buffer.
-SOCKET_BUFFER = 256
+from bench import process_gate
 
 
 class Link:
@@ -54,8 +52,11 @@
         self.rng = rng
         self.default = default or Link()
         self.links_by_pair: dict[tuple[str, str], Link] = {}
-        self._killed: set[str] = set()
-        self._waiting_by_ip: dict[str, list[typing.Callable[[], None]]] = {}
+        self._gates_by_ip: dict[str, process_gate.ProcessGate] = {}
+
+    def gate(self, ip: str) -> process_gate.ProcessGate:
+        """Returns the running state of the process with an IP number."""
+        return self._gates_by_ip.setdefault(ip, process_gate.ProcessGate())
 
     def link(self, source: str, destination: str) -> Link:
         """Returns the condition of the way between two IP numbers."""
@@ -69,32 +70,10 @@
         """Returns a way to the default condition."""
         self.links_by_pair.pop((source, destination), None)
 
-    def kill(self, ip: str) -> None:
-        """Ends a process; nothing reaches it or leaves it any more."""
-        self._killed.add(ip)
-        self._waiting_by_ip.pop(ip, None)
-
-    def is_killed(self, ip: str) -> bool:
-        """Whether the process has ended."""
-        return ip in self._killed
-
-    def pause(self, ip: str) -> None:
-        """Stops a process; messages wait for it."""
-        self._waiting_by_ip.setdefault(ip, [])
-
-    def is_paused(self, ip: str) -> bool:
-        """Whether the process is stopped."""
-        return ip in self._waiting_by_ip
-
-    def resume(self, ip: str) -> None:
-        """Continues a process and delivers what waited."""
-        for callback in self._waiting_by_ip.pop(ip, []):
-            callback()
-
     def transits(self, source: str, destination: str) -> list[float]:
         """Returns the delay of each copy of a message that arrives."""
         link = self.link(source, destination)
-        if link.is_cut or self.is_killed(source):
+        if link.is_cut or self.gate(source).is_killed:
             return []
         if self.rng.random() < link.loss:
             return []
@@ -104,16 +83,6 @@
             for _ in range(copies)
         ]
 
-    def deliver(self, ip: str, callback: typing.Callable[[], None]) -> None:
-        """Runs a callback in a process, later if the process is paused."""
-        if self.is_killed(ip):
-            return
-        waiting = self._waiting_by_ip.get(ip)
-        if waiting is None:
-            callback()
-        elif len(waiting) < SOCKET_BUFFER:
-            waiting.append(callback)
-
 
 def ip_of(address: str) -> str:
     """Returns the IP number of an address."""
--- a/bench/gossip_fleet.py
+++ b/bench/gossip_fleet.py
@@ -74,9 +74,9 @@
         deployment_key: str = DEPLOYMENT_KEY,
     ) -> None:
         rng = random.Random(f"{seed}/{index}")
-        self.links = network.links
         self.ip = ip_of_index(index)
-        self.clock = paused_clock.PausedClock()
+        self.gate = network.links.gate(self.ip)
+        self.clock = paused_clock.PausedClock(gate=self.gate)
         self.errors: list[Exception] = []
         self.timers = timer_services.Timers(
             clock=self.clock, rng=rng, on_error=self.errors.append
@@ -124,20 +124,10 @@
 
     def kill(self) -> None:
         """Ends the process without notice."""
-        self.links.kill(self.ip)
+        self.gate.kill()
         self.gossip.close()
         self.timers.close()
 
-    def pause(self) -> None:
-        """Stops the process."""
-        self.clock.pause()
-        self.links.pause(self.ip)
-
-    def resume(self) -> None:
-        """Continues the process."""
-        self.clock.resume()
-        self.links.resume(self.ip)
-
 
 class GossipFleet:
     """Members that all know each other's seeds.
--- a/bench/paused_clock.py
+++ b/bench/paused_clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from bench import process_gate
 from bench import virtual_loop
 
 
@@ -14,25 +15,19 @@
     kernel has stopped.
 
     Args:
+        gate: Running state of the process.
         wall_offset_s: Error of this clock's wall time in seconds.
     """
 
-    __slots__ = ("_running",)
+    __slots__ = ("_gate",)
 
-    def __init__(self, *, wall_offset_s: float = 0.0) -> None:
+    def __init__(
+        self, *, gate: process_gate.ProcessGate, wall_offset_s: float = 0.0
+    ) -> None:
         super().__init__(wall_offset_s=wall_offset_s)
-        self._running = asyncio.Event()
-        self._running.set()
-
-    def pause(self) -> None:
-        """Stops the process."""
-        self._running.clear()
-
-    def resume(self) -> None:
-        """Continues the process."""
-        self._running.set()
+        self._gate = gate
 
     async def sleep(self, delay_s: float) -> None:
         """Waits for a number of virtual seconds and the end of a pause."""
         await asyncio.sleep(delay_s)
-        await self._running.wait()
+        await self._gate.passing()
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,73 @@
+"""Soak: several instances of the services under random faults.
+
+Run as ``python -m bench.soak --seed 1 --seconds 30``. Exits with 1 if a
+guarantee is broken, or with ``--mutations`` if a fault is not found.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+import typing
+
+import typer
+
+from bench import soak_mutations
+from bench import soak_run
+
+# Seeds that are tried before a mutation counts as not found.
+MUTATION_SEEDS = 4
+
+_HASH_SEED = "PYTHONHASHSEED"
+
+
+def main(
+    seed: typing.Annotated[int, typer.Option(help="First seed.")] = 1,
+    seconds: typing.Annotated[
+        float, typer.Option(help="Virtual seconds with faults.")
+    ] = 30.0,
+    seeds: typing.Annotated[int, typer.Option(help="Number of seeds.")] = 1,
+    mutation: typing.Annotated[
+        str, typer.Option(help="Safeguard to switch off.")
+    ] = "",
+    mutations: typing.Annotated[
+        bool, typer.Option(help="Switch each safeguard off in turn.")
+    ] = False,
+) -> None:
+    """Runs the soak and prints what was checked."""
+    if mutations:
+        raise typer.Exit(_run_mutations(seed, seconds))
+    failed = 0
+    for number in range(seed, seed + seeds):
+        started_s = time.monotonic()
+        result = soak_run.run(number, seconds, mutation=mutation or None)
+        failed += bool(result.broken)
+        print("\n".join(result.lines()))
+        print(f"wall_s={time.monotonic() - started_s:.1f}", flush=True)
+    print(f"{seeds} seeds, {failed} with a broken guarantee")
+    raise typer.Exit(1 if failed else 0)
+
+
+def _run_mutations(seed: int, seconds: float) -> int:
+    missed = 0
+    for name in soak_mutations.MUTATIONS_BY_NAME:
+        found = ""
+        for number in range(seed, seed + MUTATION_SEEDS):
+            result = soak_run.run(number, seconds, mutation=name)
+            if result.broken:
+                found = f"seed {number}: {result.broken[0]}"
+                break
+        missed += not found
+        print(f"mutation={name} found={found or 'no'}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    if os.environ.get(_HASH_SEED) != "0":
+        # The order of sets of strings must not differ between runs.
+        os.environ[_HASH_SEED] = "0"
+        os.execv(
+            sys.executable, [sys.executable, "-m", "bench.soak", *sys.argv[1:]]
+        )
+    typer.run(main)
--- /dev/null
+++ b/bench/soak_mutations.py
@@ -0,0 +1,194 @@
+"""Safeguards that a run can switch off, to show that it finds the fault."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import math
+import typing
+from unittest import mock
+
+from bench import fake_store
+from fuchsiacourse import answer_checks
+from fuchsiacourse import claims
+from fuchsiacourse import dispatch_service
+from fuchsiacourse import entry_stop
+from fuchsiacourse import floor
+from fuchsiacourse import key_blocks
+from fuchsiacourse import keyed_runs
+from fuchsiacourse import known_ids
+from fuchsiacourse import leaving_targets
+from fuchsiacourse import sending
+from fuchsiacourse import target_row
+
+Mutation = collections.abc.Callable[
+    [], contextlib.AbstractContextManager[None]
+]
+
+
+@contextlib.contextmanager
+def _patched(
+    *patches: typing.Any,
+) -> collections.abc.Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for patch in patches:
+            stack.enter_context(patch)
+        yield
+
+
+def _incarnation() -> contextlib.AbstractContextManager[None]:
+    """Lets every entry run keys of every incarnation."""
+    return _patched(
+        mock.patch.object(
+            key_blocks.KeyBlocks, "holds", lambda self, incarnation: True
+        ),
+        mock.patch.object(
+            key_blocks.KeyBlocks, "expires_at", lambda self, key: math.inf
+        ),
+    )
+
+
+def _floor() -> contextlib.AbstractContextManager[None]:
+    """Ejects without regard to the floor."""
+    return _patched(
+        mock.patch.object(floor, "may_eject", lambda *args, **kwargs: True),
+        mock.patch.object(
+            floor,
+            "in_effect",
+            lambda service, status, unhealthy=(): set(status.ejected),
+        ),
+    )
+
+
+def _version() -> contextlib.AbstractContextManager[None]:
+    """Writes objects without regard to their versions."""
+    put = fake_store.FakeStore.put
+
+    async def unconditional(
+        self: fake_store.FakeStore,
+        key: str,
+        value: bytes,
+        *,
+        if_version: int | None,
+    ) -> int:
+        return await put(self, key, value, if_version=None)
+
+    return _patched(
+        mock.patch.object(fake_store.FakeStore, "put", unconditional)
+    )
+
+
+def _withdrawal() -> contextlib.AbstractContextManager[None]:
+    """Replies withdrawn whatever became of the request."""
+    return _patched(
+        mock.patch.object(
+            dispatch_service.DispatchService,
+            "_withdraw",
+            lambda self, request, now: dispatch_service.WITHDRAWN,
+        )
+    )
+
+
+def _drain() -> contextlib.AbstractContextManager[None]:
+    """Stops without waiting for what is in flight."""
+
+    async def no_wait(self, number, limit):
+        return None
+
+    async def no_drain(self):
+        self._is_draining = True
+
+    return _patched(
+        mock.patch.object(entry_stop.EntryStop, "_wait_while", no_wait),
+        mock.patch.object(entry_stop, "LINGER_S", 0.0),
+        mock.patch.object(dispatch_service.DispatchService, "drain", no_drain),
+        mock.patch("fuchsiacourse.dispatch.LINGER_S", 0.0),
+    )
+
+
+def _duplicate() -> contextlib.AbstractContextManager[None]:
+    """Runs an Execute call again that was received before."""
+    refusal = dispatch_service.DispatchService._refusal
+
+    def refused(self, request, now):
+        reply = refusal(self, request, now)
+        if reply is not None and reply.refusal == "duplicate":
+            request.request_id += "+"
+            return None
+        return reply
+
+    return _patched(
+        mock.patch.object(
+            known_ids.KnownIds, "was_sent", lambda self, id, now: False
+        ),
+        mock.patch.object(
+            dispatch_service.DispatchService, "_refusal", refused
+        ),
+    )
+
+
+def _claim() -> contextlib.AbstractContextManager[None]:
+    """Runs caller-chosen keys without a claim."""
+
+    async def claim(self, request):
+        return claims.Claim(incarnation=self._incarnation, is_new=True)
+
+    return _patched(mock.patch.object(claims.Claims, "claim", claim))
+
+
+def _ledger() -> contextlib.AbstractContextManager[None]:
+    """Forgets the record of a key once its run has ended."""
+    repeat = keyed_runs.KeyedRuns._repeat
+
+    async def run_again(self, record, execution):
+        if not record.is_final:
+            return await repeat(self, record, execution)
+        return await self._executor.run(execution)
+
+    return _patched(
+        mock.patch.object(keyed_runs.KeyedRuns, "_repeat", run_again)
+    )
+
+
+def _whole_answer() -> contextlib.AbstractContextManager[None]:
+    """Passes answers on without a check."""
+    return _patched(
+        mock.patch.object(
+            answer_checks,
+            "classify",
+            lambda *args, **kwargs: (target_row.Outcome.OK, ""),
+        ),
+        mock.patch.object(
+            sending.Sending, "is_whole", lambda self, reply: True
+        ),
+    )
+
+
+def _leaving() -> contextlib.AbstractContextManager[None]:
+    """Does not believe that a target is leaving."""
+    return _patched(
+        mock.patch.object(
+            target_row.TargetRow,
+            "leaving",
+            property(lambda self: False, lambda self, value: None),
+        ),
+        mock.patch.object(
+            leaving_targets.LeavingTargets,
+            "check_send",
+            lambda self, target, now: None,
+        ),
+    )
+
+
+MUTATIONS_BY_NAME: dict[str, Mutation] = {
+    "incarnation": _incarnation,
+    "floor": _floor,
+    "version": _version,
+    "withdrawal": _withdrawal,
+    "drain": _drain,
+    "duplicate": _duplicate,
+    "claim": _claim,
+    "ledger": _ledger,
+    "whole_answer": _whole_answer,
+    "leaving": _leaving,
+}
--- /dev/null
+++ b/bench/soak_run.py
@@ -0,0 +1,102 @@
+"""One run of the soak on the virtual loop."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+
+from bench import soak_checks
+from bench import soak_faults
+from bench import soak_fleet
+from bench import soak_mutations
+from bench import soak_services
+from bench import virtual_loop
+
+# Time without faults at the start.
+START_S = 5.0
+# Time without faults at the end, after which a publish must get through.
+SETTLE_S = soak_checks.QUIET_S + 2.0
+
+
+class SoakResult:
+    """Outcome of a run.
+
+    Args:
+        seed: Seed of the run.
+        fleet: Fleet of the run.
+        faults: Faults of the run.
+        checks: Checks of the run.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        fleet: soak_fleet.SoakFleet,
+        faults: soak_faults.SoakFaults,
+        checks: soak_checks.SoakChecks,
+    ) -> None:
+        self.seed = seed
+        self.bookings = len(fleet.told.bookings)
+        self.sendings = fleet.told.sendings
+        self.answers = collections.Counter(fleet.told.answers)
+        self.runs = fleet.targets.requests
+        self.faults = collections.Counter(faults.counts)
+        self.checked = collections.Counter(checks.checked)
+        self.broken = list(checks.broken)
+
+    def lines(self) -> list[str]:
+        """Returns a report with one fact on each line."""
+        return [
+            f"seed={self.seed} sendings={self.sendings}"
+            f" bookings={self.bookings} runs={self.runs}",
+            f"answers: {_counts(self.answers)}",
+            f"faults: {_counts(self.faults)}",
+            f"checked: {_counts(self.checked)}",
+            f"broken: {len(self.broken)}",
+            *(f"  {text}" for text in self.broken[:20]),
+        ]
+
+
+def run(
+    seed: int, seconds: float, *, mutation: str | None = None
+) -> SoakResult:
+    """Runs the fleet under random faults.
+
+    Args:
+        seed: Seed of all randomness.
+        seconds: Virtual seconds with faults.
+        mutation: Name of a safeguard to switch off.
+    """
+    patch: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
+    if mutation is not None:
+        patch = soak_mutations.MUTATIONS_BY_NAME[mutation]()
+    with patch:
+        return virtual_loop.run(_run(seed, seconds))
+
+
+async def _run(seed: int, seconds: float) -> SoakResult:
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: None)
+    fleet = soak_fleet.SoakFleet(seed=seed)
+    faults = soak_faults.SoakFaults(fleet=fleet)
+    checks = soak_checks.SoakChecks(fleet=fleet, faults=faults)
+    await fleet.start()
+    watch = asyncio.ensure_future(checks.watch())
+    await asyncio.sleep(START_S)
+    await faults.run(loop.time() + seconds)
+    faults.clear()
+    await asyncio.sleep(SETTLE_S)
+    await fleet.operators.publish(*soak_services.SERVICES)
+    await asyncio.sleep(soak_checks.IN_FORCE_S + 1.0)
+    await fleet.stop_callers()
+    watch.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await watch
+    checks.finish()
+    return SoakResult(seed=seed, fleet=fleet, faults=faults, checks=checks)
+
+
+def _counts(counter: collections.Counter[str]) -> str:
+    return " ".join(f"{name}={counter[name]}" for name in sorted(counter))
--- /dev/null
+++ b/bench/soak_targets.py
@@ -0,0 +1,146 @@
+"""Targets of the soak, with answers that callers can check."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import hashlib
+import json
+import math
+import random
+import typing
+
+from bench import fake_targets
+from bench import process_gate
+from fuchsiacourse import target_client
+
+# Bound on new work to a leaving target, in seconds.
+LEAVING_BOUND_S = 3.0
+
+# Share of the ends of a process after which its connections are closed, so
+# that targets cancel its requests. The others are losses of the host.
+CLOSED_SHARE = 0.5
+
+ANSWER_FIELDS = ("path", "digest")
+
+
+class SoakTargets(fake_targets.FakeTargets):
+    """Targets that record runs by path and tell the path in answers."""
+
+    def __init__(self, **options: typing.Any) -> None:
+        super().__init__(**options)
+        self.runs_by_path: collections.Counter[str] = collections.Counter()
+        self.requests = 0
+        # Work that started too long after a target's leaving was known.
+        self.late_starts: list[str] = []
+        # Monotonic time at which the first source told of the leaving.
+        self.leaving_known_s: dict[str, float] = {}
+
+    def crash(self, target: fake_targets.FakeTarget) -> None:
+        """Ends a target's process; it starts anew after a while."""
+        if not target.is_unreachable:
+            self._crash(target)
+
+    async def _execute(
+        self,
+        target: fake_targets.FakeTarget,
+        call: target_client.TargetCall,
+    ) -> target_client.TargetAnswer:
+        now = self._clock.now()
+        self.runs_by_path[call.path] += 1
+        self.requests += 1
+        known_s = self.leaving_known_s.get(target.address, math.inf)
+        if now > known_s + LEAVING_BOUND_S:
+            self.late_starts.append(
+                f"{call.path} started at {target.address}"
+                f" {now - known_s:.2f} s after its leaving was known"
+            )
+        return await super()._execute(target, call)
+
+    def _answer(
+        self,
+        target: fake_targets.FakeTarget,
+        call: target_client.TargetCall,
+        *,
+        status: int = 200,
+        request_id: str | None = None,
+    ) -> target_client.TargetAnswer:
+        answer = super()._answer(
+            target, call, status=status, request_id=request_id
+        )
+        is_wrong = request_id is not None
+        answer.body = answer_body("/another" if is_wrong else call.path)
+        if is_wrong and self._rng.random() < 0.5:
+            answer.request_id = call.request_id
+            answer.body = b'{"partial": true}'
+        answer.headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name != "Content-Length"
+        ]
+        answer.headers.append(("Content-Length", str(len(answer.body))))
+        return answer
+
+
+class ProcessTargets(target_client.TargetClient):
+    """Target client of one process.
+
+    Args:
+        targets: Targets that all processes share.
+        gate: Running state of the process.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: SoakTargets,
+        gate: process_gate.ProcessGate,
+        rng: random.Random,
+    ) -> None:
+        self._targets = targets
+        self._gate = gate
+        self._rng = rng
+        self._sent: dict[asyncio.Task[typing.Any], None] = {}
+
+    async def send(
+        self, call: target_client.TargetCall
+    ) -> target_client.TargetAnswer:
+        """Sends a request; its end passes the gate of the process."""
+        return await self._run(self._targets.send(call))
+
+    async def probe(
+        self, address: str, *, path: str
+    ) -> target_client.TargetReport:
+        """Asks a target for its report."""
+        return await self._run(self._targets.probe(address, path=path))
+
+    def kill(self) -> None:
+        """Ends the process; its connections may be closed."""
+        if self._rng.random() < CLOSED_SHARE:
+            for task in list(self._sent):
+                task.cancel()
+
+    async def _run(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> typing.Any:
+        await self._gate.passing()
+        task = asyncio.ensure_future(coroutine)
+        self._sent[task] = None
+        task.add_done_callback(self._ended)
+        try:
+            return await asyncio.shield(task)
+        finally:
+            await self._gate.passing()
+            task.cancel()
+
+    def _ended(self, task: asyncio.Task[typing.Any]) -> None:
+        self._sent.pop(task, None)
+        if not task.cancelled():
+            task.exception()
+
+
+def answer_body(path: str) -> bytes:
+    """Returns the body of the whole answer to a request."""
+    digest = hashlib.sha256(path.encode()).hexdigest()
+    return json.dumps({"path": path, "digest": digest * 4}).encode()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -186,7 +186,7 @@
 
         async def scenario(fleet):
             paused, *others = fleet.nodes
-            paused.pause()
+            paused.gate.pause()
             await self.assert_known(fleet, others, [paused], State.DEAD)
             await asyncio.sleep(20)
             accused = []
@@ -197,7 +197,7 @@
                     else None
                 )
             )
-            paused.resume()
+            paused.gate.resume()
             await fleet.wait_until(
                 lambda: gossip_fleet.all_hold(others, [paused], State.ALIVE),
                 timeout_s=20,
