Tell outside breaks from the product's own checks in the soak

Cause: a mutation counted as found if one of the product's own checks failed, or any other guarantee broke. Change: each mutation names the guarantees that must break, judged from outside, on seeds that are clean without it. Runs longer than 45 s have quiet phases with a publish.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -42,7 +42,7 @@
     for number in range(seed, seed + seeds):
         started_s = time.monotonic()
         result = soak_run.run(number, seconds, mutation=mutation or None)
-        failed += bool(result.broken)
+        failed += not result.is_good
         print("\n".join(result.lines()))
         print(f"wall_s={time.monotonic() - started_s:.1f}", flush=True)
     print(f"{seeds} seeds, {failed} with a broken guarantee")
@@ -50,19 +50,38 @@
 
 
 def _run_mutations(seed: int, seconds: float) -> int:
+    """Returns 1 if some fault is not found, otherwise 0."""
+    seeds = _good_seeds(seed, seconds)
     missed = 0
     for name in soak_mutations.MUTATIONS_BY_NAME:
-        found = ""
-        for number in range(seed, seed + MUTATION_SEEDS):
-            result = soak_run.run(number, seconds, mutation=name)
-            if result.broken:
-                found = f"seed {number}: {result.broken[0]}"
-                break
+        found = _find(name, seeds, seconds)
         missed += not found
         print(f"mutation={name} found={found or 'no'}", flush=True)
     return 1 if missed else 0
 
 
+def _good_seeds(seed: int, seconds: float) -> list[int]:
+    """Returns seeds with which the product as it is breaks nothing."""
+    good = []
+    for number in range(seed, seed + 2 * MUTATION_SEEDS):
+        if not soak_run.run(number, seconds).broken:
+            good.append(number)
+        if len(good) == MUTATION_SEEDS:
+            break
+    print(f"seeds without a break: {good}", flush=True)
+    return good
+
+
+def _find(name: str, seeds: list[int], seconds: float) -> str:
+    for number in seeds:
+        result = soak_run.run(number, seconds, mutation=name)
+        mutation = soak_mutations.MUTATIONS_BY_NAME[name]
+        found = mutation.first_break(result.broken)
+        if found:
+            return f"seed {number}: {found}"
+    return ""
+
+
 if __name__ == "__main__":
     if os.environ.get(_HASH_SEED) != "0":
         # The order of sets of strings must not differ between runs.
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -86,7 +86,7 @@
         name = self._active.pop(task)
         if not task.cancelled() and task.exception() is not None:
             self._fleet.broken.append(
-                f"fault {name} failed: {task.exception()!r}"
+                f"run: fault {name} failed: {task.exception()!r}"
             )
 
     async def _last(self, least_s: float, most_s: float) -> None:
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -42,6 +42,7 @@
         self.rng = random.Random(f"{seed}/fleet")
         self.clock = virtual_loop.VirtualClock()
         self.broken: list[str] = []
+        self.failed_own_checks: list[str] = []
         self.links = fake_links.FakeLinks(rng=random.Random(f"{seed}/links"))
         self.platform = platform_model.PlatformModel(clock=self.clock)
         self.targets = self._new_targets()
@@ -51,6 +52,7 @@
             targets=self.targets,
             seeds=[],
             on_broken=self.broken.append,
+            on_own_check=self.failed_own_checks.append,
         )
         self.operators = soak_operators.SoakOperators(
             platform=self.platform,
--- a/bench/soak_mutations.py
+++ b/bench/soak_mutations.py
@@ -4,7 +4,6 @@
 
 import collections.abc
 import contextlib
-import math
 import typing
 from unittest import mock
 
@@ -21,9 +20,7 @@
 from fuchsiacourse import sending
 from fuchsiacourse import target_row
 
-Mutation = collections.abc.Callable[
-    [], contextlib.AbstractContextManager[None]
-]
+Patch = collections.abc.Callable[[], contextlib.AbstractContextManager[None]]
 
 
 @contextlib.contextmanager
@@ -43,7 +40,9 @@
             key_blocks.KeyBlocks, "holds", lambda self, incarnation: True
         ),
         mock.patch.object(
-            key_blocks.KeyBlocks, "expires_at", lambda self, key: math.inf
+            key_blocks.KeyBlocks,
+            "expires_at",
+            lambda self, key: self._clock.now() + self._lifetime_s,
         ),
     )
 
@@ -180,15 +179,37 @@
     )
 
 
-MUTATIONS_BY_NAME: dict[str, Mutation] = {
-    "incarnation": _incarnation,
-    "floor": _floor,
-    "version": _version,
-    "withdrawal": _withdrawal,
-    "drain": _drain,
-    "duplicate": _duplicate,
-    "claim": _claim,
-    "ledger": _ledger,
-    "whole_answer": _whole_answer,
-    "leaving": _leaving,
+class Mutation:
+    """A safeguard that can be switched off.
+
+    Args:
+        patch: Switches it off for the time of a context.
+        guarantees: Guarantees of which at least one must break then.
+    """
+
+    __slots__ = ("patch", "guarantees")
+
+    def __init__(self, patch: Patch, *guarantees: str) -> None:
+        self.patch = patch
+        self.guarantees = guarantees
+
+    def first_break(self, broken: list[str]) -> str:
+        """Returns the first break that this mutation explains, or ""."""
+        for text in broken:
+            if text.partition(":")[0] in self.guarantees:
+                return text
+        return ""
+
+
+MUTATIONS_BY_NAME = {
+    "incarnation": Mutation(_incarnation, "at_most_once", "not_run"),
+    "floor": Mutation(_floor, "floor"),
+    "version": Mutation(_version, "at_most_once", "config_rises"),
+    "withdrawal": Mutation(_withdrawal, "at_most_once", "not_run"),
+    "drain": Mutation(_drain, "graceful_stop"),
+    "duplicate": Mutation(_duplicate, "at_most_once"),
+    "claim": Mutation(_claim, "at_most_once"),
+    "ledger": Mutation(_ledger, "at_most_once"),
+    "whole_answer": Mutation(_whole_answer, "whole_answer"),
+    "leaving": Mutation(_leaving, "leaving"),
 }
--- a/bench/soak_operators.py
+++ b/bench/soak_operators.py
@@ -80,7 +80,7 @@
             # Some attempt may have taken effect before the last one.
             return None
         except Exception as error:
-            self._on_broken(f"publish failed: {error!r}")
+            self._on_broken(f"run: publish failed: {error!r}")
             return None
         self.unsure.discard(mark)
         for name in services:
@@ -110,4 +110,4 @@
         )
 
     def _on_timer_error(self, error: Exception) -> None:
-        self._on_broken(f"late write failed: {error!r}")
+        self._on_broken(f"run: late write failed: {error!r}")
--- a/bench/soak_process.py
+++ b/bench/soak_process.py
@@ -58,6 +58,8 @@
         targets: Targets of all services.
         seeds: Gossip addresses for new processes.
         on_broken: Called with a text for each broken guarantee.
+        on_own_check: Called with a text for each check of the product's
+            own that failed.
     """
 
     def __init__(
@@ -68,12 +70,14 @@
         targets: soak_targets.SoakTargets,
         seeds: list[str],
         on_broken: typing.Callable[[str], None],
+        on_own_check: typing.Callable[[str], None],
     ) -> None:
         self.links = links
         self.platform = platform
         self.targets = targets
         self.seeds = seeds
         self.on_broken = on_broken
+        self.on_own_check = on_own_check
         self.datagrams = fake_datagrams.FakeDatagrams(links=links)
         self.network = fake_peers.FakeNetwork(links=links)
 
@@ -199,15 +203,14 @@
 
     def _on_timer_error(self, error: Exception) -> None:
         self.surroundings.on_broken(
-            f"timer callback of {self.role} {self.id} failed: {error!r}"
+            f"run: timer callback of {self.role} {self.id} failed: {error!r}"
         )
 
     def _on_broken(
         self, invariant_id: typing.Any, evidence: dict[str, typing.Any]
     ) -> None:
-        self.surroundings.on_broken(
-            f"{invariant_id.value}: the product's own check failed at"
-            f" {self.role} {self.id}: {evidence}"
+        self.surroundings.on_own_check(
+            f"{invariant_id.value}: {self.role} {self.id}: {evidence}"
         )
 
 
--- a/bench/soak_run.py
+++ b/bench/soak_run.py
@@ -15,7 +15,9 @@
 
 # Time without faults at the start.
 START_S = 5.0
-# Time without faults at the end, after which a publish must get through.
+# Longest time with faults on end.
+PHASE_S = 45.0
+# Time without faults after each phase, after which a publish must get through.
 SETTLE_S = soak_checks.QUIET_S + 2.0
 
 
@@ -45,6 +47,12 @@
         self.faults = collections.Counter(faults.counts)
         self.checked = collections.Counter(checks.checked)
         self.broken = list(checks.broken)
+        self.failed_own_checks = list(fleet.failed_own_checks)
+
+    @property
+    def is_good(self) -> bool:
+        """Whether all guarantees held and no check of the product failed."""
+        return not self.broken and not self.failed_own_checks
 
     def lines(self) -> list[str]:
         """Returns a report with one fact on each line."""
@@ -56,6 +64,8 @@
             f"checked: {_counts(self.checked)}",
             f"broken: {len(self.broken)}",
             *(f"  {text}" for text in self.broken[:20]),
+            f"failed checks of the product: {len(self.failed_own_checks)}",
+            *(f"  {text}" for text in self.failed_own_checks[:10]),
         ]
 
 
@@ -71,7 +81,7 @@
     """
     patch: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
     if mutation is not None:
-        patch = soak_mutations.MUTATIONS_BY_NAME[mutation]()
+        patch = soak_mutations.MUTATIONS_BY_NAME[mutation].patch()
     with patch:
         return virtual_loop.run(_run(seed, seconds))
 
@@ -85,11 +95,13 @@
     await fleet.start()
     watch = asyncio.ensure_future(checks.watch())
     await asyncio.sleep(START_S)
-    await faults.run(loop.time() + seconds)
-    faults.clear()
-    await asyncio.sleep(SETTLE_S)
-    await fleet.operators.publish(*soak_services.SERVICES)
-    await asyncio.sleep(soak_checks.IN_FORCE_S + 1.0)
+    while seconds > 0:
+        await faults.run(loop.time() + min(seconds, PHASE_S))
+        seconds -= PHASE_S
+        faults.clear()
+        await asyncio.sleep(SETTLE_S)
+        await fleet.operators.publish(*soak_services.SERVICES)
+        await asyncio.sleep(soak_checks.IN_FORCE_S + 1.0)
     await fleet.stop_callers()
     watch.cancel()
     with contextlib.suppress(asyncio.CancelledError):
