Run the whole path: callers, entries, dispatch and targets

Cause: dispatch had no health, ejection or quarantine, so each Execute call failed with a TypeError; the demonstration passed all the same, because it did not require that requests ran.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -25,6 +25,7 @@
 from fuchsiacourse import load_run
 from fuchsiacourse import service_file
 from fuchsiacourse import system_clock
+from fuchsiacourse import verdict as verdicts
 
 SAMPLES = pathlib.Path("samples/glenmorach")
 ZONES = (
@@ -39,6 +40,8 @@
 STOP_AFTER_S = 4.0
 IN_FORCE_LIMIT_S = 5.0
 STOP_LIMIT_S = 25.0
+# The load is far below the capacity, so nearly all must be served.
+MIN_RAN_SHARE = 0.98
 POLL_S = 0.1
 SEED = 1
 
@@ -167,6 +170,12 @@
         self.table.add_row("worth in time", f"{load.result.worth_ratio:.1%}")
         self.table.add_row("without an answer", str(len(unanswered)))
         self.table.add_row("broken guarantees", str(len(found)))
+        ran = sum(
+            call.result.verdict is verdicts.Verdict.RAN for call in load.calls
+        )
+        self.table.add_row("answered by targets", str(ran))
+        if ran < MIN_RAN_SHARE * len(load.calls):
+            self.failures.append(f"only {ran} requests ran")
         self.failures += found
         if unanswered:
             self.failures.append(f"{len(unanswered)} calls had no answer")
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import itertools
 import random
 import typing
@@ -99,6 +100,7 @@
             timers=timers,
             rng=rng,
             self_id=members.self.id,
+            config=config,
             target_client=target_client,
             store=store,
             invariants=invariants,
@@ -315,9 +317,7 @@
             owner_address=self._members.self.rpc_address,
             invariants=self._invariants,
             log=self._log,
-            on_lost=lambda row, attempt: self._upkeep.connection_lost(
-                key, row, attempt
-            ),
+            on_ended=functools.partial(self._upkeep.attempt_ended, key),
         )
         self._runners_by_key[key] = runner
         self._upkeep.added(runner)
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -38,8 +38,8 @@
 Outcome = target_row.Outcome
 Refusal = execute_replies.Refusal
 RequestRow = request_row.RequestRow
-LostCallback = collections.abc.Callable[
-    [target_row.TargetRow, target_row.Attempt], None
+EndedCallback = collections.abc.Callable[
+    [target_row.TargetRow, target_row.Attempt, target_row.Outcome], None
 ]
 
 
@@ -56,7 +56,7 @@
         owner_address: Own address, told in replies.
         invariants: Receives the checks.
         log: Logger.
-        on_lost: Called with each attempt whose connection was lost.
+        on_ended: Called with each attempt that ended and its outcome.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         owner_address: str,
         invariants: invariant_checks.Invariants,
         log: typing.Any,
-        on_lost: LostCallback | None = None,
+        on_ended: EndedCallback | None = None,
     ) -> None:
         self.shard = shard
         self.health = health
@@ -98,7 +98,7 @@
         self._clock = clock
         self._owner_address = owner_address
         self._invariants = invariants
-        self._on_lost = on_lost
+        self._on_ended = on_ended
         self._rows_by_id: dict[str, RequestRow] = {}
         # All requests, by deadline.
         self._rows_by_order = sortedcontainers.SortedDict()
@@ -248,8 +248,8 @@
         now = self._clock.now()
         self._learn(row, run, outcome, now)
         self._limit_offers(run.target, outcome, now)
-        if outcome is Outcome.CONNECTION_LOST and self._on_lost is not None:
-            self._on_lost(run.target, run.attempt)
+        if self._on_ended is not None:
+            self._on_ended(run.target, run.attempt, outcome)
         if row.state is request_row.RequestState.RUNNING:
             self._settle(row, run, outcome, answer, now)
         self.targets.released(run.target)
