--- a/tests/test_config_agent.py
+++ b/tests/test_config_agent.py
@@ -251,12 +251,13 @@
         async def scenario(bench):
             await self.publish(bench, 1)
             await bench.time_until(2, IN_FORCE_BOUND_S)
-            stale = bench.nodes[1]
-            stale.answer = lambda request: asyncio.sleep(
-                0, fleet_pb2.FetchReply(number=0)
-            )
             bench.platform.faults.outage = True
             added = bench.add(32)
+            for stale in bench.nodes[:11]:
+                stale.answer = lambda request: asyncio.sleep(
+                    0, fleet_pb2.FetchReply(number=0)
+                )
+                added.members.by_id[stale.row.id].config_number = 1
             added.start()
             await asyncio.sleep(5)
             self.assertEqual(2, added.config.number)
@@ -299,6 +300,9 @@
             added.agent.on_number(1, added.members.by_id[broken.row.id])
             await asyncio.sleep(10)
             self.assertEqual(1, added.config.number)
+            request = fleet_pb2.FetchRequest(services=["larder"])
+            (held,) = (await added.agent.fetch(request)).bodies
+            self.assertEqual(held.digest, manifest.digest(held.body))
 
         self.run_fleet(scenario)
 
@@ -319,8 +323,13 @@
                 number=2, publish_id="x", services={"larder": version}
             )
             table.put(manifest.KEY, wanted.encode(), if_version=None)
+            bench.platform.calls_by_name.clear()
             await asyncio.sleep(30)
             self.assertEqual({1}, bench.numbers())
+            # Six watchers poll four times and read the new body once.
+            self.assertLessEqual(
+                bench.platform.calls_by_name["get"], 6 * (4 + 1)
+            )
             number = await self.publish(bench, 1)
             await bench.time_until(number, IN_FORCE_BOUND_S)
 
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -35,6 +35,8 @@
 
         async def scenario(bench):
             self.assertEqual(4, bench.platform.calls_by_name["put"])
+            for node in bench.nodes:
+                node.members.notify(node.row)
             await asyncio.sleep(60)
             self.assertEqual(4, bench.platform.calls_by_name["put"])
             for number in range(1, 101):
@@ -60,6 +62,9 @@
             bench.platform.faults.lose_write_replies = 2
             await asyncio.sleep(60)
             self.assertEqual(7, self.report(bench).members["m004"].number)
+            bench.nodes[4].set_config_number(8)
+            await asyncio.sleep(5)
+            self.assertEqual(8, self.report(bench).members["m004"].number)
 
         self.run_fleet(scenario)
 
@@ -81,9 +86,11 @@
             )
             other.set_config_number(9)
             await asyncio.sleep(5)
+            stale.row.config_number = 5
             stale.members.notify(stale.row)
             await asyncio.sleep(30)
             report = self.report(bench)
+            self.assertEqual(5, report.members[stale.row.id].number)
             self.assertEqual(9, report.members[other.row.id].number)
 
         self.run_fleet(scenario)
