Add broken connections to the random faults of the entry

Cause: a trial mutation that retried bookings after a lost reply passed, because lost replies only ended at the deadline.

Change: a share of calls arrives and then loses its connection.

--- a/bench/entry_fakes.py
+++ b/bench/entry_fakes.py
@@ -225,8 +225,9 @@
         self.unreachable_share = 0.0
         self.request_loss_share = 0.0
         self.reply_loss_share = 0.0
-        # Losses of the next calls by name: "unreachable", "request" or
-        # "reply"; an empty text loses nothing.
+        self.reset_share = 0.0
+        # Losses of the next calls by name: "unreachable", "request",
+        # "reply" or "reset"; an empty text loses nothing.
         self.losses_by_call: dict[str, list[str]] = {}
         self.calls: list[tuple[str, str]] = []
 
@@ -243,9 +244,12 @@
                 await self._leg(loss == "request")
                 copy = type(request).FromString(request.SerializeToString())
                 process = self.processes_by_address[address]
-                reply = await asyncio.shield(
-                    asyncio.ensure_future(getattr(process, name)(copy))
-                )
+                call = asyncio.ensure_future(getattr(process, name)(copy))
+                if loss == "reset":
+                    # The request has arrived; its connection breaks soon.
+                    await self._leg(False)
+                    raise errors.PeerUnsure(address)
+                reply = await asyncio.shield(call)
                 await self._leg(loss == "reply")
                 return type(reply).FromString(reply.SerializeToString())
         except TimeoutError:
@@ -265,6 +269,7 @@
             ("unreachable", self.unreachable_share),
             ("request", self.request_loss_share),
             ("reply", self.reply_loss_share),
+            ("reset", self.reset_share),
         ):
             if draw < share:
                 return loss
--- a/tests/test_entry_service.py
+++ b/tests/test_entry_service.py
@@ -30,6 +30,7 @@
         network.unreachable_share = 0.1
         network.request_loss_share = 0.1
         network.reply_loss_share = 0.1
+        network.reset_share = 0.1
         for process in self.fleet.dispatchers:
             process.queue_s = (0.0, 0.8)
             process.run_s = (0.01, 0.6)
