--- a/fuchsiacourse/caller_request.py
+++ b/fuchsiacourse/caller_request.py
@@ -5,6 +5,7 @@
 import hashlib
 import typing
 
+from fuchsiacourse import errors
 from fuchsiacourse import verdict as verdicts
 
 Headers = typing.Sequence[tuple[str, str]]
@@ -92,6 +93,20 @@
             return verdicts.Verdict.NOT_RUN
         return verdicts.Verdict.MAY_HAVE_RUN
 
+    def unsent(
+        self, status: int, title: str, **fields: typing.Any
+    ) -> errors.RefusedError:
+        """Returns a refusal of this attempt, which was not sent on.
+
+        Args:
+            status: HTTP status code.
+            title: Short name of the problem.
+            **fields: Other fields of the refusal.
+        """
+        return errors.RefusedError(
+            verdict=self.unsent_verdict, status=status, title=title, **fields
+        )
+
     @property
     def fingerprint(self) -> str:
         """Digest of method, path and body, equal for all callers."""
--- a/fuchsiacourse/claims.py
+++ b/fuchsiacourse/claims.py
@@ -183,10 +183,9 @@
 def _unavailable(
     request: caller_request.CallerRequest,
 ) -> errors.RefusedError:
-    return errors.RefusedError(
-        verdict=request.unsent_verdict,
-        status=503,
-        title="Key cannot be claimed",
+    return request.unsent(
+        503,
+        "Key cannot be claimed",
         detail="Caller-chosen keys cannot be recorded now; use issued keys.",
         retry_after_s=_RETRY_AFTER_S,
         offer_keys=True,
--- a/fuchsiacourse/entry_app.py
+++ b/fuchsiacourse/entry_app.py
@@ -176,11 +176,10 @@
             len(name) + len(value) + 4 for name, value in headers
         )
         if size_bytes > self._settings.max_header_bytes:
-            raise _refused(
-                request,
+            raise request.unsent(
                 431,
                 "Headers are too large",
-                f"The limit is {self._settings.max_header_bytes} bytes.",
+                detail=f"They take {size_bytes} bytes.",
             )
 
     async def _read_body(
@@ -189,8 +188,8 @@
         request: caller_request.CallerRequest,
     ) -> bytes:
         limit = self._settings.max_body_bytes
-        too_large = _refused(
-            request, 413, "Body is too large", f"The limit is {limit} bytes."
+        too_large = request.unsent(
+            413, "Body is too large", detail=f"The limit is {limit} bytes."
         )
         if (req.content_length or 0) > limit:
             raise too_large
@@ -204,11 +203,11 @@
                         raise too_large
                     chunks.append(chunk)
         except TimeoutError:
-            raise _refused(request, 408, "Body did not arrive") from None
+            raise request.unsent(408, "Body did not arrive") from None
         if req.scope.get("fuchsiacourse.cut_off") or (
             req.content_length is not None and size_bytes < req.content_length
         ):
-            raise _refused(request, 400, "Body is truncated")
+            raise request.unsent(400, "Body is truncated")
         return b"".join(chunks)
 
 
@@ -222,9 +221,9 @@
         key = key[1:-1]
     request.key = key or ""
     if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
-        raise _refused(request, 400, "Idempotency-Key is malformed")
+        raise request.unsent(400, "Idempotency-Key is malformed")
     if _count(headers, "idempotency-key") > 1:
-        raise _refused(request, 400, "Idempotency-Key is repeated")
+        raise request.unsent(400, "Idempotency-Key is repeated")
     request.account = _single(headers, "caller-account") or ""
     request.deadline_ms = _number(request, headers, "request-deadline-ms")
     attempt = _number(request, headers, "request-attempt")
@@ -241,7 +240,7 @@
         return None
     if text.isascii() and text.isdigit() and 0 < int(text) <= _MAX_ATTEMPT:
         return int(text)
-    raise _refused(request, 400, f"{name.title()} is malformed")
+    raise request.unsent(400, f"{name.title()} is malformed")
 
 
 def _decoded(
@@ -286,20 +285,6 @@
     return raw.partition(b"?")[0].decode("latin-1")
 
 
-def _refused(
-    request: caller_request.CallerRequest,
-    status: int,
-    title: str,
-    detail: str = "",
-) -> errors.RefusedError:
-    return errors.RefusedError(
-        verdict=request.unsent_verdict,
-        status=status,
-        title=title,
-        detail=detail,
-    )
-
-
 def _write(
     resp: falcon.asgi.Response, answer: caller_request.CallerAnswer
 ) -> None:
--- a/fuchsiacourse/entry_service.py
+++ b/fuchsiacourse/entry_service.py
@@ -240,6 +240,17 @@
         answer.request_id = request_id
         return answer
 
+    def refresh_metrics(self) -> None:
+        """Sets the gauges of the process; called before they are read."""
+        if self._metrics is None:
+            return
+        for name, doc, value in (
+            ("entry_in_flight", "Requests being answered.", self._in_flight),
+            ("entry_ledger_records", "Ledger records.", len(self._ledger)),
+            ("entry_ledger_bytes", "Ledger size.", self._ledger.size_bytes),
+        ):
+            self._metrics.gauge(name, doc, value)
+
     async def drain(self) -> None:
         """Stops as planned; returns when the process may close."""
         await self._stop.run()
@@ -271,10 +282,10 @@
         self, request: caller_request.CallerRequest, hops: int
     ) -> caller_request.CallerAnswer:
         if self._stop.is_closed:
-            raise _unsent(request, 503, "Entry is stopping")
+            raise request.unsent(503, "Entry is stopping")
         route = self._route(request)
         if route is None:
-            raise _unsent(request, 404, "No such route")
+            raise request.unsent(404, "No such route")
         execution = executions.Execution(
             request=request,
             route=route,
@@ -320,8 +331,7 @@
             execution.route.service, account, keepers=max(1, keepers)
         )
         if wait_s > 0:
-            raise _unsent(
-                execution.request,
+            raise execution.request.unsent(
                 429,
                 "Account is over its limit",
                 retry_after_s=wait_s,
@@ -374,18 +384,3 @@
             pause_s=round(pause_s, 3),
             in_flight=self._in_flight,
         )
-
-
-def _unsent(
-    request: caller_request.CallerRequest,
-    status: int,
-    title: str,
-    *,
-    retry_after_s: float | None = None,
-) -> errors.RefusedError:
-    return errors.RefusedError(
-        verdict=request.unsent_verdict,
-        status=status,
-        title=title,
-        retry_after_s=retry_after_s,
-    )
--- a/fuchsiacourse/entry_stop.py
+++ b/fuchsiacourse/entry_stop.py
@@ -86,8 +86,10 @@
         self._announce(member_rows.State.LEFT)
         self._seal.hand_over_ended(successor)
         await self._clock.sleep(LINGER_S)
-        await self._wait_while(self._in_flight, limit)
+        # Requests that still come are refused as not run, so that those
+        # in flight come to an end.
         self.is_closed = True
+        await self._wait_while(self._in_flight, limit)
         self._invariants.check(
             invariant_checks.InvariantId.GRACEFUL_STOP,
             self._in_flight() == 0,
--- a/fuchsiacourse/keyed_runs.py
+++ b/fuchsiacourse/keyed_runs.py
@@ -142,10 +142,9 @@
         if hops:
             raise _no_record()
         if self._seal.is_sealed:
-            raise errors.RefusedError(
-                verdict=request.unsent_verdict,
-                status=503,
-                title="Entry is stopping",
+            raise request.unsent(
+                503,
+                "Entry is stopping",
                 retry_after_s=1.0,
             )
         admit()
@@ -164,10 +163,9 @@
             expires_at=expires_at,
         )
         if record is None:
-            raise errors.RefusedError(
-                verdict=execution.request.unsent_verdict,
-                status=503,
-                title="Ledger is full",
+            raise execution.request.unsent(
+                503,
+                "Ledger is full",
                 retry_after_s=1.0,
             )
         return record
@@ -259,10 +257,9 @@
         seal = self._seal.successor
         await waiting.until(self._clock, seal, at=execution.deadline_at)
         if not seal.done() or not seal.result():
-            raise errors.RefusedError(
-                verdict=request.unsent_verdict,
-                status=503,
-                title="Entry is stopping",
+            raise request.unsent(
+                503,
+                "Entry is stopping",
                 detail="No successor runs keys of this entry.",
                 retry_after_s=1.0,
             )
--- a/fuchsiacourse/relays.py
+++ b/fuchsiacourse/relays.py
@@ -84,7 +84,7 @@
                 verdict=verdicts.Verdict.MAY_HAVE_RUN,
                 status=410,
                 title="Issuer is gone",
-                detail="The entry that issued this key is gone.",
+                detail="No process that decides on this key is left.",
                 offer_keys=True,
             )
         if hops >= MAX_HOPS:
@@ -231,10 +231,9 @@
     title: str,
 ) -> errors.RefusedError:
     """Returns a refusal of a request that was not sent on."""
-    return errors.RefusedError(
-        verdict=request.unsent_verdict,
-        status=status,
-        title=title,
+    return request.unsent(
+        status,
+        title,
         issuer=row.http_address,
         retry_after_s=1.0,
         offer_keys=True,
--- /dev/null
+++ b/tests/test_keyed_runs.py
@@ -0,0 +1,186 @@
+"""Tests of repeats, joins and closed keys."""
+
+import asyncio
+import unittest
+
+from bench import entry_fakes
+from bench import virtual_loop
+from fuchsiacourse import verdict as verdicts
+
+NOT_RUN = verdicts.Verdict.NOT_RUN
+RAN = verdicts.Verdict.RAN
+MAYBE = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class KeyedRunsTest(unittest.TestCase):
+    """A key must be run once, whoever asks and however long he waits."""
+
+    def run_fleet(self, scenario, **options):
+        async def main():
+            fleet = entry_fakes.EntryFleet(**options)
+            result = await scenario(fleet)
+            await asyncio.sleep(100)
+            self.assertEqual([], fleet.broken)
+            self.assertEqual([], fleet.failures)
+            return result
+
+        return virtual_loop.run(main())
+
+    def told(self, answer):
+        return answer.status, answer.verdict
+
+    def test_run_goes_on_without_its_caller(self):
+        """Guards against a disconnect that loses a booking's record."""
+
+        async def scenario(fleet):
+            key = fleet.key()
+            call = asyncio.ensure_future(fleet.book(key))
+            await asyncio.sleep(0.01)
+            call.cancel()
+            await asyncio.sleep(0.5)
+            again = await fleet.book(key, attempt=2)
+            return again.body == key.encode(), sum(fleet.runs_by_body.values())
+
+        self.assertEqual((True, 1), self.run_fleet(scenario))
+
+    def test_joiners_have_their_own_deadlines(self):
+        """Guards against a joiner that ends the first caller's run."""
+
+        async def scenario(fleet):
+            fleet.dispatchers[0].run_s = (0.5, 0.5)
+            key = fleet.key()
+            calls = [
+                fleet.book(key, request_id="first"),
+                fleet.book(key, attempt=2, deadline_ms=100),
+                fleet.book(key, attempt=3, request_id="third"),
+            ]
+            answers = await asyncio.gather(*calls)
+            names = [name for name, _ in fleet.network.calls]
+            return (
+                [self.told(answer) for answer in answers],
+                answers[2].request_id,
+                names,
+            )
+
+        told, request_id, names = self.run_fleet(scenario)
+        self.assertEqual([(200, RAN), (504, MAYBE), (200, RAN)], told)
+        self.assertEqual(("third", ["execute"]), (request_id, names))
+
+    def test_late_answer_reaches_the_next_attempt(self):
+        """Guards against losing the answer of a straggler."""
+
+        async def scenario(fleet):
+            fleet.dispatchers[0].run_s = (3.5, 3.5)
+            key = fleet.key()
+            answers = []
+            for attempt in (1, 2, 3):
+                answers.append(await fleet.book(key, attempt=attempt))
+            return [self.told(answer) for answer in answers]
+
+        self.assertEqual(
+            [(504, MAYBE), (504, MAYBE), (200, RAN)],
+            self.run_fleet(scenario),
+        )
+
+    def test_not_run_closes_the_key(self):
+        """Guards against running a key that was told not-run."""
+
+        async def scenario(fleet):
+            fleet.dispatchers[0].refusals = ["overload"]
+            key = fleet.key()
+            first = await fleet.book(key)
+            again = await fleet.book(key, attempt=2)
+            return self.told(first), self.told(again)
+
+        refused = (503, NOT_RUN)
+        self.assertEqual((refused, refused), self.run_fleet(scenario))
+
+    def test_key_with_another_request(self):
+        """Guards against an answer to a request that was not asked."""
+
+        async def scenario(fleet):
+            key = fleet.key()
+            call = asyncio.ensure_future(fleet.book(key))
+            await asyncio.sleep(0.01)
+            told = [self.told(await fleet.book(key, body=b"other"))]
+            await call
+            for changes in (
+                {"body": b"other"},
+                {"path": "/larder/x"},
+                {"account": "other"},
+            ):
+                told.append(self.told(await fleet.book(key, **changes)))
+            return told
+
+        self.assertEqual(
+            [(422, MAYBE), (422, RAN), (422, RAN), (422, RAN)],
+            self.run_fleet(scenario),
+        )
+
+    def test_full_ledger(self):
+        """Guards against running a key that cannot be recorded."""
+
+        async def scenario(fleet):
+            await fleet.book(fleet.key())
+            told = [
+                self.told(await fleet.book(fleet.key(), attempt=attempt))
+                for attempt in (1, 2, 0)
+            ]
+            return told, sum(fleet.runs_by_body.values())
+
+        self.assertEqual(
+            ([(503, NOT_RUN), (503, MAYBE), (503, MAYBE)], 1),
+            self.run_fleet(scenario, ledger_max_records=1),
+        )
+
+    def test_answer_too_large_to_keep(self):
+        """Guards against a second run for an answer that is gone."""
+
+        async def scenario(fleet):
+            key = fleet.key()
+            first = await fleet.book(key)
+            again = await fleet.book(key, attempt=2)
+            return self.told(first), self.told(again)
+
+        self.assertEqual(
+            ((200, RAN), (409, RAN)),
+            self.run_fleet(scenario, ledger_max_answer_bytes=5),
+        )
+
+    def test_account_over_its_limit(self):
+        """Guards against keys that stay open after not-run."""
+
+        async def scenario(fleet):
+            told = []
+            keys = [fleet.key(number=number) for number in range(3)]
+            for key in keys:
+                told.append(self.told(await fleet.book(key)))
+            await asyncio.sleep(60)
+            told.append(self.told(await fleet.book(keys[2], attempt=2)))
+            return told
+
+        limit = {"default": {"rate_per_s": 0.1, "burst": 2}}
+        self.assertEqual(
+            [(200, RAN), (200, RAN), (429, NOT_RUN), (429, NOT_RUN)],
+            self.run_fleet(
+                scenario, service_changes={"account_limits": limit}
+            ),
+        )
+
+    def test_malformed_and_foreign_keys(self):
+        """Guards against running keys that no entry has issued."""
+
+        async def scenario(fleet):
+            return [
+                self.told(await fleet.book(key))
+                for key in (
+                    "fc1-x",
+                    fleet.key(number=99),
+                    "fc1-0123456789abcdef-0-0",
+                )
+            ]
+
+        self.assertEqual(
+            [(400, NOT_RUN), (400, NOT_RUN), (410, MAYBE)],
+            self.run_fleet(scenario),
+        )
