--- a/bench/entry_fakes.py
+++ b/bench/entry_fakes.py
@@ -14,6 +14,7 @@
 from fuchsiacourse import entry_service
 from fuchsiacourse import errors
 from fuchsiacourse import fleet_pb2
+from fuchsiacourse import idempotency_key
 from fuchsiacourse import identity
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import logs
@@ -24,6 +25,7 @@
 from fuchsiacourse import settings as setting_models
 from fuchsiacourse import store as stores
 from fuchsiacourse import timers as timer_services
+from fuchsiacourse import verdict as verdicts
 
 REGIONS = {"tayside": "tay-a", "lothian": "lot-a"}
 SERVICE = "larder"
@@ -465,3 +467,48 @@
             invariants=self.invariants,
             log=logs.silent(),
         )
+
+
+def run_fleet(
+    scenario: typing.Callable[[EntryFleet], typing.Awaitable[typing.Any]],
+    *,
+    settle_s: float = 100.0,
+    **options: typing.Any,
+) -> typing.Any:
+    """Runs a scenario on a fleet of its own.
+
+    Args:
+        scenario: Coroutine function that is given the fleet.
+        settle_s: Time for what goes on after the scenario.
+        **options: Options of the fleet.
+
+    Returns:
+        The scenario's result.
+
+    Raises:
+        AssertionError: An invariant broke, a background task failed or a
+            booking ran twice.
+    """
+
+    async def main() -> typing.Any:
+        fleet = EntryFleet(**options)
+        result = await scenario(fleet)
+        await asyncio.sleep(settle_s)
+        faults = [*fleet.broken, *fleet.failures]
+        faults += [
+            f"{body!r} ran {runs} times"
+            for body, runs in fleet.runs_by_body.items()
+            if body.startswith(idempotency_key.PREFIX.encode()) and runs > 1
+        ]
+        if faults:
+            raise AssertionError(faults)
+        return result
+
+    return virtual_loop.run(main())
+
+
+def told(
+    answer: caller_request.CallerAnswer,
+) -> tuple[int, verdicts.Verdict]:
+    """Returns status and verdict of an answer."""
+    return answer.status, answer.verdict
--- /dev/null
+++ b/bench/entry_faults.py
@@ -0,0 +1,135 @@
+"""Callers of entries under random faults, from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from bench import entry_fakes
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import verdict as verdicts
+
+BOOKINGS = 40
+MAX_ATTEMPTS = 4
+
+
+class RandomRun:
+    """Callers that follow the rules, on a faulty network.
+
+    Args:
+        seed: Seed of all randomness.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self.fleet = entry_fakes.EntryFleet(
+            entries=4, dispatchers=2, seed=seed, key_block_size=4
+        )
+        # What the attempts under each key were told, in order.
+        self.verdicts_by_key: dict[str, list[verdicts.Verdict]] = {}
+        self.wrong_answers: list[tuple[str, bytes]] = []
+        network = self.fleet.network
+        network.delay_s = (0.001, 0.2)
+        network.unreachable_share = 0.1
+        network.request_loss_share = 0.1
+        network.reply_loss_share = 0.1
+        network.reset_share = 0.1
+        for process in self.fleet.dispatchers:
+            process.queue_s = (0.0, 0.8)
+            process.run_s = (0.01, 0.6)
+            process.refusal_share = 0.1
+            process.owner = self.fleet.dispatch_rows[0].rpc_address
+
+    async def run(self) -> None:
+        """Runs everything to its end."""
+        await asyncio.gather(
+            *[self._book(number) for number in range(BOOKINGS)],
+            self._stop_one(),
+            self._lose_one(),
+            self._pause(),
+            self._break_store(),
+        )
+        self.fleet.network.unreachable_share = 0.0
+        await asyncio.sleep(60)
+
+    async def _book(self, number: int) -> None:
+        await asyncio.sleep(self._rng.uniform(0, 12))
+        key = self._new_key(number)
+        told = self.verdicts_by_key.setdefault(key, [])
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            verdict = await self._send(key, attempt)
+            told.append(verdict)
+            if verdict is not verdicts.Verdict.MAY_HAVE_RUN:
+                break
+            await asyncio.sleep(self._rng.uniform(0, 0.5))
+
+    def _new_key(self, number: int) -> str:
+        issuer = self._rng.randrange(4)
+        if self._rng.random() < 0.2:
+            return f"own-{number}"
+        try:
+            return self.fleet.key(issuer, self._rng.randrange(4))
+        except errors.RefusedError:
+            return f"own-{number}"
+
+    async def _send(self, key: str, attempt: int) -> verdicts.Verdict:
+        call = asyncio.ensure_future(
+            self.fleet.book(key, entry=self._rng.randrange(4), attempt=attempt)
+        )
+        patience_s = self._rng.choice([0.2, 3.0, 3.0])
+        await asyncio.wait([call], timeout=patience_s)
+        if not call.done():
+            if self._rng.random() < 0.5:
+                call.cancel()
+            return verdicts.Verdict.MAY_HAVE_RUN
+        answer = call.result()
+        if answer.verdict is verdicts.Verdict.RAN and not answer.refused:
+            if answer.body != key.encode():
+                self.wrong_answers.append((key, answer.body))
+        return answer.verdict
+
+    async def _stop_one(self) -> None:
+        await asyncio.sleep(self._rng.uniform(0, 4))
+        row = self.fleet.entry_rows[0]
+        await self.fleet.entries[0].drain()
+        await asyncio.sleep(0.5)
+        self.fleet.gossip(row)
+
+    async def _lose_one(self) -> None:
+        await asyncio.sleep(self._rng.uniform(4, 8))
+        row = self.fleet.entry_rows[1]
+        self.fleet.network.unreachable.add(row.rpc_address)
+        await asyncio.sleep(1)
+        row.state = member_rows.State.DEAD
+        self.fleet.gossip(row)
+
+    async def _pause(self) -> None:
+        for _ in range(3):
+            await asyncio.sleep(self._rng.uniform(1, 4))
+            asyncio.get_running_loop()._jumping.now_s += self._rng.uniform(
+                0.5, 4
+            )
+
+    async def _break_store(self) -> None:
+        for _ in range(30):
+            await asyncio.sleep(0.4)
+            self.fleet.store.takes_effect = self._rng.random() < 0.5
+            self.fleet.store.errors_by_call = {
+                "put": self._rng.choice(
+                    [[], [errors.StoreUnsure()], [errors.StoreRateLimited()]]
+                ),
+                "get": self._rng.choice([[], [errors.StoreUnavailable()]]),
+            }
+
+
+def run(seed: int) -> RandomRun:
+    """Returns the finished run of a seed."""
+
+    async def main() -> RandomRun:
+        random_run = RandomRun(seed)
+        await random_run.run()
+        return random_run
+
+    return virtual_loop.run(main())
--- /dev/null
+++ b/tests/test_address_list.py
@@ -0,0 +1,76 @@
+"""Tests of the address list."""
+
+import unittest
+
+from bench import entry_fakes
+from bench import virtual_loop
+from fuchsiacourse import address_list
+from fuchsiacourse import errors
+from fuchsiacourse import member as member_rows
+
+
+class AddressListTest(unittest.TestCase):
+    """Callers must be sent to entries that serve them and keep limits."""
+
+    def run_fleet(self, scenario, entries=20):
+        async def main():
+            return scenario(entry_fakes.EntryFleet(entries=entries))
+
+        return virtual_loop.run(main())
+
+    def test_all_entries_name_the_same_keepers(self):
+        """Guards against an account whose limit is kept everywhere."""
+
+        def scenario(fleet):
+            return [
+                {row.id for row in entry.address_list("glen").entries}
+                for entry in fleet.entries
+            ], [
+                entry.address_list("glen").entries[0] is row
+                for entry, row in zip(fleet.entries, fleet.entry_rows)
+            ]
+
+        lists, own_first = self.run_fleet(scenario)
+        self.assertEqual(3, len(lists[0]))
+        self.assertTrue(all(found == lists[0] for found in lists))
+        # Exactly the keepers name themselves first.
+        self.assertEqual(3, own_first.count(True))
+
+    def test_leaving_entries_are_not_listed(self):
+        """Guards against callers that come to an entry that stops."""
+
+        def scenario(fleet):
+            for row in fleet.entry_rows[:2]:
+                row.state = member_rows.State.LEAVING
+            listed = fleet.entries[0].address_list("")
+            return fleet.entry_rows, listed
+
+        rows, listed = self.run_fleet(scenario)
+        self.assertEqual(address_list.MAX_ADDRESSES, len(listed.entries))
+        self.assertFalse(set(rows[:2]) & set(listed.entries))
+        content = listed.as_json()
+        self.assertEqual(rows[0].http_address, content["issuer"])
+        self.assertEqual(900, content["keys"]["expires_in_s"])
+
+    def test_suspect_entries_are_the_last_resort(self):
+        """Guards against an empty list while gossip is disturbed."""
+
+        def scenario(fleet):
+            for row in fleet.entry_rows:
+                row.state = member_rows.State.SUSPECT
+            return len(fleet.entries[0].address_list("glen").entries)
+
+        self.assertEqual(2, self.run_fleet(scenario, entries=2))
+
+    def test_no_keys_after_the_seal(self):
+        """Guards against keys that the successor does not know of."""
+
+        async def main():
+            fleet = entry_fakes.EntryFleet(entries=2)
+            await fleet.entries[0].drain()
+            with self.assertRaises(errors.RefusedError):
+                fleet.entries[0].address_list("glen")
+            answer = await fleet.book("")
+            return answer.body
+
+        self.assertNotIn(b'"keys"', virtual_loop.run(main()))
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,7 +4,6 @@
 import unittest
 
 from bench import entry_fakes
-from bench import virtual_loop
 from fuchsiacourse import executor
 from fuchsiacourse import fleet_pb2
 from fuchsiacourse import member as member_rows
@@ -18,17 +17,6 @@
 class ExecutorTest(unittest.TestCase):
     """Every verdict must be proved by what came back from dispatch."""
 
-    def run_fleet(self, scenario, **options):
-        async def main():
-            fleet = entry_fakes.EntryFleet(**options)
-            result = await scenario(fleet)
-            await asyncio.sleep(100)
-            self.assertEqual([], fleet.broken)
-            self.assertEqual([], fleet.failures)
-            return result
-
-        return virtual_loop.run(main())
-
     def book(self, arrange, **options):
         """Returns status, verdict and number of runs of one booking."""
 
@@ -39,7 +27,7 @@
             await asyncio.sleep(100)
             return answer.status, answer.verdict, fleet.runs_by_body[b"b"]
 
-        return self.run_fleet(scenario, **options)
+        return entry_fakes.run_fleet(scenario, **options)
 
     def test_lost_request_and_withdrawal(self):
         """Guards against may-have-run where a withdrawal proves not-run."""
@@ -108,7 +96,7 @@
             return answer.verdict, hops
 
         self.assertEqual(
-            (RAN, [0, 2]), self.run_fleet(scenario, dispatchers=2)
+            (RAN, [0, 2]), entry_fakes.run_fleet(scenario, dispatchers=2)
         )
 
     def test_overload_moves_lookups_only(self):
@@ -130,7 +118,7 @@
         # The booking after a refusal goes to the other region at once.
         self.assertEqual(
             ([(200, RAN), (503, NOT_RUN), (200, RAN)], 2),
-            self.run_fleet(scenario),
+            entry_fakes.run_fleet(scenario),
         )
 
     def test_spill_budget(self):
@@ -144,7 +132,9 @@
             return [answer.status for answer in answers].count(200)
 
         # 10,000 bytes of burst carry two requests with their answers.
-        self.assertEqual(2, self.run_fleet(scenario, spill_bytes_per_s=5000.0))
+        self.assertEqual(
+            2, entry_fakes.run_fleet(scenario, spill_bytes_per_s=5000.0)
+        )
 
     def test_replies_that_are_not_whole(self):
         """Guards against another caller's or a truncated answer."""
@@ -185,7 +175,9 @@
             return sum(len(item.requests) for item in fleet.dispatchers)
 
         bound = 100 * (1 + executor.RETRY_SHARE) + executor.RETRY_BURST
-        self.assertLessEqual(self.run_fleet(scenario, dispatchers=3), bound)
+        self.assertLessEqual(
+            entry_fakes.run_fleet(scenario, dispatchers=3), bound
+        )
 
     def test_lookup_leaves_a_dead_owner(self):
         """Guards against a lookup that waits for a dead process."""
@@ -200,7 +192,9 @@
             answer = await call
             return answer.status, asyncio.get_running_loop().time() < 0.5
 
-        self.assertEqual((200, True), self.run_fleet(scenario, dispatchers=2))
+        self.assertEqual(
+            (200, True), entry_fakes.run_fleet(scenario, dispatchers=2)
+        )
 
     def test_pause_before_the_sending(self):
         """Guards against work for a caller that has given up."""
@@ -218,5 +212,5 @@
             )
 
         self.assertEqual(
-            (504, NOT_RUN, 0), self.run_fleet(scenario, dispatchers=2)
+            (504, NOT_RUN, 0), entry_fakes.run_fleet(scenario, dispatchers=2)
         )
--- /dev/null
+++ b/tests/test_hand_over.py
@@ -0,0 +1,212 @@
+"""Tests of planned stops and hand-overs."""
+
+import asyncio
+import unittest
+
+from bench import entry_fakes
+from bench import virtual_loop
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import hand_over
+from fuchsiacourse import member as member_rows
+from fuchsiacourse import verdict as verdicts
+
+NOT_RUN = verdicts.Verdict.NOT_RUN
+RAN = verdicts.Verdict.RAN
+MAYBE = verdicts.Verdict.MAY_HAVE_RUN
+# Time from the start of a stop to the seal, with the list's 5 s to live.
+SEALED_AFTER_S = 6.1
+
+
+class HandOverTest(unittest.TestCase):
+    """Keys must be run by their issuer or by one successor, never both."""
+
+    async def stop(self, fleet, entry=0):
+        """Stops an entry and lets gossip tell of it."""
+        row = fleet.entry_rows[entry]
+        await fleet.entries[entry].drain()
+        fleet.gossip(row)
+        fleet.network.unreachable.add(row.rpc_address)
+        return row
+
+    def test_chain_of_successors(self):
+        """Guards against keys that are lost by a second stop."""
+
+        async def scenario(fleet):
+            used, unused = fleet.key(), fleet.key()
+            first = await fleet.book(used)
+            last = fleet.entry_rows[0]
+            while last.id in [row.id for row in fleet.entry_rows[:2]]:
+                stopped = await self.stop(fleet, fleet.entry_rows.index(last))
+                last = fleet.tables[0].by_id[stopped.successor]
+            again = await fleet.book(used, entry=2, attempt=2)
+            new = await fleet.book(unused, entry=2)
+            return first.body == again.body, entry_fakes.told(new)
+
+        self.assertEqual(
+            (True, (200, RAN)), entry_fakes.run_fleet(scenario, entries=3)
+        )
+
+    def test_requests_during_a_stop(self):
+        """Guards against requests that a planned stop cuts off."""
+
+        async def scenario(fleet):
+            for process in fleet.dispatchers:
+                process.run_s = (0.8, 0.8)
+            # The hand-over's first acknowledgement is lost.
+            fleet.network.losses_by_call["hand_over"] = ["reply"]
+            stop = asyncio.ensure_future(self.stop(fleet))
+            calls = []
+            for number in range(30):
+                entry = number % 2
+                calls.append(
+                    asyncio.ensure_future(
+                        fleet.book(self.key_of(fleet), entry=entry)
+                    )
+                )
+                await asyncio.sleep(0.3)
+            answers = await asyncio.gather(*calls)
+            await stop
+            return {entry_fakes.told(answer) for answer in answers}
+
+        self.keys = []
+        told = entry_fakes.run_fleet(scenario, entries=3)
+        # While the acknowledgement is awaited new keys are told not-run.
+        self.assertLessEqual(told, {(200, RAN), (503, NOT_RUN)})
+        self.assertIn((200, RAN), told)
+
+    def key_of(self, fleet):
+        """Returns keys that entry 0 issued before its stop."""
+        if not self.keys:
+            self.keys = [fleet.key(number=n) for n in range(60)]
+        return self.keys.pop()
+
+    def test_without_acknowledgement_nothing_is_run(self):
+        """Guards against a sender that runs what a successor may run."""
+
+        async def scenario(fleet):
+            keys = [fleet.key(number=number) for number in range(3)]
+            fleet.network.losses_by_call["hand_over"] = ["reply"] * 100
+            stop = asyncio.ensure_future(self.stop(fleet))
+            await asyncio.sleep(SEALED_AFTER_S)
+            during = await fleet.book(keys[0])
+            row = await stop
+            calls = {
+                address
+                for name, address in fleet.network.calls
+                if name == "hand_over"
+            }
+            # The successor holds the keys, but nobody else can know it.
+            other = next(
+                number
+                for number in (1, 2)
+                if fleet.entry_rows[number].rpc_address not in calls
+            )
+            after = await fleet.book(keys[1], entry=other)
+            return (
+                entry_fakes.told(during),
+                entry_fakes.told(after),
+                len(calls),
+                (row.successor),
+            )
+
+        self.assertEqual(
+            ((503, NOT_RUN), (410, MAYBE), 1, ""),
+            entry_fakes.run_fleet(scenario, entries=3),
+        )
+
+    def test_another_successor_if_nothing_was_sent(self):
+        """Guards against losing all keys to a dead successor."""
+
+        async def scenario(fleet):
+            key = fleet.key()
+            fleet.network.losses_by_call["hand_over"] = ["unreachable"]
+            row = await self.stop(fleet)
+            answer = await fleet.book(key, entry=1)
+            return bool(row.successor), entry_fakes.told(answer)
+
+        self.assertEqual(
+            (True, (200, RAN)), entry_fakes.run_fleet(scenario, entries=3)
+        )
+
+    def test_last_entry_of_a_region(self):
+        """Guards against a stop that waits for ever for a successor."""
+
+        async def scenario(fleet):
+            row = await self.stop(fleet)
+            return row.successor, row.state
+
+        self.assertEqual(
+            ("", member_rows.State.LEFT),
+            entry_fakes.run_fleet(scenario, entries=1),
+        )
+
+
+class HandOverReceiverTest(unittest.TestCase):
+    """A successor must use all of a hand-over or nothing."""
+
+    SENDER = "0181f3b2c4000009"
+
+    def part(self, number, *, parts=2, id="h-1"):
+        message = fleet_pb2.HandOverRequest(
+            hand_over_id=id, sender=self.SENDER, part=number, parts=parts
+        )
+        if number == 0:
+            message.blocks.add(
+                incarnation=self.SENDER, next_block=1, expires_in_ms=900_000
+            )
+        else:
+            message.records.add(
+                key=f"fc1-{self.SENDER}-0-0",
+                fingerprint="f",
+                state=fleet_pb2.RECORD_MAY_HAVE_RUN,
+                answer_kept=True,
+                expires_in_ms=900_000,
+            )
+        return message
+
+    def accepted(self, *steps, **options):
+        """Returns what a successor replies to parts, in order."""
+
+        async def main():
+            fleet = entry_fakes.EntryFleet(**options)
+            replies = []
+            for step in steps:
+                if isinstance(step, float):
+                    await asyncio.sleep(step)
+                    continue
+                reply = await fleet.entries[0].hand_over(step)
+                replies.append(reply.accepted)
+            answer = await fleet.book(f"fc1-{self.SENDER}-0-1")
+            return replies, answer.verdict
+
+        return virtual_loop.run(main())
+
+    def test_nothing_is_used_before_the_last_part(self):
+        """Guards against a run whose record is in a missing part."""
+        self.assertEqual(([True], MAYBE), self.accepted(self.part(0)))
+        self.assertEqual(
+            ([True, True], RAN), self.accepted(self.part(1), self.part(0))
+        )
+
+    def test_repeated_parts_are_accepted_again(self):
+        """Guards against a lost acknowledgement that ends a hand-over."""
+        parts = [self.part(0), self.part(0), self.part(1), self.part(1)]
+        self.assertEqual(([True] * 4, RAN), self.accepted(*parts))
+
+    def test_second_hand_over_is_refused(self):
+        """Guards against taking one sender's keys over twice."""
+        whole = self.part(0, parts=1)
+        other = self.part(0, parts=1, id="h-2")
+        self.assertEqual(([True, False], RAN), self.accepted(whole, other))
+        mixed = [self.part(0), self.part(1, id="h-2")]
+        self.assertEqual(([True, False], MAYBE), self.accepted(*mixed))
+
+    def test_late_or_oversized_hand_over_is_refused_for_good(self):
+        """Guards against using a hand-over whose sender gave up."""
+        late = [self.part(0), hand_over.STAGE_LIFETIME_S + 1, self.part(1)]
+        self.assertEqual(([True, False], MAYBE), self.accepted(*late))
+        parts = [self.part(0), self.part(1), self.part(1)]
+        self.assertEqual(
+            ([True, False, False], MAYBE),
+            self.accepted(*parts, ledger_max_bytes=512),
+        )
--- a/tests/test_keyed_runs.py
+++ b/tests/test_keyed_runs.py
@@ -4,7 +4,6 @@
 import unittest
 
 from bench import entry_fakes
-from bench import virtual_loop
 from fuchsiacourse import verdict as verdicts
 
 NOT_RUN = verdicts.Verdict.NOT_RUN
@@ -15,20 +14,6 @@
 class KeyedRunsTest(unittest.TestCase):
     """A key must be run once, whoever asks and however long he waits."""
 
-    def run_fleet(self, scenario, **options):
-        async def main():
-            fleet = entry_fakes.EntryFleet(**options)
-            result = await scenario(fleet)
-            await asyncio.sleep(100)
-            self.assertEqual([], fleet.broken)
-            self.assertEqual([], fleet.failures)
-            return result
-
-        return virtual_loop.run(main())
-
-    def told(self, answer):
-        return answer.status, answer.verdict
-
     def test_run_goes_on_without_its_caller(self):
         """Guards against a disconnect that loses a booking's record."""
 
@@ -41,7 +26,7 @@
             again = await fleet.book(key, attempt=2)
             return again.body == key.encode(), sum(fleet.runs_by_body.values())
 
-        self.assertEqual((True, 1), self.run_fleet(scenario))
+        self.assertEqual((True, 1), entry_fakes.run_fleet(scenario))
 
     def test_joiners_have_their_own_deadlines(self):
         """Guards against a joiner that ends the first caller's run."""
@@ -57,12 +42,12 @@
             answers = await asyncio.gather(*calls)
             names = [name for name, _ in fleet.network.calls]
             return (
-                [self.told(answer) for answer in answers],
+                [entry_fakes.told(answer) for answer in answers],
                 answers[2].request_id,
                 names,
             )
 
-        told, request_id, names = self.run_fleet(scenario)
+        told, request_id, names = entry_fakes.run_fleet(scenario)
         self.assertEqual([(200, RAN), (504, MAYBE), (200, RAN)], told)
         self.assertEqual(("third", ["execute"]), (request_id, names))
 
@@ -75,11 +60,11 @@
             answers = []
             for attempt in (1, 2, 3):
                 answers.append(await fleet.book(key, attempt=attempt))
-            return [self.told(answer) for answer in answers]
+            return [entry_fakes.told(answer) for answer in answers]
 
         self.assertEqual(
             [(504, MAYBE), (504, MAYBE), (200, RAN)],
-            self.run_fleet(scenario),
+            entry_fakes.run_fleet(scenario),
         )
 
     def test_not_run_closes_the_key(self):
@@ -90,10 +75,10 @@
             key = fleet.key()
             first = await fleet.book(key)
             again = await fleet.book(key, attempt=2)
-            return self.told(first), self.told(again)
+            return entry_fakes.told(first), entry_fakes.told(again)
 
         refused = (503, NOT_RUN)
-        self.assertEqual((refused, refused), self.run_fleet(scenario))
+        self.assertEqual((refused, refused), entry_fakes.run_fleet(scenario))
 
     def test_key_with_another_request(self):
         """Guards against an answer to a request that was not asked."""
@@ -102,19 +87,19 @@
             key = fleet.key()
             call = asyncio.ensure_future(fleet.book(key))
             await asyncio.sleep(0.01)
-            told = [self.told(await fleet.book(key, body=b"other"))]
+            told = [entry_fakes.told(await fleet.book(key, body=b"other"))]
             await call
             for changes in (
                 {"body": b"other"},
                 {"path": "/larder/x"},
                 {"account": "other"},
             ):
-                told.append(self.told(await fleet.book(key, **changes)))
+                told.append(entry_fakes.told(await fleet.book(key, **changes)))
             return told
 
         self.assertEqual(
             [(422, MAYBE), (422, RAN), (422, RAN), (422, RAN)],
-            self.run_fleet(scenario),
+            entry_fakes.run_fleet(scenario),
         )
 
     def test_full_ledger(self):
@@ -123,14 +108,16 @@
         async def scenario(fleet):
             await fleet.book(fleet.key())
             told = [
-                self.told(await fleet.book(fleet.key(), attempt=attempt))
+                entry_fakes.told(
+                    await fleet.book(fleet.key(), attempt=attempt)
+                )
                 for attempt in (1, 2, 0)
             ]
             return told, sum(fleet.runs_by_body.values())
 
         self.assertEqual(
             ([(503, NOT_RUN), (503, MAYBE), (503, MAYBE)], 1),
-            self.run_fleet(scenario, ledger_max_records=1),
+            entry_fakes.run_fleet(scenario, ledger_max_records=1),
         )
 
     def test_answer_too_large_to_keep(self):
@@ -140,11 +127,11 @@
             key = fleet.key()
             first = await fleet.book(key)
             again = await fleet.book(key, attempt=2)
-            return self.told(first), self.told(again)
+            return entry_fakes.told(first), entry_fakes.told(again)
 
         self.assertEqual(
             ((200, RAN), (409, RAN)),
-            self.run_fleet(scenario, ledger_max_answer_bytes=5),
+            entry_fakes.run_fleet(scenario, ledger_max_answer_bytes=5),
         )
 
     def test_account_over_its_limit(self):
@@ -154,15 +141,15 @@
             told = []
             keys = [fleet.key(number=number) for number in range(3)]
             for key in keys:
-                told.append(self.told(await fleet.book(key)))
+                told.append(entry_fakes.told(await fleet.book(key)))
             await asyncio.sleep(60)
-            told.append(self.told(await fleet.book(keys[2], attempt=2)))
+            told.append(entry_fakes.told(await fleet.book(keys[2], attempt=2)))
             return told
 
         limit = {"default": {"rate_per_s": 0.1, "burst": 2}}
         self.assertEqual(
             [(200, RAN), (200, RAN), (429, NOT_RUN), (429, NOT_RUN)],
-            self.run_fleet(
+            entry_fakes.run_fleet(
                 scenario, service_changes={"account_limits": limit}
             ),
         )
@@ -172,7 +159,7 @@
 
         async def scenario(fleet):
             return [
-                self.told(await fleet.book(key))
+                entry_fakes.told(await fleet.book(key))
                 for key in (
                     "fc1-x",
                     fleet.key(number=99),
@@ -182,5 +169,5 @@
 
         self.assertEqual(
             [(400, NOT_RUN), (400, NOT_RUN), (410, MAYBE)],
-            self.run_fleet(scenario),
+            entry_fakes.run_fleet(scenario),
         )
