--- a/bench/fake_targets.py
+++ b/bench/fake_targets.py
@@ -63,6 +63,7 @@
     def __init__(self, *, address: str, slots: int) -> None:
         self.address = address
         self.slots = slots
+        self.free_slots = asyncio.Semaphore(slots)
         self.in_flight = 0
         self.most_in_flight = 0
         self.incarnation = f"{address}/1"
@@ -104,6 +105,8 @@
         run_time: Returns the run time of a request in seconds.
         straggler_share: Share of the requests that run much longer.
         straggler_factor: How many times longer they run.
+        queues: Whether a target lets requests beyond its slots wait in
+            order of arrival instead of shedding them.
     """
 
     def __init__(
@@ -114,12 +117,14 @@
         run_time: RunTime,
         straggler_share: float = 0.0,
         straggler_factor: float = 30.0,
+        queues: bool = False,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._run_time = run_time
         self._straggler_share = straggler_share
         self._straggler_factor = straggler_factor
+        self._queues = queues
         self.targets_by_address: dict[str, FakeTarget] = {}
         self.records: list[RunRecord] = []
         self.records_by_request: dict[str, list[RunRecord]] = {}
@@ -146,6 +151,9 @@
         await self._clock.sleep(NETWORK_S)
         if target is None or target.is_unreachable:
             raise errors.TargetUnreachable(call.address)
+        if self._queues:
+            async with target.free_slots:
+                return await self._execute(target, call)
         if (
             target.in_flight >= target.slots
             or self._rng.random() < target.shed_share
--- /dev/null
+++ b/bench/queue_load.py
@@ -0,0 +1,249 @@
+"""Load on one shard, for dispatch and for the baselines alike."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import math
+import random
+
+from bench import baseline_policies
+from bench import dispatch_world
+from bench import fake_targets
+from bench import virtual_loop
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import service_file
+
+STRAGGLER_SHARE = 0.01
+STRAGGLER_FACTOR = 30.0
+DISPATCH = "dispatch"
+
+
+class LoadPart:
+    """A request kind and its share of the requests."""
+
+    __slots__ = ("kind", "share")
+
+    def __init__(
+        self, *, kind: service_file.RequestKind, share: float
+    ) -> None:
+        self.kind = kind
+        self.share = share
+
+
+class Load:
+    """Open load of independent arrivals.
+
+    Args:
+        parts: Kinds and their shares, which add up to 1.
+        targets: Number of targets.
+        slots: Slots of each.
+        use: Work as a share of the slots; above 1 is overload.
+        seconds: Virtual seconds of arrivals.
+        straggler_share: Share of the requests that run 30 times longer.
+        seed: Seed of arrivals, run times and choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: collections.abc.Sequence[LoadPart],
+        targets: int,
+        slots: int,
+        use: float,
+        seconds: float,
+        straggler_share: float = STRAGGLER_SHARE,
+        seed: int = 1,
+    ) -> None:
+        self.parts = list(parts)
+        self.targets = targets
+        self.slots = slots
+        self.use = use
+        self.seconds = seconds
+        self.straggler_share = straggler_share
+        self.seed = seed
+
+    @property
+    def rate_per_s(self) -> float:
+        """Arrivals a second, from the mean run time and the use."""
+        longer = 1.0 + self.straggler_share * (STRAGGLER_FACTOR - 1.0)
+        mean_s = sum(
+            part.share * part.kind.expected_ms / 1000.0 for part in self.parts
+        )
+        return self.use * self.targets * self.slots / (mean_s * longer)
+
+    def slot_s(self, kind: service_file.RequestKind) -> float:
+        """Returns the mean slot time of a kind, cut off at its deadline."""
+        mean_s = kind.expected_ms / 1000.0
+        deadline_s = kind.deadline_ms / 1000.0
+        long_s = mean_s * STRAGGLER_FACTOR
+        return (1.0 - self.straggler_share) * _cut_mean(
+            mean_s, deadline_s
+        ) + self.straggler_share * _cut_mean(long_s, deadline_s)
+
+
+class Outcome:
+    """What became of one request."""
+
+    __slots__ = ("kind", "latency_s", "is_served")
+
+    def __init__(
+        self,
+        *,
+        kind: service_file.RequestKind,
+        latency_s: float,
+        is_served: bool,
+    ) -> None:
+        self.kind = kind
+        self.latency_s = latency_s
+        self.is_served = is_served
+
+
+def run(load: Load, policy: str) -> list[Outcome]:
+    """Runs a load under dispatch or the baseline of a name."""
+    return virtual_loop.run(_run(load, policy))
+
+
+def p99_s(outcomes: collections.abc.Iterable[Outcome]) -> float:
+    """Returns the 99th percentile; a request not served counts as never."""
+    latencies = sorted(
+        item.latency_s if item.is_served else math.inf for item in outcomes
+    )
+    return latencies[int(0.99 * len(latencies))]
+
+
+def worth(outcomes: collections.abc.Iterable[Outcome]) -> float:
+    """Returns the worth of what was served in time."""
+    return sum(
+        item.kind.worth
+        for item in outcomes
+        if item.is_served and item.latency_s <= item.kind.deadline_ms / 1000
+    )
+
+
+def optimum(load: Load, outcomes: collections.abc.Sequence[Outcome]) -> float:
+    """Returns the worth of the fractional knapsack of the arrivals.
+
+    The sizes are the expected slot times of the kinds, because nobody knows
+    the run time of a single request beforehand.
+    """
+    left_s = load.targets * load.slots * load.seconds
+    total = 0.0
+    kinds = {item.kind.name: item.kind for item in outcomes}.values()
+    order = sorted(kinds, key=lambda kind: -kind.worth / load.slot_s(kind))
+    for kind in order:
+        count = sum(item.kind.name == kind.name for item in outcomes)
+        taken = min(count, left_s / load.slot_s(kind))
+        left_s -= taken * load.slot_s(kind)
+        total += taken * kind.worth
+    return total
+
+
+def _cut_mean(mean_s: float, limit_s: float) -> float:
+    return mean_s * (1.0 - math.exp(-limit_s / mean_s))
+
+
+async def _run(load: Load, policy: str) -> list[Outcome]:
+    world = dispatch_world.DispatchWorld(
+        seed=load.seed,
+        file=dispatch_world.service(
+            targets=load.targets,
+            slots=load.slots,
+            kinds=[part.kind for part in load.parts],
+        ),
+        straggler_share=load.straggler_share,
+    )
+    world.targets.is_recording = False
+    send = (
+        _dispatch_sender(world)
+        if policy == DISPATCH
+        else _baseline_sender(world, load, policy)
+    )
+    outcomes = await _arrivals(world, load, send)
+    world.close()
+    if world.broken or world.failures:
+        raise RuntimeError(f"{world.broken[:3]} {world.failures[:3]}")
+    return outcomes
+
+
+Sender = collections.abc.Callable[
+    [service_file.RequestKind, int], collections.abc.Awaitable[bool]
+]
+
+
+async def _arrivals(
+    world: dispatch_world.DispatchWorld, load: Load, send: Sender
+) -> list[Outcome]:
+    rng = random.Random(load.seed + 100)
+    outcomes: list[Outcome] = []
+
+    async def one(kind: service_file.RequestKind, number: int) -> None:
+        began_s = world.clock.now()
+        is_served = await send(kind, number)
+        outcomes.append(
+            Outcome(
+                kind=kind,
+                latency_s=world.clock.now() - began_s,
+                is_served=is_served,
+            )
+        )
+
+    tasks: set[asyncio.Task] = set()
+    number = 0
+    while world.clock.now() < load.seconds:
+        await world.clock.sleep(rng.expovariate(load.rate_per_s))
+        number += 1
+        part = rng.choices(
+            load.parts, weights=[item.share for item in load.parts]
+        )[0]
+        task = asyncio.ensure_future(one(part.kind, number))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    await asyncio.gather(*tasks)
+    return outcomes
+
+
+def _dispatch_sender(world: dispatch_world.DispatchWorld) -> Sender:
+    async def send(kind: service_file.RequestKind, number: int) -> bool:
+        reply = await world.dispatch.execute(world.request(kind))
+        return reply.verdict == fleet_pb2.RAN and reply.status < 500
+
+    return send
+
+
+def _baseline_sender(
+    world: dispatch_world.DispatchWorld, load: Load, policy: str
+) -> Sender:
+    client = fake_targets.FakeTargets(
+        clock=world.clock,
+        rng=random.Random(load.seed + 1),
+        run_time=fake_targets.exponential_by_prefix(
+            {
+                part.kind.path_prefix: part.kind.expected_ms / 1000.0
+                for part in load.parts
+            }
+        ),
+        straggler_share=load.straggler_share,
+        queues=True,
+    )
+    client.is_recording = False
+    for target in world.file.targets:
+        client.add(target.address, slots=target.slots)
+    entries = [
+        baseline_policies.BASELINES[policy](
+            targets=world.file.targets,
+            client=client,
+            clock=world.clock,
+            rng=random.Random(load.seed + 1000 + index),
+        )
+        for index in range(baseline_policies.ENTRIES)
+    ]
+    rng = random.Random(load.seed + 200)
+
+    async def send(kind: service_file.RequestKind, number: int) -> bool:
+        answered = await rng.choice(entries).run(
+            f"entry-{number}", kind, f"{kind.path_prefix}/{number}"
+        )
+        return answered.is_served
+
+    return send
--- a/fuchsiacourse/admission.py
+++ b/fuchsiacourse/admission.py
@@ -12,6 +12,8 @@
 # The queue is at peak when its work takes more than this share of the
 # shortest deadline among its kinds.
 _PEAK_SHARE = 0.25
+# Share of the deadline that is kept free for the run at most.
+_MAX_RUN_SHARE = 0.5
 # Seconds a caller is asked to wait at least before it sends again.
 _MIN_RETRY_AFTER_S = 0.1
 
@@ -53,75 +55,57 @@
 
     def ordered(self, slots: int) -> list[request_queue.KindQueue]:
         """Returns the queues that hold requests, the first served first."""
-        order = self._order(self.is_peak(slots))
+        rank = self._rank(self.is_peak(slots))
         return sorted(
-            self._queue.kind_queues, key=lambda item: order(item.kind)
+            self._queue.kind_queues, key=lambda item: rank(item.kind)
         )
 
-    def wait_s(
-        self,
-        kind: service_file.RequestKind,
-        order: tuple[float, int],
-        slots: int,
-        *,
-        free_slots: int = 0,
-    ) -> float:
-        """Returns the expected time in the queue of a request.
-
-        Args:
-            kind: Its kind.
-            order: Its position among the requests of its kind.
-            slots: Usable slots of the shard.
-            free_slots: Slots that are not in use.
-        """
-        if not self._queue and free_slots > 0:
-            return 0.0
-        rank = self._order(self.is_peak(slots))
-        own = rank(kind)
-        work_s = self._times.mean_s(kind)
+    def meets_deadline(
+        self, row: request_row.RequestRow, now: float, slots: int
+    ) -> bool:
+        """Whether a queued request can be expected to be served in time."""
+        rank = self._rank(self.is_peak(slots))
+        own = rank(row.kind)
+        work_s = self._times.mean_s(row.kind)
         for item in self._queue.kind_queues:
-            if item.kind.name == kind.name:
-                work_s += self._work_s(item.kind, item.ahead_of(order))
+            if item.kind.name == row.kind.name:
+                work_s += self._work_s(item.kind, item.ahead_of(row.order))
             elif rank(item.kind) < own:
                 work_s += self._work_s(item.kind, len(item))
-        return work_s / max(1, slots)
+        wait_s = work_s / max(1, slots)
+        return now + wait_s < self.latest_start_s(row)
 
-    def meets_deadline(
-        self,
-        row: request_row.RequestRow,
-        now: float,
-        slots: int,
-        *,
-        free_slots: int = 0,
-    ) -> bool:
-        """Whether a request can be expected to be served in time."""
-        wait_s = self.wait_s(row.kind, row.order, slots, free_slots=free_slots)
-        return now + wait_s < self._latest_start_s(row)
+    def hopeless(self, now: float, slots: int) -> list[request_row.RequestRow]:
+        """Returns queued requests that can't be served in time any more.
 
-    def crowded_out(
-        self, now: float, slots: int
-    ) -> list[request_row.RequestRow]:
-        """Returns queued requests that no longer can be served in time.
-
-        They are the least valuable ones, and only those at the end of the
-        queues of their kinds are looked at.
+        At peak these are the least valuable. Looked at are the requests
+        with the latest deadlines, which new arrivals push back, and those
+        with the earliest, which have waited longer than expected.
         """
         if not self.is_peak(slots):
             return []
-        ordered = self.ordered(slots)
         ahead_s = 0.0
-        crowded = []
-        for item in ordered:
+        found: list[request_row.RequestRow] = []
+        for item in self.ordered(slots):
             mean_s = self._times.mean_s(item.kind)
             kept = len(item)
+            for row in item.from_first():
+                if now < self.latest_start_s(row):
+                    break
+                found.append(row)
+                kept -= 1
+            if not kept:
+                continue
             for row in item.from_last():
                 wait_s = (ahead_s + mean_s * kept) / max(1, slots)
-                if now + wait_s < self._latest_start_s(row):
+                if now + wait_s < self.latest_start_s(row):
                     break
-                crowded.append(row)
+                found.append(row)
                 kept -= 1
+                if not kept:
+                    break
             ahead_s += mean_s * kept
-        return crowded
+        return list({row.id: row for row in found}.values())
 
     def least_valuable(self) -> request_row.RequestRow | None:
         """Returns the queued request that is worth least."""
@@ -132,19 +116,28 @@
 
     def retry_after_s(self, slots: int) -> float:
         """Returns after how long the present queue will be served."""
+        return max(_MIN_RETRY_AFTER_S, self.queue_s(slots))
+
+    def queue_s(self, slots: int) -> float:
+        """Returns how long the present queue keeps the slots busy."""
         work_s = sum(
             self._work_s(item.kind, len(item))
             for item in self._queue.kind_queues
         )
-        return max(_MIN_RETRY_AFTER_S, work_s / max(1, slots))
+        return work_s / max(1, slots)
+
+    def latest_start_s(self, row: request_row.RequestRow) -> float:
+        """Returns when a request must start to end in time, mostly."""
+        run_s = min(
+            self._times.straggler_s(row.kind),
+            _MAX_RUN_SHARE * row.kind.deadline_ms / 1000.0,
+        )
+        return row.deadline_s - run_s
 
     def _work_s(self, kind: service_file.RequestKind, count: int) -> float:
         return count * self._times.mean_s(kind)
 
-    def _latest_start_s(self, row: request_row.RequestRow) -> float:
-        return row.deadline_s - self._times.mean_s(row.kind)
-
-    def _order(
+    def _rank(
         self, is_peak: bool
     ) -> typing.Callable[[service_file.RequestKind], tuple]:
         if is_peak:
--- a/fuchsiacourse/attempt_runner.py
+++ b/fuchsiacourse/attempt_runner.py
@@ -77,7 +77,7 @@
         now: float,
         *,
         is_hedge: bool = False,
-    ) -> None:
+    ) -> request_row.AttemptRun:
         """Starts an attempt in a free slot of a target."""
         self._check_start(row, target, now)
         self._started += 1
@@ -102,6 +102,7 @@
         self.long_in_flight += not row.kind.is_short
         self._health.started(target, attempt, now)
         run.handle = self._timers.spawn(self._run(row, run))
+        return run
 
     def _check_start(
         self,
--- a/fuchsiacourse/request_queue.py
+++ b/fuchsiacourse/request_queue.py
@@ -36,6 +36,10 @@
         """Returns up to a number of requests, earliest deadline first."""
         return list(itertools.islice(self._rows_by_order.values(), count))
 
+    def from_first(self) -> collections.abc.Iterator[request_row.RequestRow]:
+        """Yields the requests from the earliest deadline on."""
+        return iter(self._rows_by_order.values())
+
     def from_last(self) -> collections.abc.Iterator[request_row.RequestRow]:
         """Yields the requests from the latest deadline on backwards."""
         return (
--- a/fuchsiacourse/request_row.py
+++ b/fuchsiacourse/request_row.py
@@ -97,7 +97,6 @@
         "error_answer",
         "error_target_id",
         "last_outcome",
-        "slot_s",
     )
 
     def __init__(
@@ -130,8 +129,6 @@
         self.error_answer: target_client.TargetAnswer | None = None
         self.error_target_id = ""
         self.last_outcome: target_row.Outcome | None = None
-        # Slot time of all its finished attempts.
-        self.slot_s = 0.0
 
     @property
     def id(self) -> str:
--- a/fuchsiacourse/run_times.py
+++ b/fuchsiacourse/run_times.py
@@ -8,9 +8,11 @@
 
 from fuchsiacourse import service_file
 
-# Weight of the newest request in the mean. Stragglers of 30 times the mean
-# would swing a faster average.
-_MEAN_WEIGHT = 0.02
+# Requests that the mean remembers. A few hundred are needed, because one
+# straggler in a hundred requests runs 30 times longer than the mean.
+_MEMORY = 400.0
+# Requests that the expectation of the service file counts for.
+_PRIOR = 50.0
 _WINDOW = 400
 _MIN_SAMPLES = 40
 _STRAGGLER_QUANTILE = 0.95
@@ -19,15 +21,25 @@
 
 
 class _KindTimes:
-    __slots__ = ("mean_s", "_recent", "_sorted")
+    __slots__ = ("_slot_s", "_served", "_recent", "_sorted")
 
     def __init__(self, *, expected_s: float) -> None:
-        self.mean_s = expected_s
+        self._slot_s = expected_s * _PRIOR
+        self._served = _PRIOR
         self._recent: collections.deque[float] = collections.deque()
         self._sorted = sortedcontainers.SortedList()
 
-    def add_slot_time(self, slot_s: float) -> None:
-        self.mean_s += _MEAN_WEIGHT * (slot_s - self.mean_s)
+    @property
+    def mean_s(self) -> float:
+        # Slot time for each served request. Requests cut off at their
+        # deadline count with their time only, so that they don't make a
+        # kind look cheap that is often started late.
+        return self._slot_s / self._served
+
+    def add_slot_time(self, slot_s: float, is_served: bool) -> None:
+        keep = 1.0 - 1.0 / _MEMORY
+        self._slot_s = self._slot_s * keep + slot_s
+        self._served = max(1.0, self._served * keep + is_served)
 
     def add_run_time(self, run_s: float) -> None:
         self._recent.append(run_s)
@@ -65,17 +77,27 @@
         return self._of(kind).straggler_s
 
     def add_slot_time(
-        self, kind: service_file.RequestKind, slot_s: float
+        self,
+        kind: service_file.RequestKind,
+        slot_s: float,
+        *,
+        is_served: bool,
     ) -> None:
-        """Adds the slot time of one request over all its attempts."""
-        self._of(kind).add_slot_time(slot_s)
+        """Adds slot time of a request.
+
+        Args:
+            kind: Kind of the request.
+            slot_s: Slot time of an attempt in seconds.
+            is_served: Whether the attempt ended with the request's answer.
+        """
+        self._of(kind).add_slot_time(slot_s, is_served)
 
     def add_run_time(
         self, kind: service_file.RequestKind, run_s: float
     ) -> None:
-        """Adds an attempt's run time, or its age when it was cancelled.
+        """Adds the run time of an attempt.
 
-        Only attempts older than the 95th percentile are cancelled, so
-        their ages do not move that percentile.
+        For an attempt that was ended early it is its age; it must not be
+        below the 95th percentile then, or it would lower it.
         """
         self._of(kind).add_run_time(run_s)
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import collections.abc
-import heapq
-import itertools
 import typing
 
 import sortedcontainers
@@ -24,6 +22,7 @@
 from fuchsiacourse import shard as shards
 from fuchsiacourse import shard_targets
 from fuchsiacourse import share_budget
+from fuchsiacourse import stragglers
 from fuchsiacourse import target_choice
 from fuchsiacourse import target_client as target_clients
 from fuchsiacourse import target_row
@@ -33,7 +32,6 @@
 # Requests of a kind that are looked at when the first can't be bound, for
 # example because its only free target failed it before.
 _BIND_DEPTH = 8
-_HEDGE_RECHECK_S = 0.02
 
 Outcome = target_row.Outcome
 Refusal = execute_replies.Refusal
@@ -102,11 +100,9 @@
         self._rows_by_id: dict[str, RequestRow] = {}
         # All requests, by deadline.
         self._rows_by_order = sortedcontainers.SortedDict()
-        self._hedges: list[tuple[float, int, RequestRow]] = []
+        self._stragglers = stragglers.Stragglers(times=self.times)
         self._retries = share_budget.ShareBudget(share=settings.retry_share)
-        self._hedge_budget = share_budget.ShareBudget(
-            share=settings.hedge_share
-        )
+        self._hedges = share_budget.ShareBudget(share=settings.hedge_share)
         self._offers = offers.Offers()
         self._choice = target_choice.TargetChoice(
             targets=self.targets,
@@ -115,7 +111,6 @@
             attempts=self._attempts,
             short_slot_share=settings.short_slot_share,
         )
-        self._counter = itertools.count()
 
     @property
     def is_idle(self) -> bool:
@@ -124,10 +119,8 @@
 
     @property
     def queue_s(self) -> float:
-        """Expected wait of a new short request in seconds."""
-        if not self.queue:
-            return 0.0
-        return self.admission.retry_after_s(self.targets.usable_slots)
+        """Time for which the queue keeps the slots busy, in seconds."""
+        return self.admission.queue_s(self.targets.usable_slots)
 
     def row_of(self, request_id: str) -> RequestRow | None:
         """Returns a request that is queued or running."""
@@ -136,17 +129,18 @@
     def submit(self, row: RequestRow, now: float) -> None:
         """Admits a request to the queue or refuses it."""
         self._retries.earn()
-        self._hedge_budget.earn()
+        self._hedges.earn()
         self._rows_by_id[row.id] = row
         self._rows_by_order[row.order] = row
         self.queue.push(row)
-        if not self._admit(row, now):
-            return
-        for crowded in self.admission.crowded_out(
-            now, self.targets.usable_slots
-        ):
-            self.refuse(crowded, Refusal.OVERLOAD)
-        self.bind(now)
+        if self._admit(row, now):
+            self._refuse_hopeless(now)
+            self.bind(now)
+
+    def _refuse_hopeless(self, now: float) -> None:
+        slots = self.targets.usable_slots
+        for row in self.admission.hopeless(now, slots):
+            self.refuse(row, Refusal.OVERLOAD)
 
     def _admit(self, row: RequestRow, now: float) -> bool:
         slots = self.targets.usable_slots
@@ -202,9 +196,11 @@
 
     def bind(self, now: float) -> None:
         """Starts queued requests on free slots."""
-        if not self.queue or not self.targets.has_free_slot:
+        if not self.queue:
             return
         for kind_queue in self.admission.ordered(self.targets.usable_slots):
+            if not self.targets.has_free_slot:
+                return
             self._bind_kind(kind_queue, now)
 
     def _bind_kind(
@@ -219,24 +215,21 @@
                     is_progressing = True
                     continue
                 target = self._choice.choose(row, now)
-                if target is None:
-                    continue
-                self.queue.remove(row)
-                self._start(row, target, now)
-                is_progressing = True
+                if target is not None:
+                    self.queue.remove(row)
+                    self._start(row, target, now)
+                    is_progressing = True
+                elif not row.tried_target_ids:
+                    # No target takes a request that none has tried, so
+                    # none takes the rest of the kind.
+                    return
 
     def _start(
-        self,
-        row: RequestRow,
-        target: target_row.TargetRow,
-        now: float,
-        *,
-        is_hedge: bool = False,
+        self, row: RequestRow, target: target_row.TargetRow, now: float
     ) -> None:
-        self._attempts.start(row, target, now, is_hedge=is_hedge)
-        if row.kind.is_short and row.kind.idempotent and not is_hedge:
-            due_s = now + self.times.straggler_s(row.kind)
-            heapq.heappush(self._hedges, (due_s, next(self._counter), row))
+        run = self._attempts.start(row, target, now)
+        if row.kind.idempotent:
+            self._stragglers.watch(row, run)
 
     def _ended(
         self,
@@ -272,15 +265,14 @@
         outcome: Outcome,
         now: float,
     ) -> None:
-        run_s = now - run.attempt.started_s
-        row.slot_s += run_s
         if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
             return
-        if outcome is not Outcome.ERROR_STATUS:
+        run_s = now - run.attempt.started_s
+        self.times.add_slot_time(
+            row.kind, run_s, is_served=outcome is Outcome.OK
+        )
+        if outcome is Outcome.OK or run_s >= self.times.straggler_s(row.kind):
             self.times.add_run_time(row.kind, run_s)
-        if not row.runs_by_id:
-            self.times.add_slot_time(row.kind, row.slot_s)
-            row.slot_s = 0.0
 
     def _settle(
         self,
@@ -318,7 +310,8 @@
             return False
         if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
             return True
-        return self._retries.take()
+        # A cancelled attempt of a live request has paid for its retry.
+        return outcome is Outcome.CANCELLED or self._retries.take()
 
     def _complete(
         self,
@@ -364,7 +357,8 @@
         """Does what time alone brings about."""
         self.health.tick(now)
         self.expire(now)
-        self.hedge(now)
+        self._refuse_hopeless(now)
+        self._relieve_stragglers(now)
         self.bind(now)
 
     def expire(self, now: float) -> None:
@@ -386,25 +380,39 @@
         for run in list(row.runs_by_id.values()):
             run.cancel(outcome)
 
-    def hedge(self, now: float) -> None:
-        """Starts second attempts of stragglers."""
-        while self._hedges and self._hedges[0][0] <= now:
-            _, sequence, row = heapq.heappop(self._hedges)
-            if row.state is not request_row.RequestState.RUNNING:
-                continue
-            if len(row.runs_by_id) != 1 or not row.has_running():
+    def _relieve_stragglers(self, now: float) -> None:
+        """Hedges old attempts; at peak ends them and starts them again."""
+        for watched in self._stragglers.due(now):
+            if self.is_draining:
                 continue
-            if not self._start_hedge(row, now):
-                due_s = now + _HEDGE_RECHECK_S
-                heapq.heappush(self._hedges, (due_s, sequence, row))
+            if not self._hedge(watched.row, now) and not self._restart(
+                watched, now
+            ):
+                self._stragglers.watch_again(watched, now)
 
-    def _start_hedge(self, row: RequestRow, now: float) -> bool:
-        if self.is_draining or row.attempts_made >= _MAX_ATTEMPTS:
-            return True
+    def _hedge(self, row: RequestRow, now: float) -> bool:
+        if not row.kind.is_short or row.attempts_made >= _MAX_ATTEMPTS:
+            return False
         target = self._choice.choose(row, now, is_hedge=True)
-        if target is None or not self._hedge_budget.take():
+        if target is None or not self._hedges.take():
+            return False
+        self._attempts.start(row, target, now, is_hedge=True)
+        return True
+
+    def _restart(self, watched: stragglers.Watched, now: float) -> bool:
+        """Ends an attempt whose slot is worth more to other requests.
+
+        The request goes back into the queue.
+        """
+        if not self.admission.is_peak(self.targets.usable_slots):
+            return False
+        if not self._stragglers.is_replaceable(watched, now):
+            return False
+        if watched.row.attempts_made >= _MAX_ATTEMPTS:
+            return False
+        if not self._retries.take():
             return False
-        self._start(row, target, now, is_hedge=True)
+        watched.run.cancel(Outcome.CANCELLED)
         return True
 
     def replace(self, service: service_file.ServiceFile) -> None:
