--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,78 @@
+"""Runs the measurements and compares them with their bounds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import importlib
+import importlib.util
+import sys
+
+import typer
+
+from bench import figure
+
+MODULES = (
+    "bench.measure_health",
+    "bench.measure_queue",
+    "bench.measure_entry",
+    "bench.measure_member",
+    "bench.measure_platform",
+)
+ALL = "all"
+
+Measure = Callable[[], Sequence[figure.Figure]]
+
+
+def collect(modules: Sequence[str] = MODULES) -> dict[str, Measure]:
+    """Returns the measurements by name of the modules that exist.
+
+    Each module has a dict MEASURES of functions that return figures.
+    """
+    found: dict[str, Measure] = {}
+    for name in modules:
+        if importlib.util.find_spec(name) is None:
+            continue
+        for key, measure in importlib.import_module(name).MEASURES.items():
+            if key in found:
+                raise ValueError(f"{name}: measure {key} exists twice")
+            found[key] = measure
+    return found
+
+
+def run(names: Sequence[str], measures: dict[str, Measure]) -> int:
+    """Prints the figures of some measurements.
+
+    Returns:
+        The number of figures that miss their bound.
+    """
+    missed = 0
+    for name in names:
+        for item in measures[name]():
+            print(item.line(), flush=True)
+            missed += not item.is_met
+    return missed
+
+
+def main(measure: str = ALL) -> None:
+    """Runs one measurement or all of them.
+
+    Args:
+        measure: Name of the measurement.
+    """
+    measures = collect()
+    names = sorted(measures) if measure == ALL else [measure]
+    if not set(names) <= set(measures):
+        print(
+            f"no measure {measure}; there are {', '.join(sorted(measures))}",
+            file=sys.stderr,
+        )
+        raise typer.Exit(2)
+    missed = run(names, measures)
+    print(f"{missed} figures miss their bound")
+    if missed:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/fuchsiacourse/ejection_agent.py
+++ b/fuchsiacourse/ejection_agent.py
@@ -269,14 +269,12 @@
         if service is None:
             return
         now = self._clock.now()
-        in_effect = floor.in_effect(
-            service, self._status, self._health.unhealthy_ids(now)
-        )
-        valid_until_s = self._confirmed_s + VIEW_VALID_S
+        unhealthy = self._health.unhealthy_ids(now)
+        in_effect = floor.in_effect(service, self._status, unhealthy)
         self._health.apply(
             self._status,
             in_effect,
-            valid_until_s=valid_until_s,
+            valid_until_s=self._confirmed_s + VIEW_VALID_S,
             now=now,
             wall=self._clock.wall(),
         )
@@ -285,9 +283,8 @@
             for row in self._shard.targets_by_id.values()
             if row.state in _OUT
         }
-        slots = floor.usable_slots(
-            service, self._status, out, self._health.unhealthy_ids(now)
-        )
+        gone = unhealthy.union(self._status.leaving, self._status.cold)
+        slots = floor.healthy_slots(service, out | in_effect | gone)
         self._invariants.check(
             invariant_checks.InvariantId.FLOOR,
             not out or slots >= service.floor_slots,
--- a/fuchsiacourse/floor.py
+++ b/fuchsiacourse/floor.py
@@ -98,25 +98,6 @@
     return healthy_slots(service, out) >= service.floor_slots
 
 
-def usable_slots(
-    service: service_file.ServiceFile,
-    status: service_status.ServiceStatus,
-    ejected: Collection[str],
-    unhealthy: Collection[str],
-) -> int:
-    """Returns the slots that are left beside ejections in effect.
-
-    Args:
-        service: Newest service file.
-        status: Status object.
-        ejected: Ejections in effect in this process.
-        unhealthy: Targets known here to be leaving or cold.
-    """
-    elsewhere = in_effect(service, status, unhealthy)
-    out = {*ejected, *elsewhere, *status.leaving, *status.cold, *unhealthy}
-    return healthy_slots(service, out)
-
-
 def shard_floor(service: service_file.ServiceFile, region: str) -> int:
     """Returns the part of the floor that suspicion must leave in a region.
 
--- a/fuchsiacourse/health.py
+++ b/fuchsiacourse/health.py
@@ -39,8 +39,9 @@
         shard: Tables of the shard.
         rng: Source of randomness for ties.
         false_ejections_per_target_s: Bound on wrong ejections.
-        invariants: Checks of the leaving and floor promises.
+        invariants: Checks of the leaving promise.
         log: Logger.
+        detector: Evidence on the targets, by default a new one.
     """
 
     def __init__(
@@ -51,11 +52,12 @@
         false_ejections_per_target_s: float,
         invariants: invariant_checks.Invariants,
         log: typing.Any,
+        detector: detectors.Detector | None = None,
     ) -> None:
         self._shard = shard
         self._rng = rng
         self._invariants = invariants
-        self._detector = detectors.Detector(
+        self._detector = detector or detectors.Detector(
             shard=shard,
             false_ejections_per_target_s=false_ejections_per_target_s,
         )
@@ -202,6 +204,10 @@
                 found.append(orders.Candidate(row=row, rank=rank))
         return orders.ranked(found)
 
+    def lapse(self, now: float) -> None:
+        """Ends ejections of an outdated status, as ``candidates`` does."""
+        self._states.lapse(now)
+
     def is_canary(self, row: target_row.TargetRow) -> bool:
         """Tells whether a request to a candidate would be a test of it."""
         if row.state is _State.CANARY:
