Make half of a service sick and restart more often in the soak

Change: one target of each zone of a service fails for 8 to 15 s, and restarts are four times as likely. Ejections are counted in the report.

--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -56,6 +56,10 @@
         self._checked_publishes: set[int] = set()
         self._below_since_s: dict[str, float] = {}
         self._was_below: set[str] = set()
+        self._last_ejected: collections.defaultdict[str, set[str]] = (
+            collections.defaultdict(set)
+        )
+        self.ejections = 0
         self.checked: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
 
@@ -190,6 +194,8 @@
         """
         now = self._fleet.clock.now()
         ejected = self._ejected(service)
+        self.ejections += len(ejected - self._last_ejected[service])
+        self._last_ejected[service] = ejected
         self.checked["floor"] += 1
         below = ""
         if ejected and self._slots_without(service, ejected) < (
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -13,6 +13,10 @@
 from bench import soak_services
 from bench import soak_target_faults
 
+# Faults that start more often than the others, because few of the runs
+# would otherwise have several of them.
+WEIGHTS_BY_NAME = {"rolling_restart": 4, "kill": 2, "targets_sick": 2}
+
 # Mean time between the beginnings of faults, in seconds.
 INTERVAL_S = 1.2
 
@@ -65,12 +69,13 @@
         """Starts faults until a time and waits for their ends."""
         loop = asyncio.get_running_loop()
         names = list(self._faults_by_name)
+        weights = [WEIGHTS_BY_NAME.get(name, 1) for name in names]
         while True:
             wait_s = self._rng.expovariate(1.0 / INTERVAL_S)
             await asyncio.sleep(wait_s)
             if loop.time() >= until_s:
                 break
-            self.start(self._rng.choice(names))
+            self.start(self._rng.choices(names, weights)[0])
         while self._active:
             await asyncio.wait(list(self._active))
         self.ended_s = loop.time()
--- a/bench/soak_run.py
+++ b/bench/soak_run.py
@@ -44,6 +44,7 @@
         self.sendings = fleet.told.sendings
         self.answers = collections.Counter(fleet.told.answers)
         self.runs = fleet.targets.requests
+        self.ejections = checks.ejections
         self.faults = collections.Counter(faults.counts)
         self.checked = collections.Counter(checks.checked)
         self.broken = list(checks.broken)
@@ -58,7 +59,8 @@
         """Returns a report with one fact on each line."""
         return [
             f"seed={self.seed} sendings={self.sendings}"
-            f" bookings={self.bookings} runs={self.runs}",
+            f" bookings={self.bookings} runs={self.runs}"
+            f" ejections={self.ejections}",
             f"answers: {_counts(self.answers)}",
             f"faults: {_counts(self.faults)}",
             f"checked: {_counts(self.checked)}",
--- a/bench/soak_services.py
+++ b/bench/soak_services.py
@@ -33,7 +33,7 @@
     """
     content = {
         "service": service,
-        "targets": _targets(service),
+        "targets": targets(service),
         "floor_slots": FLOOR_SLOTS,
         "kinds": [_kind(service, name) for name in MEAN_S_BY_KIND],
         "account_limits": {
@@ -57,15 +57,16 @@
 
 def target_addresses(service: str) -> list[str]:
     """Returns the addresses of a service's targets."""
-    return [item["address"] for item in _targets(service)]
+    return [item["address"] for item in targets(service)]
 
 
-def _targets(service: str) -> list[dict[str, typing.Any]]:
+def targets(service: str) -> list[dict[str, typing.Any]]:
+    """Returns the targets as the service file lists them."""
     network = SERVICES.index(service)
-    targets = []
+    found = []
     for place, (region, zones) in enumerate(ZONES_BY_REGION.items()):
         for number in range(TARGETS_PER_REGION):
-            targets.append(
+            found.append(
                 {
                     "id": f"{service}-{place}-{number}",
                     "address": f"10.5{network}.{place}.{number + 1}:80",
@@ -75,7 +76,7 @@
                     "connection_limit": 400,
                 }
             )
-    return targets
+    return found
 
 
 def _kind(service: str, name: str) -> dict[str, typing.Any]:
--- a/bench/soak_target_faults.py
+++ b/bench/soak_target_faults.py
@@ -8,9 +8,11 @@
 
 from bench import fake_targets
 from bench import soak_fleet
+from bench import soak_services
 from fuchsiacourse import platform_model
 from fuchsiacourse import store as stores
 
+SERVICES = soak_services.SERVICES
 _POLL_S = 0.1
 
 Fault = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -110,8 +112,25 @@
         self._busy.discard(target.address)
 
     async def _many_sick(self) -> None:
-        """Makes more targets sick than the floor allows to eject."""
-        await asyncio.gather(*(self._wrong() for _ in range(5)))
+        """Makes half of a service sick, one target in each zone.
+
+        That is more than the floor allows to eject, but not so many that
+        the fault is taken for the observer's own.
+        """
+        targets = soak_services.targets(self._rng.choice(SERVICES))
+        by_zone = {item["availability_zone"]: item for item in targets}
+        sick = [
+            self._fleet.targets.targets_by_address[item["address"]]
+            for item in by_zone.values()
+            if item["address"] not in self._busy
+        ]
+        for target in sick:
+            self._busy.add(target.address)
+            target.error_share = 1.0
+        await asyncio.sleep(self._rng.uniform(8, 15))
+        for target in sick:
+            target.error_share = 0.0
+            self._busy.discard(target.address)
 
     async def _leaving(self) -> None:
         target = self._take()
