--- a/bench/soak_run.py
+++ b/bench/soak_run.py
@@ -72,7 +72,11 @@
 
 
 def run(
-    seed: int, seconds: float, *, mutation: str | None = None
+    seed: int,
+    seconds: float,
+    *,
+    mutation: str | None = None,
+    is_settling: bool = True,
 ) -> SoakResult:
     """Runs the fleet under random faults.
 
@@ -80,15 +84,17 @@
         seed: Seed of all randomness.
         seconds: Virtual seconds with faults.
         mutation: Name of a safeguard to switch off.
+        is_settling: Whether a quiet time with a publish follows the
+            faults.
     """
     patch: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
     if mutation is not None:
         patch = soak_mutations.MUTATIONS_BY_NAME[mutation].patch()
     with patch:
-        return virtual_loop.run(_run(seed, seconds))
+        return virtual_loop.run(_run(seed, seconds, is_settling))
 
 
-async def _run(seed: int, seconds: float) -> SoakResult:
+async def _run(seed: int, seconds: float, is_settling: bool) -> SoakResult:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda loop, context: None)
     fleet = soak_fleet.SoakFleet(seed=seed)
@@ -101,9 +107,10 @@
         await faults.run(loop.time() + min(seconds, PHASE_S))
         seconds -= PHASE_S
         faults.clear()
-        await asyncio.sleep(SETTLE_S)
-        await fleet.operators.publish(*soak_services.SERVICES)
-        await asyncio.sleep(soak_checks.IN_FORCE_S + 1.0)
+        if is_settling:
+            await asyncio.sleep(SETTLE_S)
+            await fleet.operators.publish(*soak_services.SERVICES)
+            await asyncio.sleep(soak_checks.IN_FORCE_S + 1.0)
     await fleet.stop_callers()
     watch.cancel()
     with contextlib.suppress(asyncio.CancelledError):
