--- a/fuchsiacourse/target_stub.py
+++ b/fuchsiacourse/target_stub.py
@@ -34,7 +34,7 @@
     straggler_share: typing.Annotated[
         float, typer.Option(min=0.0, max=1.0)
     ] = 0.01,
-    time_scale: typing.Annotated[float, typer.Option(min=0.0)] = 1.0,
+    time_scale: typing.Annotated[float, typer.Option(min=0.001)] = 1.0,
     seed: typing.Annotated[int, typer.Option()] = 1,
 ) -> None:
     """Serves the targets of a service until SIGTERM or SIGINT."""
