Connect dispatch with detection, ejection and quarantine

Change: health.Health is the default; the ejection agent and the quarantine of each owned shard run every 0.25 s; crashes that health finds mark their fingerprints. A pause is noticed before anything is sent. Queued requests are sent on when the owner changes.

--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import collections.abc
+import itertools
 import random
 import typing
 
 from bench import fake_store
 from bench import fake_targets
+from bench import paused_clock
 from bench import plain_health
 from bench import virtual_loop
 from fuchsiacourse import config_table
@@ -22,6 +24,7 @@
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as settings_files
 from fuchsiacourse import shard as shards
+from fuchsiacourse import store as stores
 from fuchsiacourse import timers as timer_service
 
 REGION = "tayside"
@@ -98,6 +101,29 @@
     )
 
 
+def leaving_host(target: service_file.Target) -> stores.HostRecord:
+    """Returns the host list's item of a target that leaves."""
+    return stores.HostRecord(
+        host=target.address.partition(":")[0],
+        availability_zone=target.availability_zone,
+        region=target.region,
+        leaving=True,
+        address=target.address,
+    )
+
+
+def other_owner(members: member_tables.Members) -> member_rows.Member:
+    """Adds a member that takes the shard over, and returns it."""
+    numbers = itertools.count()
+    while True:
+        other = member(f"other-{next(numbers)}", port=7100)
+        members.by_id[other.id] = other
+        if members.owner(SERVICE, REGION) is other:
+            members.notify(other)
+            return other
+        del members.by_id[other.id]
+
+
 class DispatchWorld:
     """A dispatch service with its surroundings.
 
@@ -109,7 +135,8 @@
         mean_s_by_prefix: Mean run times; by default as expected.
         straggler_share: Share of requests that run 30 times longer.
         overrides: Settings that differ from their defaults.
-        new_health: Makes the health of a shard.
+        with_detection: Whether the real health decides; by default a
+            plain one that never ejects.
     """
 
     def __init__(
@@ -120,10 +147,10 @@
         mean_s_by_prefix: dict[str, float] | None = None,
         straggler_share: float = 0.0,
         overrides: dict[str, typing.Any] | None = None,
-        new_health: typing.Callable[[shards.Shard], typing.Any] | None = None,
+        with_detection: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
-        self.clock = virtual_loop.VirtualClock()
+        self.clock = paused_clock.PausedClock()
         self.file = file or service()
         self.broken: list[tuple[str, dict[str, typing.Any]]] = []
         self.invariants = invariant_checks.Invariants(
@@ -142,7 +169,7 @@
             self_row=member("self", port=7000)
         )
         self.targets = fake_targets.FakeTargets(
-            clock=self.clock,
+            clock=virtual_loop.VirtualClock(),
             rng=random.Random(seed + 1),
             run_time=fake_targets.exponential_by_prefix(
                 mean_s_by_prefix
@@ -173,8 +200,7 @@
             store=self.store,
             invariants=self.invariants,
             log=logs.silent(),
-            new_health=new_health
-            or (lambda shard: plain_health.PlainHealth(shard=shard)),
+            new_health=None if with_detection else _plain_health,
         )
         self.dispatch.start()
         self._requests = 0
@@ -231,6 +257,10 @@
         self.timers.close()
 
 
+def _plain_health(shard: shards.Shard) -> plain_health.PlainHealth:
+    return plain_health.PlainHealth(shard=shard)
+
+
 def _settings(
     overrides: dict[str, typing.Any],
 ) -> settings_files.DispatchSettings:
--- a/bench/measure_queue.py
+++ b/bench/measure_queue.py
@@ -11,8 +11,6 @@
 from bench import figure
 from bench import queue_load
 from bench import virtual_loop
-from fuchsiacourse import service_file
-from fuchsiacourse import store as stores
 
 _BLOCKING_BOUND = 1.5
 _CREST_BOUND = 0.9
@@ -184,7 +182,9 @@
         target.is_draining = True
         target.tells_draining = source == "target"
         if source == "hosts":
-            world.platform.set_host(_leaving_host(world.file), lag_s=0.0)
+            world.platform.set_host(
+                dispatch_world.leaving_host(world.file.targets[0]), lag_s=0.0
+            )
     await asyncio.gather(*tasks)
     world.close()
     last_s = max(
@@ -203,17 +203,6 @@
     )
 
 
-def _leaving_host(file: service_file.ServiceFile) -> stores.HostRecord:
-    target = file.targets[0]
-    return stores.HostRecord(
-        host=target.address.partition(":")[0],
-        availability_zone=target.availability_zone,
-        region=target.region,
-        leaving=True,
-        address=target.address,
-    )
-
-
 MEASURES: dict[str, collections.abc.Callable[[], list[figure.Figure]]] = {
     "blocking": blocking,
     "crest": crest,
--- a/bench/plain_health.py
+++ b/bench/plain_health.py
@@ -59,6 +59,10 @@
         """Notes that the target's host is about to be taken away."""
         row.leaving = True
 
+    def take_crashes(self) -> list[typing.Any]:
+        """Finds no crashes."""
+        return []
+
     def tick(self, now: float) -> None:
         """Does nothing."""
 
--- a/fuchsiacourse/answer_checks.py
+++ b/fuchsiacourse/answer_checks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 
 from fuchsiacourse import service_file
@@ -15,11 +14,6 @@
 _BODYLESS_STATUSES = (204, 304)
 
 
-def digest(body: bytes) -> str:
-    """Returns the digest that travels with a body."""
-    return hashlib.sha256(body).hexdigest()
-
-
 def classify(
     answer: target_client.TargetAnswer,
     *,
@@ -47,6 +41,16 @@
     return target_row.Outcome.OK, ""
 
 
+def is_whole(
+    answer: target_client.TargetAnswer,
+    *,
+    request_id: str,
+    kind: service_file.RequestKind,
+) -> bool:
+    """Whether an answer is the request's own and arrived in full length."""
+    return not _transfer_problem(answer, request_id, kind)
+
+
 def _transfer_problem(
     answer: target_client.TargetAnswer,
     request_id: str,
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -22,6 +22,7 @@
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as settings_files
 from fuchsiacourse import shard as shards
+from fuchsiacourse import shard_owners
 from fuchsiacourse import shard_runner
 from fuchsiacourse import shard_upkeep
 from fuchsiacourse import store as stores
@@ -35,14 +36,11 @@
 # The reply proves nothing; the entry treats it like STARTED.
 UNKNOWN = "unknown"
 
-# Times an entry follows a not_owner reply; the last hop executes.
-_MAX_HOPS = 2
 _MAX_IDS = 100_000
 # Added to the longest deadline for delays between processes.
 _PREDECESSOR_MARGIN_S = 5.0
 _TICK_S = 0.02
 _PAUSE_S = timer_service.PAUSE_THRESHOLD_S
-_NOT_OWNER_RETRY_S = 0.05
 
 Refusal = execute_replies.Refusal
 ShardKey = tuple[str, str]
@@ -99,6 +97,7 @@
             timers=timers,
             rng=rng,
             self_id=members.self.id,
+            config=config,
             target_client=target_client,
             store=store,
             invariants=invariants,
@@ -106,7 +105,7 @@
             new_health=new_health,
         )
         self._runners_by_key: dict[ShardKey, shard_runner.ShardRunner] = {}
-        self._owners_by_key: dict[ShardKey, member_rows.Member | None] = {}
+        self._owners = shard_owners.ShardOwners(members=members)
         self._known_ids = known_ids.KnownIds(max_ids=_MAX_IDS)
         self._live_keys_by_id: dict[str, ShardKey] = {}
         self._sequence = itertools.count(1)
@@ -131,7 +130,7 @@
         if self._started_s is not None:
             return
         self._started_s = self._last_tick_s = self._clock.now()
-        self._timers.on_wake(self._woken)
+        self._timers.on_wake(lambda _: self._check_pause(self._clock.now()))
         self._timers.every(_TICK_S, self._tick)
         self._timers.every(1.0, self._drop_idle)
         self._upkeep.start(self._owned_runners)
@@ -172,22 +171,7 @@
             return execute_replies.refused(id, Refusal.UNKNOWN_SERVICE)
         if self._upkeep.is_quarantined(request.service, request.fingerprint):
             return execute_replies.refused(id, Refusal.QUARANTINED)
-        return self._not_owner(request)
-
-    def _not_owner(
-        self, request: fleet_pb2.ExecuteRequest
-    ) -> fleet_pb2.ExecuteReply | None:
-        owner = self._owner((request.service, request.region))
-        if owner is self._members.self or owner is None:
-            return None
-        if request.hops >= _MAX_HOPS:
-            return None
-        return execute_replies.refused(
-            request.request_id,
-            Refusal.NOT_OWNER,
-            owner=owner.rpc_address,
-            retry_after_s=_NOT_OWNER_RETRY_S,
-        )
+        return self._owners.redirect(request)
 
     async def _run(
         self, request: fleet_pb2.ExecuteRequest, now: float
@@ -255,7 +239,7 @@
     def _withdraw_live(
         self, runner: shard_runner.ShardRunner, id: str, now: float
     ) -> str:
-        row = runner.row_of(id)
+        row = runner.requests.get(id)
         if row is None or row.may_have_run:
             return STARTED
         is_kept = self._known_ids.withdraw_queued(id, now)
@@ -285,7 +269,7 @@
         self._is_draining = True
         for runner in self.runners:
             runner.is_draining = True
-            for row in runner.queued_rows():
+            for row in runner.requests.queued():
                 runner.refuse(row, Refusal.DRAINING)
         limit_s = self._clock.now() + self._settings.drain_max_s
         while self._live_keys_by_id and self._clock.now() < limit_s:
@@ -315,44 +299,33 @@
             owner_address=self._members.self.rpc_address,
             invariants=self._invariants,
             log=self._log,
-            on_lost=lambda row, attempt: self._upkeep.connection_lost(
-                key, row, attempt
-            ),
+            before_sending=self._check_pause,
+            on_ended=self._upkeep.attempt_ended,
         )
         self._runners_by_key[key] = runner
         self._upkeep.added(runner)
         return runner
 
-    def _owner(self, key: ShardKey) -> member_rows.Member | None:
-        if key not in self._owners_by_key:
-            self._owners_by_key[key] = self._members.owner(*key)
-        return self._owners_by_key[key]
-
-    def _owns(self, key: ShardKey) -> bool:
-        return self._owner(key) is self._members.self
-
     def _owned_runners(self) -> list[shard_runner.ShardRunner]:
         return [
             runner
             for key, runner in self._runners_by_key.items()
-            if self._owns(key)
+            if self._owners.owns(key)
         ]
 
     def _member_changed(self, row: member_rows.Member) -> None:
-        if row.role != member_tables.DISPATCH:
-            return
-        self._owners_by_key.clear()
-        self._recheck_owners()
+        if row.role == member_tables.DISPATCH:
+            self._recheck_owners()
 
     def _recheck_owners(self) -> None:
         """Sends queued requests on that another process owns now."""
         for key, runner in self._runners_by_key.items():
-            if not self._owns(key):
+            if not self._owners.owns(key):
                 self._send_on(runner)
 
     def _send_on(self, runner: shard_runner.ShardRunner) -> None:
-        for row in runner.queued_rows():
-            reply = self._not_owner(row.request)
+        for row in runner.requests.queued():
+            reply = self._owners.redirect(row.request)
             if reply is None or row.may_have_run:
                 continue
             runner.refuse(row, Refusal.NOT_OWNER, owner=reply.owner)
@@ -363,7 +336,7 @@
             if service is not None:
                 runner.replace(service)
                 continue
-            for row in runner.queued_rows():
+            for row in runner.requests.queued():
                 runner.refuse(row, Refusal.UNKNOWN_SERVICE)
 
     def _tick(self) -> None:
@@ -374,12 +347,10 @@
             runner.tick(now)
 
     def _check_pause(self, now: float) -> None:
-        if now - self._last_tick_s > _PAUSE_S:
-            self._woken(now - self._last_tick_s)
-
-    def _woken(self, pause_s: float) -> None:
         """Rechecks deadlines and owners before anything is sent."""
-        now = self._clock.now()
+        pause_s = now - self._last_tick_s
+        if pause_s <= _PAUSE_S:
+            return
         self._last_tick_s = now
         logs.warning(self._log, "process_paused", seconds=round(pause_s, 3))
         for runner in self._runners_by_key.values():
@@ -389,9 +360,12 @@
     def _drop_idle(self) -> None:
         for key, runner in list(self._runners_by_key.items()):
             is_configured = key[0] in self._config.services_by_name
-            if runner.is_idle and not (is_configured and self._owns(key)):
+            if runner.is_idle and not (
+                is_configured and self._owners.owns(key)
+            ):
                 del self._runners_by_key[key]
-                self._upkeep.dropped(runner)
+                services = {other[0] for other in self._runners_by_key}
+                self._upkeep.dropped(runner, is_last=key[0] not in services)
 
     def _count(self, service: str, reply: fleet_pb2.ExecuteReply) -> None:
         if self._metrics is None:
--- a/fuchsiacourse/execute_replies.py
+++ b/fuchsiacourse/execute_replies.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from fuchsiacourse import answer_checks
+from fuchsiacourse import body_digest
 from fuchsiacourse import fleet_pb2
 from fuchsiacourse import target_client
 from fuchsiacourse import verdict as verdicts
@@ -104,7 +104,7 @@
             if name.lower() not in _HOP_HEADERS
         ],
         body=answer.body,
-        body_digest=answer_checks.digest(answer.body),
+        body_digest=body_digest.digest(answer.body),
         owner=owner,
         target_id=target_id,
         queue_ms=_milliseconds(queue_s),
--- a/fuchsiacourse/offers.py
+++ b/fuchsiacourse/offers.py
@@ -31,23 +31,27 @@
             return True
         return target.in_flight < offer.limit
 
-    def shed(self, target: target_row.TargetRow, now: float) -> None:
-        """Notes that a target shed a request.
+    def ended(
+        self,
+        target: target_row.TargetRow,
+        outcome: target_row.Outcome,
+        now: float,
+    ) -> None:
+        """Notes how an attempt ended.
 
-        It is offered what it still runs, and at least one request, so that
-        its recovery is seen.
+        A target that sheds is offered what it still runs, and at least one
+        request, so that its recovery is seen. One that can't be reached is
+        offered nothing.
         """
-        self._reduce(target, max(1, target.in_flight), _SHED_PAUSE_S, now)
-
-    def unreachable(self, target: target_row.TargetRow, now: float) -> None:
-        """Notes that a target could not be connected to."""
-        self._reduce(target, 0, _UNREACHABLE_PAUSE_S, now)
-
-    def answered(self, target: target_row.TargetRow) -> None:
-        """Notes that a target took a request."""
-        offer = self._offers_by_target.get(target.id)
-        if offer is not None and offer.limit == 0:
-            del self._offers_by_target[target.id]
+        if outcome is target_row.Outcome.SHED:
+            limit = max(1, target.in_flight)
+            self._reduce(target, limit, _SHED_PAUSE_S, now)
+        elif outcome is target_row.Outcome.UNREACHABLE:
+            self._reduce(target, 0, _UNREACHABLE_PAUSE_S, now)
+        elif outcome is target_row.Outcome.OK:
+            offer = self._offers_by_target.get(target.id)
+            if offer is not None and offer.limit == 0:
+                del self._offers_by_target[target.id]
 
     def keep_only(self, target_ids: set[str]) -> None:
         """Forgets targets that are no longer configured."""
--- a/fuchsiacourse/request_row.py
+++ b/fuchsiacourse/request_row.py
@@ -96,7 +96,7 @@
         "tried_target_ids",
         "error_answer",
         "error_target_id",
-        "last_outcome",
+        "is_late",
     )
 
     def __init__(
@@ -128,7 +128,8 @@
         # comes.
         self.error_answer: target_client.TargetAnswer | None = None
         self.error_target_id = ""
-        self.last_outcome: target_row.Outcome | None = None
+        # Set when it runs on after its deadline.
+        self.is_late = False
 
     @property
     def id(self) -> str:
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -5,9 +5,8 @@
 import collections.abc
 import typing
 
-import sortedcontainers
-
 from fuchsiacourse import admission
+from fuchsiacourse import answer_checks
 from fuchsiacourse import attempt_runner
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import execute_replies
@@ -16,6 +15,7 @@
 from fuchsiacourse import offers
 from fuchsiacourse import request_queue
 from fuchsiacourse import request_row
+from fuchsiacourse import request_table
 from fuchsiacourse import run_times
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as settings_files
@@ -36,8 +36,9 @@
 Outcome = target_row.Outcome
 Refusal = execute_replies.Refusal
 RequestRow = request_row.RequestRow
-LostCallback = collections.abc.Callable[
-    [target_row.TargetRow, target_row.Attempt], None
+BeforeSending = collections.abc.Callable[[float], None]
+EndedCallback = collections.abc.Callable[
+    ["ShardRunner", target_row.TargetRow, target_row.Attempt, Outcome], None
 ]
 
 
@@ -54,7 +55,9 @@
         owner_address: Own address, told in replies.
         invariants: Receives the checks.
         log: Logger.
-        on_lost: Called with each attempt whose connection was lost.
+        before_sending: Called with the time before queued requests are
+            sent; it may refuse some of them.
+        on_ended: Called with each attempt that has ended.
     """
 
     def __init__(
@@ -69,7 +72,8 @@
         owner_address: str,
         invariants: invariant_checks.Invariants,
         log: typing.Any,
-        on_lost: LostCallback | None = None,
+        before_sending: BeforeSending,
+        on_ended: EndedCallback,
     ) -> None:
         self.shard = shard
         self.health = health
@@ -96,10 +100,9 @@
         self._clock = clock
         self._owner_address = owner_address
         self._invariants = invariants
-        self._on_lost = on_lost
-        self._rows_by_id: dict[str, RequestRow] = {}
-        # All requests, by deadline.
-        self._rows_by_order = sortedcontainers.SortedDict()
+        self._before_sending = before_sending
+        self._on_ended = on_ended
+        self.requests = request_table.RequestTable(queue=self.queue)
         self._stragglers = stragglers.Stragglers(times=self.times)
         self._retries = share_budget.ShareBudget(share=settings.retry_share)
         self._hedges = share_budget.ShareBudget(share=settings.hedge_share)
@@ -115,24 +118,18 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is queued and no slot is in use."""
-        return not self._rows_by_id and not self.targets.in_flight
+        return not self.requests and not self.targets.in_flight
 
     @property
     def queue_s(self) -> float:
         """Time for which the queue keeps the slots busy, in seconds."""
         return self.admission.queue_s(self.targets.usable_slots)
 
-    def row_of(self, request_id: str) -> RequestRow | None:
-        """Returns a request that is queued or running."""
-        return self._rows_by_id.get(request_id)
-
     def submit(self, row: RequestRow, now: float) -> None:
         """Admits a request to the queue or refuses it."""
         self._retries.earn()
         self._hedges.earn()
-        self._rows_by_id[row.id] = row
-        self._rows_by_order[row.order] = row
-        self.queue.push(row)
+        self.requests.add(row)
         if self._admit(row, now):
             self._refuse_hopeless(now)
             self.bind(now)
@@ -163,7 +160,7 @@
         self, row: RequestRow, refusal: Refusal, *, owner: str = ""
     ) -> None:
         """Ends a queued request without an answer."""
-        self._forget(row)
+        self.requests.remove(row)
         if row.error_answer is not None:
             self._reply_answer(row, row.error_answer, row.error_target_id)
             return
@@ -186,16 +183,9 @@
             )
         )
 
-    def queued_rows(self) -> list[RequestRow]:
-        """Returns the requests in the queue, by deadline."""
-        return [
-            row
-            for row in self._rows_by_order.values()
-            if row.state is request_row.RequestState.QUEUED
-        ]
-
     def bind(self, now: float) -> None:
         """Starts queued requests on free slots."""
+        self._before_sending(now)
         if not self.queue:
             return
         for kind_queue in self.admission.ordered(self.targets.usable_slots):
@@ -240,24 +230,13 @@
     ) -> None:
         now = self._clock.now()
         self._learn(row, run, outcome, now)
-        self._limit_offers(run.target, outcome, now)
-        if outcome is Outcome.CONNECTION_LOST and self._on_lost is not None:
-            self._on_lost(run.target, run.attempt)
+        self._offers.ended(run.target, outcome, now)
+        self._on_ended(self, run.target, run.attempt, outcome)
         if row.state is request_row.RequestState.RUNNING:
             self._settle(row, run, outcome, answer, now)
         self.targets.released(run.target)
         self.bind(now)
 
-    def _limit_offers(
-        self, target: target_row.TargetRow, outcome: Outcome, now: float
-    ) -> None:
-        if outcome is Outcome.SHED:
-            self._offers.shed(target, now)
-        elif outcome is Outcome.UNREACHABLE:
-            self._offers.unreachable(target, now)
-        elif outcome is Outcome.OK:
-            self._offers.answered(target)
-
     def _learn(
         self,
         row: RequestRow,
@@ -282,7 +261,6 @@
         answer: target_clients.TargetAnswer | None,
         now: float,
     ) -> None:
-        row.last_outcome = outcome
         if outcome is Outcome.OK:
             self._complete(row, answer, run.target.id)
             return
@@ -319,7 +297,7 @@
         answer: target_clients.TargetAnswer,
         target_id: str,
     ) -> None:
-        self._forget(row)
+        self.requests.remove(row)
         for other in list(row.runs_by_id.values()):
             other.cancel(Outcome.CANCELLED)
         self._reply_answer(row, answer, target_id)
@@ -332,7 +310,7 @@
     ) -> None:
         self._invariants.check(
             invariant_checks.InvariantId.WHOLE_ANSWER,
-            answer.request_id == row.id,
+            answer_checks.is_whole(answer, request_id=row.id, kind=row.kind),
             request_id=row.id,
             answer_to=answer.request_id,
         )
@@ -346,13 +324,6 @@
             )
         )
 
-    def _forget(self, row: RequestRow) -> None:
-        if row.state is request_row.RequestState.QUEUED:
-            self.queue.remove(row)
-        self._rows_by_id.pop(row.id, None)
-        self._rows_by_order.pop(row.order, None)
-        row.state = request_row.RequestState.DONE
-
     def tick(self, now: float) -> None:
         """Does what time alone brings about."""
         self.health.tick(now)
@@ -363,10 +334,7 @@
 
     def expire(self, now: float) -> None:
         """Ends the requests whose deadline has passed."""
-        while self._rows_by_order:
-            row = self._rows_by_order.peekitem(0)[1]
-            if row.deadline_s > now:
-                return
+        while (row := self.requests.due(now)) is not None:
             self.abandon(row, Refusal.DEADLINE, Outcome.TIMEOUT)
 
     def abandon(
--- a/fuchsiacourse/shard_upkeep.py
+++ b/fuchsiacourse/shard_upkeep.py
@@ -1,4 +1,4 @@
-"""Periodic work on the shards: probes, host list and ejection."""
+"""Periodic work on shards: probes, host list, ejection, quarantine."""
 
 from __future__ import annotations
 
@@ -7,10 +7,14 @@
 import typing
 
 from fuchsiacourse import clock as clocks
+from fuchsiacourse import config_table
+from fuchsiacourse import ejection_agent
 from fuchsiacourse import errors
+from fuchsiacourse import health as healths
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import logs
 from fuchsiacourse import prober
+from fuchsiacourse import quarantine as quarantines
 from fuchsiacourse import settings as settings_files
 from fuchsiacourse import shard as shards
 from fuchsiacourse import shard_runner
@@ -19,12 +23,12 @@
 from fuchsiacourse import target_row
 from fuchsiacourse import timers as timer_service
 
-_EJECTION_INTERVAL_S = 0.25
-_QUARANTINE_INTERVAL_S = 1.0
+_EXCHANGE_INTERVAL_S = 0.25
 _HOSTS_INTERVAL_S = 2.0
+_HOSTS_JITTER = 0.1
 
-ShardKey = tuple[str, str]
 Runners = collections.abc.Callable[[], list[shard_runner.ShardRunner]]
+NewHealth = collections.abc.Callable[[shards.Shard], typing.Any]
 
 
 class ShardUpkeep:
@@ -34,14 +38,15 @@
         settings: Settings of dispatch.
         clock: Source of time.
         timers: Timer service of the process.
-        rng: Source of the jitter.
+        rng: Source of randomness.
         self_id: Own member identifier.
+        config: Configuration in force.
         target_client: Port to the targets.
         store: Port to the platform's object API.
         invariants: Receives the checks.
         log: Logger.
-        new_health: Makes the health of a shard; if it is given, no
-            ejection and no quarantine take place.
+        new_health: Makes the health of a shard, by default
+            ``health.Health``; another one is not ejected by.
     """
 
     def __init__(
@@ -52,27 +57,35 @@
         timers: timer_service.Timers,
         rng: random.Random,
         self_id: str,
+        config: config_table.ConfigTable,
         target_client: target_clients.TargetClient,
         store: stores.Store,
         invariants: invariant_checks.Invariants,
         log: typing.Any,
-        new_health: typing.Callable[[shards.Shard], typing.Any] | None,
+        new_health: NewHealth | None = None,
     ) -> None:
+        self._settings = settings
         self._clock = clock
         self._timers = timers
+        self._rng = rng
+        self._self_id = self_id
+        self._config = config
         self._store = store
+        self._invariants = invariants
         self._log = log
         self._new_health = new_health
-        self._quarantines_by_service: dict[str, typing.Any] = {}
+        self._quarantines_by_service: dict[str, quarantines.Quarantine] = {}
+        self._agents_by_key: dict[
+            tuple[str, str], ejection_agent.EjectionAgent
+        ] = {}
+        self._runners: Runners = list
         self._prober = prober.Prober(
             interval_s=settings.probe_interval_s,
             clock=clock,
             timers=timers,
             rng=rng,
             target_client=target_client,
-            on_crash=self._crashed,
         )
-        self._runners: Runners = list
 
     def start(self, runners: Runners) -> None:
         """Starts the timers.
@@ -84,18 +97,67 @@
         self._timers.every(
             prober.TICK_S, lambda: self._prober.run_due(runners())
         )
-        self._timers.every(_HOSTS_INTERVAL_S, self._read_hosts, jitter=0.1)
+        self._timers.every(
+            _HOSTS_INTERVAL_S, self._read_hosts, jitter=_HOSTS_JITTER
+        )
+        self._timers.every(_EXCHANGE_INTERVAL_S, self._exchange)
 
     def health_of(self, shard: shards.Shard) -> typing.Any:
         """Makes the health of a shard."""
-        return self._new_health(shard)
+        if self._new_health is not None:
+            return self._new_health(shard)
+        return healths.Health(
+            shard=shard,
+            rng=self._rng,
+            false_ejections_per_target_s=(
+                self._settings.false_ejections_per_target_s
+            ),
+            invariants=self._invariants,
+            log=self._log,
+        )
 
     def added(self, runner: shard_runner.ShardRunner) -> None:
         """Takes over a shard."""
+        service = runner.shard.service.service
+        if service not in self._quarantines_by_service:
+            quarantine = quarantines.Quarantine(
+                service=service,
+                store=self._store,
+                clock=self._clock,
+                log=self._log,
+            )
+            quarantine.subscribe(
+                lambda target_ids: self._explained(service, target_ids)
+            )
+            self._quarantines_by_service[service] = quarantine
+            self._timers.spawn(quarantine.run_once())
+        if self._new_health is None:
+            self._agents_by_key[runner.shard.key] = (
+                ejection_agent.EjectionAgent(
+                    shard=runner.shard,
+                    health=runner.health,
+                    store=self._store,
+                    clock=self._clock,
+                    config=self._config,
+                    self_id=self._self_id,
+                    log=self._log,
+                    invariants=self._invariants,
+                )
+            )
+
+    def dropped(
+        self, runner: shard_runner.ShardRunner, *, is_last: bool
+    ) -> None:
+        """Forgets a shard.
 
-    def dropped(self, runner: shard_runner.ShardRunner) -> None:
-        """Forgets a shard."""
+        Args:
+            runner: Runner of the shard.
+            is_last: Whether no other shard of its service is left.
+        """
         self._prober.forget(runner)
+        self._agents_by_key.pop(runner.shard.key, None)
+        if is_last:
+            del self._quarantines_by_service[runner.shard.service.service]
 
     def is_quarantined(self, service: str, fingerprint: str) -> bool:
         """Whether requests with a fingerprint are refused."""
@@ -104,19 +166,45 @@
             fingerprint
         )
 
-    def connection_lost(
+    def attempt_ended(
         self,
-        key: ShardKey,
+        runner: shard_runner.ShardRunner,
         row: target_row.TargetRow,
         attempt: target_row.Attempt,
+        outcome: target_row.Outcome,
     ) -> None:
-        """Notes an attempt whose connection was lost."""
-        self._prober.connection_lost(key, row, attempt)
-
-    def _crashed(self, service: str, fingerprint: str, target_id: str) -> None:
-        quarantine = self._quarantines_by_service.get(service)
-        if quarantine is not None:
-            quarantine.crashed(fingerprint, target_id, self._clock.now())
+        """Notes the end of an attempt."""
+        quarantine = self._quarantines_by_service.get(
+            runner.shard.service.service
+        )
+        if outcome is target_row.Outcome.OK and quarantine is not None:
+            quarantine.answered(attempt.fingerprint)
+        elif outcome is target_row.Outcome.CONNECTION_LOST:
+            # The probe tells a crash from a broken connection.
+            self._prober.hurry(runner, row)
+
+    def _explained(self, service: str, target_ids: list[str]) -> None:
+        for runner in self._runners():
+            if runner.shard.service.service == service:
+                runner.health.crash_explained(target_ids)
+
+    def _exchange(self) -> None:
+        runners = self._runners()
+        for runner in runners:
+            self._take_crashes(runner)
+            agent = self._agents_by_key.get(runner.shard.key)
+            if agent is not None:
+                self._timers.spawn(agent.run_once())
+        for service in {item.shard.service.service for item in runners}:
+            quarantine = self._quarantines_by_service[service]
+            self._timers.spawn(quarantine.run_once())
+
+    def _take_crashes(self, runner: shard_runner.ShardRunner) -> None:
+        quarantine = self._quarantines_by_service[runner.shard.service.service]
+        now = self._clock.now()
+        for crash in runner.health.take_crashes():
+            for fingerprint in crash.fingerprints:
+                quarantine.crashed(fingerprint, crash.target_id, now)
 
     async def _read_hosts(self) -> None:
         runners = self._runners()
--- a/tests/test_dispatch_service.py
+++ b/tests/test_dispatch_service.py
@@ -132,13 +132,7 @@
         """Guards against a request that is sent around for ever."""
 
         async def main(world):
-            other = dispatch_world.member("other", port=7100)
-            key = dispatch_world.SERVICE, dispatch_world.REGION
-            while world.members.owner(*key) is not other:
-                world.members.by_id.pop(other.id, None)
-                other.id += "x"
-                world.members.by_id[other.id] = other
-            world.members.notify(other)
+            other = dispatch_world.other_owner(world.members)
             reply = await world.execute(world.request(hops=1))
             self.assertEqual("not_owner", reply.refusal)
             self.assertEqual(other.rpc_address, reply.owner)
--- /dev/null
+++ b/tests/test_shard_runner.py
@@ -0,0 +1,390 @@
+"""Tests of attempts, retries, hedges and the queue under faults."""
+
+import asyncio
+
+from bench import dispatch_world
+from fuchsiacourse import fleet_pb2
+from tests import test_dispatch_service
+
+LOOKUP = dispatch_world.LOOKUP
+BOOKING = dispatch_world.BOOKING
+SEARCH = dispatch_world.SEARCH
+
+
+class FaultTest(test_dispatch_service.DispatchCase):
+    """A fault of a target must not break a promise to the caller."""
+
+    def test_booking_with_lost_connection_is_not_retried(self):
+        """Guards against a booking that runs twice."""
+
+        async def main(world):
+            world.target(1).lost_share = world.target(2).lost_share = 1.0
+            reply = await world.execute(world.request(BOOKING))
+            self.assertEqual(fleet_pb2.MAY_HAVE_RUN, reply.verdict)
+            self.assertEqual("target_failed", reply.refusal)
+            self.assertEqual(1, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_booking_with_bad_answer_is_not_passed_on(self):
+        """Guards against passing on a truncated or another's answer."""
+
+        async def main(world):
+            for fault in ("truncated_share", "wrong_share"):
+                for number in (1, 2):
+                    setattr(world.target(number), fault, 1.0)
+                reply = await world.execute(world.request(BOOKING))
+                self.assertEqual(fleet_pb2.MAY_HAVE_RUN, reply.verdict)
+                self.assertEqual(b"", reply.body)
+            self.assertEqual(2, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_lookup_is_retried_at_another_target(self):
+        """Guards against one bad target failing idempotent requests."""
+
+        async def main(world):
+            for fault in (
+                "truncated_share",
+                "wrong_share",
+                "lost_share",
+                "error_share",
+            ):
+                setattr(world.target(1), fault, 1.0)
+                for _ in range(4):
+                    reply = await world.execute(world.request())
+                    self.assertEqual(fleet_pb2.RAN, reply.verdict)
+                    self.assertEqual("target-2", reply.target_id)
+                setattr(world.target(1), fault, 0.0)
+
+        self.run_world(main, overrides={"retry_share": 1.0})
+
+    def test_booking_is_sent_again_after_shed_or_unreachable(self):
+        """Guards against giving up what was certainly not run."""
+
+        async def main(world):
+            world.target(1).shed_share = 1.0
+            replies = [
+                await world.execute(world.request(BOOKING)) for _ in range(3)
+            ]
+            world.target(1).is_unreachable = True
+            replies += [
+                await world.execute(world.request(BOOKING)) for _ in range(3)
+            ]
+            self.assertEqual(
+                {"target-2"}, {reply.target_id for reply in replies}
+            )
+            self.assertEqual(6, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_all_targets_unreachable_is_not_run(self):
+        """Guards against MAY_HAVE_RUN for what was never sent."""
+
+        async def main(world):
+            for number in (1, 2):
+                world.target(number).is_unreachable = True
+            reply = await world.execute(world.request(BOOKING))
+            self.assertEqual(fleet_pb2.NOT_RUN, reply.verdict)
+            self.assertIn(reply.refusal, ("no_target", "deadline"))
+
+        self.run_world(main)
+
+    def test_retries_stay_within_their_share(self):
+        """Guards against a retry storm when all targets fail."""
+
+        async def main(world):
+            for number in (1, 2):
+                world.target(number).error_share = 1.0
+            replies = []
+            for _ in range(100):
+                replies.append(await world.execute(world.request()))
+            self.assertEqual({500}, {reply.status for reply in replies})
+            self.assertEqual({2}, {reply.verdict for reply in replies})
+            # The share of the requests and the burst of 10.
+            self.assertLessEqual(len(world.targets.records), 120)
+
+        self.run_world(main)
+
+    def test_straggler_is_hedged_and_the_loser_is_cancelled(self):
+        """Guards against a short request that waits for a straggler."""
+
+        async def main(world):
+            world.target(1).is_hung = True
+            requests = [world.request() for _ in range(2)]
+            replies = await asyncio.gather(*map(world.execute, requests))
+            self.assertEqual({2}, {reply.verdict for reply in replies})
+            await asyncio.sleep(0.1)
+            self.assertEqual(0, world.target(1).in_flight)
+            self.assertTrue(world.dispatch.runners[0].is_idle)
+            self.assertEqual(3, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_booking_is_never_hedged(self):
+        """Guards against a second attempt of a slow booking."""
+
+        async def main(world):
+            world.target(1).is_hung = world.target(2).is_hung = True
+            call = world.execute(world.request(BOOKING))
+            await asyncio.sleep(2.9)
+            self.assertEqual(1, len(world.targets.records))
+            call.cancel()
+
+        self.run_world(main)
+
+    def test_started_booking_is_waited_for_after_its_deadline(self):
+        """Guards against losing the answer of a late booking."""
+
+        async def main(world):
+            world.target(1).slow_factor = world.target(2).slow_factor = 2000.0
+            reply = await world.execute(world.request(BOOKING))
+            self.assertGreater(world.clock.now(), 3.0)
+            self.assertEqual(fleet_pb2.RAN, reply.verdict)
+
+        self.run_world(main)
+
+    def test_deadline_of_queued_and_running_lookup(self):
+        """Guards against a wrong verdict at the deadline."""
+
+        async def main(world):
+            world.target(1).is_hung = world.target(2).is_hung = True
+            calls = [
+                world.execute(world.request(deadline_ms=500)) for _ in range(7)
+            ]
+            replies = await asyncio.gather(*calls)
+            verdicts = [reply.verdict for reply in replies]
+            self.assertEqual(6, verdicts.count(fleet_pb2.MAY_HAVE_RUN))
+            self.assertEqual(1, verdicts.count(fleet_pb2.NOT_RUN))
+            self.assertAlmostEqual(0.5, world.clock.now(), delta=0.05)
+            await asyncio.sleep(0.1)
+            self.assertEqual(0, world.target(1).in_flight)
+
+        self.run_world(main)
+
+
+class QueueTest(test_dispatch_service.DispatchCase):
+    """The queue must serve what matters and refuse the rest early."""
+
+    def test_short_request_overtakes_queued_long_ones(self):
+        """Guards against short work that waits behind long work."""
+
+        async def main(world):
+            calls = [world.execute(world.request(SEARCH)) for _ in range(20)]
+            await asyncio.sleep(0.001)
+            short = await world.execute(world.request())
+            self.assertEqual("", short.refusal)
+            self.assertLess(sum(call.done() for call in calls), 14)
+            await asyncio.gather(*calls)
+
+        self.run_world(main)
+
+    def test_request_that_cannot_meet_its_deadline_is_refused_early(self):
+        """Guards against waiting for a deadline that can't be met."""
+
+        async def main(world):
+            calls = [world.execute(world.request()) for _ in range(400)]
+            await asyncio.sleep(0.001)
+            late = await world.execute(world.request())
+            self.assertLess(world.clock.now(), 0.1)
+            self.assertEqual("overload", late.refusal)
+            self.assertEqual(fleet_pb2.NOT_RUN, late.verdict)
+            self.assertGreater(late.retry_after_ms, 0)
+            await asyncio.gather(*calls)
+
+        self.run_world(main)
+
+    def test_least_worth_is_refused_from_the_queue_at_peak(self):
+        """Guards against cheap work that crowds out bookings."""
+
+        async def main(world):
+            cheap = [world.execute(world.request()) for _ in range(120)]
+            await asyncio.sleep(0.001)
+            dear = [world.execute(world.request(BOOKING)) for _ in range(60)]
+            replies = await asyncio.gather(*dear)
+            self.assertEqual([""] * 60, [reply.refusal for reply in replies])
+            refusals = [
+                reply.refusal for reply in await asyncio.gather(*cheap)
+            ]
+            self.assertGreater(refusals.count("overload"), 20)
+
+        self.run_world(main)
+
+    def test_long_work_leaves_the_reserved_slots(self):
+        """Guards against long work in the slots kept for short work."""
+
+        async def main(world):
+            calls = [world.execute(world.request(SEARCH)) for _ in range(12)]
+            await asyncio.sleep(0.001)
+            in_flight = [world.target(n).in_flight for n in (1, 2)]
+            self.assertEqual(4, sum(in_flight))
+            await asyncio.gather(*calls)
+
+        self.run_world(main, overrides={"short_slot_share": 0.3})
+
+    def test_full_queue_refuses(self):
+        """Guards against a queue that grows without bound."""
+
+        async def main(world):
+            calls = [
+                world.execute(world.request(deadline_ms=60_000))
+                for _ in range(30)
+            ]
+            replies = await asyncio.gather(*calls)
+            refusals = [reply.refusal for reply in replies]
+            self.assertEqual(14, refusals.count("overload"))
+
+        self.run_world(main, overrides={"queue_max_requests": 10})
+
+
+class ChangeTest(test_dispatch_service.DispatchCase):
+    """Pauses, configurations and leaving targets come at any time."""
+
+    def test_nothing_late_is_sent_after_a_pause(self):
+        """Guards against running what its caller has given up."""
+
+        async def main(world):
+            calls = [world.execute(world.request(BOOKING)) for _ in range(40)]
+            await asyncio.sleep(0.01)
+            world.clock.pause()
+            sent = len(world.targets.records)
+            for number in (1, 2):
+                world.target(number).is_hung = True
+            await asyncio.sleep(5.0)
+            sent = len(world.targets.records)
+            world.clock.resume()
+            await asyncio.sleep(0.1)
+            self.assertEqual(sent, len(world.targets.records))
+            done = [call.result() for call in calls if call.done()]
+            late = [reply for reply in done if reply.refusal == "deadline"]
+            self.assertTrue(late)
+            for reply in late:
+                self.assertEqual(fleet_pb2.NOT_RUN, reply.verdict)
+                self.assertEqual([], world.targets.runs_of(reply.request_id))
+            for call in calls:
+                call.cancel()
+
+        self.run_world(main)
+
+    def test_removed_target_finishes_and_gets_nothing_new(self):
+        """Guards against requests cut off by a configuration change."""
+
+        async def main(world):
+            calls = [world.execute(world.request(SEARCH)) for _ in range(12)]
+            await asyncio.sleep(0.001)
+            removed = world.file.targets[0]
+            file = world.file.model_copy(
+                update={"targets": world.file.targets[1:]}
+            )
+            world.config.adopt(2, {file.service: file})
+            replies = await asyncio.gather(*calls)
+            self.assertEqual({""}, {reply.refusal for reply in replies})
+            runs = [
+                record
+                for record in world.targets.records
+                if record.target_id == removed.id
+            ]
+            self.assertEqual(3, len(runs))
+
+        self.run_world(main)
+
+    def test_removed_and_restored_target_keeps_its_slots_counted(self):
+        """Guards against twice the slots after two quick changes."""
+
+        async def main(world):
+            calls = [world.execute(world.request(SEARCH)) for _ in range(30)]
+            await asyncio.sleep(0.001)
+            file = world.file.model_copy(
+                update={"targets": world.file.targets[1:]}
+            )
+            world.config.adopt(2, {file.service: file})
+            world.config.adopt(3, {file.service: world.file})
+            await asyncio.gather(*calls)
+            self.assertEqual(0, world.targets.shed_count)
+            self.assertEqual(3, world.target(1).most_in_flight)
+
+        self.run_world(main)
+
+    def test_removed_service_refuses_the_queue(self):
+        """Guards against requests that wait for a removed service."""
+
+        async def main(world):
+            calls = [world.execute(world.request()) for _ in range(8)]
+            await asyncio.sleep(0.001)
+            world.config.adopt(2, {})
+            refusals = [(await call).refusal for call in calls]
+            self.assertEqual(2, refusals.count("unknown_service"))
+            await asyncio.sleep(3.0)
+            self.assertEqual([], world.dispatch.runners)
+
+        self.run_world(main)
+
+    def test_draining_target_gets_no_new_work(self):
+        """Guards against work for a target that leaves, from any source."""
+
+        async def main(world):
+            await world.execute(world.request())
+            world.target(1).is_draining = True
+            world.target(1).tells_draining = False
+            world.platform.set_host(
+                dispatch_world.leaving_host(world.file.targets[0]), lag_s=0.0
+            )
+            await asyncio.sleep(3.0)
+            world.target(2).is_draining = True
+            await asyncio.sleep(3.0)
+            before = len(world.targets.records)
+            reply = await world.execute(world.request())
+            self.assertEqual("no_target", reply.refusal)
+            self.assertEqual(before, len(world.targets.records))
+
+        self.run_world(main)
+
+    def test_queue_is_sent_on_when_the_owner_changes(self):
+        """Guards against two owners that work off queues for long."""
+
+        async def main(world):
+            calls = [
+                world.execute(world.request(deadline_ms=60_000))
+                for _ in range(10)
+            ]
+            await asyncio.sleep(0.001)
+            other = dispatch_world.other_owner(world.members)
+            refusals = [(await call).refusal for call in calls]
+            self.assertEqual(4, refusals.count("not_owner"))
+            self.assertIsNot(world.members.self, other)
+            await asyncio.sleep(3.0)
+            probes = world.targets.probe_count
+            self.assertEqual([], world.dispatch.runners)
+            await asyncio.sleep(5.0)
+            self.assertEqual(probes, world.targets.probe_count)
+
+        self.run_world(main)
+
+    def test_request_that_crashes_targets_is_quarantined(self):
+        """Guards against one request that takes down every target."""
+
+        async def main(world):
+            await world.execute(world.request())
+            for number in (1, 2, 3):
+                world.target(number).crash_mark = b"poison"
+            verdicts = []
+            for number in range(6):
+                request = world.request(BOOKING, body=b"poison")
+                request.fingerprint = "poison"
+                reply = await world.execute(request)
+                verdicts.append((reply.verdict, reply.refusal))
+                await asyncio.sleep(3.0)
+            self.assertEqual(
+                2,
+                len(
+                    [
+                        run
+                        for run in world.targets.records
+                        if run.method == "POST"
+                    ]
+                ),
+            )
+            self.assertEqual((fleet_pb2.NOT_RUN, "quarantined"), verdicts[-1])
+
+        file = dispatch_world.service(targets=3)
+        self.run_world(main, file=file, with_detection=True)
