--- a/fuchsiacourse/prober.py
+++ b/fuchsiacourse/prober.py
@@ -24,15 +24,13 @@
 
     def __init__(self, *, due_s: float) -> None:
         self.due_s = due_s
+        # Set while a probe is under way.
         self.sent_s: float | None = None
         self.handle: timer_service.TimerHandle | None = None
 
 
 class Prober:
-    """Probes each target at an interval, and at once after a lost attempt.
-
-    A lost connection alone is no crash. The probe right after it shows
-    health whether the target is gone or has a new incarnation.
+    """Probes each target at an interval, at most one probe at a time.
 
     Args:
         interval_s: Seconds between the probes of one target.
@@ -64,6 +62,14 @@
             if probe.handle is not None:
                 probe.handle.cancel()
 
+    def hurry(
+        self, runner: shard_runner.ShardRunner, row: target_row.TargetRow
+    ) -> None:
+        """Makes the next probe of a target due at once."""
+        probe = self._probes_by_shard.get(runner.shard.key, {}).get(row.id)
+        if probe is not None:
+            probe.due_s = self._clock.now()
+
     def run_due(self, runners: list[shard_runner.ShardRunner]) -> None:
         """Starts the probes that are due."""
         now = self._clock.now()
@@ -79,12 +85,6 @@
                     probe = probes[row.id] = _Probe(due_s=first_s)
                 self._run_if_due(runner, row, probe, now)
 
-    def probe_soon(self, key: ShardKey, row: target_row.TargetRow) -> None:
-        """Probes a target that has lost a connection."""
-        probe = self._probes_by_shard.get(key, {}).get(row.id)
-        if probe is not None:
-            probe.due_s = self._clock.now()
-
     def _run_if_due(
         self,
         runner: shard_runner.ShardRunner,
@@ -94,7 +94,9 @@
     ) -> None:
         if probe.sent_s is not None:
             if now - probe.sent_s > _PROBE_TIMEOUT_S:
-                self._give_up(runner, row, probe, now)
+                probe.handle.cancel()
+                probe.sent_s = None
+                runner.health.probe_failed(row, now)
             return
         # A probe takes a connection as well.
         if now < probe.due_s or row.in_flight >= row.target.connection_limit:
@@ -104,32 +106,23 @@
         probe.sent_s = now
         probe.handle = self._timers.spawn(self._probe(runner, row, probe))
 
-    def _give_up(
-        self,
-        runner: shard_runner.ShardRunner,
-        row: target_row.TargetRow,
-        probe: _Probe,
-        now: float,
-    ) -> None:
-        probe.handle.cancel()
-        probe.sent_s = None
-        runner.health.probe_failed(row, now)
-
     async def _probe(
         self,
         runner: shard_runner.ShardRunner,
         row: target_row.TargetRow,
         probe: _Probe,
     ) -> None:
+        report = None
         try:
             report = await self._target_client.probe(
                 row.target.address, path=runner.shard.service.probe_path
             )
         except errors.TargetError:
-            probe.sent_s = None
-            runner.health.probe_failed(row, self._clock.now())
-            return
+            report = None
         now = self._clock.now()
         probe.sent_s = None
+        if report is None:
+            runner.health.probe_failed(row, now)
+            return
         runner.health.reported(row, report, now)
         runner.leaving.note(row, now, is_leaving=report.draining)
--- a/fuchsiacourse/shard_upkeep.py
+++ b/fuchsiacourse/shard_upkeep.py
@@ -1,4 +1,4 @@
-"""Periodic work on the shards: probes, host list, ejection, quarantine."""
+"""Periodic work on shards: probes, host list, ejection, quarantine."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 from fuchsiacourse import target_row
 from fuchsiacourse import timers as timer_service
 
-_EJECTION_INTERVAL_S = 0.25
-_QUARANTINE_INTERVAL_S = 0.25
+_EXCHANGE_INTERVAL_S = 0.25
 _HOSTS_INTERVAL_S = 2.0
+_HOSTS_JITTER = 0.1
 
-ShardKey = tuple[str, str]
 Runners = collections.abc.Callable[[], list[shard_runner.ShardRunner]]
+NewHealth = collections.abc.Callable[[shards.Shard], typing.Any]
 
 
 class ShardUpkeep:
@@ -38,15 +38,15 @@
         settings: Settings of dispatch.
         clock: Source of time.
         timers: Timer service of the process.
-        rng: Source of the jitter.
+        rng: Source of randomness.
         self_id: Own member identifier.
         config: Configuration in force.
         target_client: Port to the targets.
         store: Port to the platform's object API.
         invariants: Receives the checks.
         log: Logger.
-        new_health: Makes the health of a shard; if it is given, no
-            ejection takes place.
+        new_health: Makes the health of a shard, by default
+            ``health.Health``; another one is not ejected by.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         store: stores.Store,
         invariants: invariant_checks.Invariants,
         log: typing.Any,
-        new_health: typing.Callable[[shards.Shard], typing.Any] | None,
+        new_health: NewHealth | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -75,8 +75,10 @@
         self._log = log
         self._new_health = new_health
         self._quarantines_by_service: dict[str, quarantines.Quarantine] = {}
-        self._agents_by_key: dict[ShardKey, ejection_agent.EjectionAgent] = {}
-        self._healths_by_key: dict[ShardKey, typing.Any] = {}
+        self._agents_by_key: dict[
+            tuple[str, str], ejection_agent.EjectionAgent
+        ] = {}
+        self._runners: Runners = list
         self._prober = prober.Prober(
             interval_s=settings.probe_interval_s,
             clock=clock,
@@ -84,7 +86,6 @@
             rng=rng,
             target_client=target_client,
         )
-        self._runners: Runners = list
 
     def start(self, runners: Runners) -> None:
         """Starts the timers.
@@ -96,11 +97,10 @@
         self._timers.every(
             prober.TICK_S, lambda: self._prober.run_due(runners())
         )
-        self._timers.every(_HOSTS_INTERVAL_S, self._read_hosts, jitter=0.1)
-        self._timers.every(_EJECTION_INTERVAL_S, self._run_agents, jitter=0.1)
         self._timers.every(
-            _QUARANTINE_INTERVAL_S, self._run_quarantines, jitter=0.1
+            _HOSTS_INTERVAL_S, self._read_hosts, jitter=_HOSTS_JITTER
         )
+        self._timers.every(_EXCHANGE_INTERVAL_S, self._exchange)
 
     def health_of(self, shard: shards.Shard) -> typing.Any:
         """Makes the health of a shard."""
@@ -118,39 +118,46 @@
 
     def added(self, runner: shard_runner.ShardRunner) -> None:
         """Takes over a shard."""
-        key = runner.shard.key
-        if key[0] not in self._quarantines_by_service:
-            self._quarantines_by_service[key[0]] = quarantines.Quarantine(
-                service=key[0],
+        service = runner.shard.service.service
+        if service not in self._quarantines_by_service:
+            quarantine = quarantines.Quarantine(
+                service=service,
                 store=self._store,
                 clock=self._clock,
                 log=self._log,
             )
-        if self._new_health is not None:
-            return
-        self._healths_by_key[key] = runner.health
-        self._quarantines_by_service[key[0]].subscribe(
-            runner.health.crash_explained
-        )
-        self._agents_by_key[key] = ejection_agent.EjectionAgent(
-            shard=runner.shard,
-            health=runner.health,
-            store=self._store,
-            clock=self._clock,
-            config=self._config,
-            self_id=self._self_id,
-            log=self._log,
-            invariants=self._invariants,
-        )
+            quarantine.subscribe(
+                lambda target_ids: self._explained(service, target_ids)
+            )
+            self._quarantines_by_service[service] = quarantine
+            self._timers.spawn(quarantine.run_once())
+        if self._new_health is None:
+            self._agents_by_key[runner.shard.key] = (
+                ejection_agent.EjectionAgent(
+                    shard=runner.shard,
+                    health=runner.health,
+                    store=self._store,
+                    clock=self._clock,
+                    config=self._config,
+                    self_id=self._self_id,
+                    log=self._log,
+                    invariants=self._invariants,
+                )
+            )
 
-    def dropped(self, runner: shard_runner.ShardRunner) -> None:
-        """Forgets a shard."""
-        key = runner.shard.key
+    def dropped(
+        self, runner: shard_runner.ShardRunner, *, is_last: bool
+    ) -> None:
+        """Forgets a shard.
+
+        Args:
+            runner: Runner of the shard.
+            is_last: Whether no other shard of its service is left.
+        """
         self._prober.forget(runner)
-        self._agents_by_key.pop(key, None)
-        self._healths_by_key.pop(key, None)
-        if not any(other[0] == key[0] for other in self._healths_by_key):
-            self._quarantines_by_service.pop(key[0], None)
+        self._agents_by_key.pop(runner.shard.key, None)
+        if is_last:
+            del self._quarantines_by_service[runner.shard.service.service]
 
     def is_quarantined(self, service: str, fingerprint: str) -> bool:
         """Whether requests with a fingerprint are refused."""
@@ -161,49 +168,44 @@
 
     def attempt_ended(
         self,
-        key: ShardKey,
+        runner: shard_runner.ShardRunner,
         row: target_row.TargetRow,
         attempt: target_row.Attempt,
         outcome: target_row.Outcome,
     ) -> None:
         """Notes the end of an attempt."""
-        quarantine = self._quarantines_by_service.get(key[0])
+        quarantine = self._quarantines_by_service.get(
+            runner.shard.service.service
+        )
         if outcome is target_row.Outcome.OK and quarantine is not None:
             quarantine.answered(attempt.fingerprint)
-        if outcome is target_row.Outcome.CONNECTION_LOST:
-            self._prober.probe_soon(key, row)
-        if outcome in (
-            target_row.Outcome.CONNECTION_LOST,
-            target_row.Outcome.UNREACHABLE,
-        ):
-            self._report_crashes(key)
-
-    def _report_crashes(self, key: ShardKey) -> None:
-        health = self._healths_by_key.get(key)
-        if health is None:
-            return
-        quarantine = self._quarantines_by_service[key[0]]
-        now = self._clock.now()
-        for crash in health.take_crashes():
-            for fingerprint in crash.fingerprints:
-                quarantine.crashed(fingerprint, crash.target_id, now)
+        elif outcome is target_row.Outcome.CONNECTION_LOST:
+            # The probe tells a crash from a broken connection.
+            self._prober.hurry(runner, row)
 
-    async def _run_agents(self) -> None:
+    def _explained(self, service: str, target_ids: list[str]) -> None:
         for runner in self._runners():
+            if runner.shard.service.service == service:
+                runner.health.crash_explained(target_ids)
+
+    def _exchange(self) -> None:
+        runners = self._runners()
+        for runner in runners:
+            self._take_crashes(runner)
             agent = self._agents_by_key.get(runner.shard.key)
             if agent is not None:
-                # A slow platform must not hold up the other shards.
                 self._timers.spawn(agent.run_once())
-
-    async def _run_quarantines(self) -> None:
-        services = set()
-        for runner in self._runners():
-            self._report_crashes(runner.shard.key)
-            services.add(runner.shard.key[0])
-        for service in services:
+        for service in {item.shard.service.service for item in runners}:
             quarantine = self._quarantines_by_service[service]
             self._timers.spawn(quarantine.run_once())
 
+    def _take_crashes(self, runner: shard_runner.ShardRunner) -> None:
+        quarantine = self._quarantines_by_service[runner.shard.service.service]
+        now = self._clock.now()
+        for crash in runner.health.take_crashes():
+            for fingerprint in crash.fingerprints:
+                quarantine.crashed(fingerprint, crash.target_id, now)
+
     async def _read_hosts(self) -> None:
         runners = self._runners()
         if not runners:
