--- a/tests/test_config_agent.py
+++ b/tests/test_config_agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from bench import fake_store
 from bench import virtual_loop
@@ -15,6 +16,7 @@
 from fuchsiacourse import manifest
 from fuchsiacourse import member
 from fuchsiacourse import members
+from fuchsiacourse import service_file
 from tests import test_publisher
 
 ZONES = (
@@ -324,7 +326,11 @@
             )
             table.put(manifest.KEY, wanted.encode(), if_version=None)
             bench.platform.calls_by_name.clear()
-            await asyncio.sleep(30)
+            with mock.patch.object(
+                service_file, "parse", wraps=service_file.parse
+            ) as parse:
+                await asyncio.sleep(30)
+            self.assertEqual(6, parse.call_count)
             self.assertEqual({1}, bench.numbers())
             # Six watchers poll four times and read the new body once.
             self.assertLessEqual(
