--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -12,6 +12,7 @@
 from bench import fake_targets
 from bench import paused_clock
 from bench import plain_health
+from bench import process_gate
 from bench import virtual_loop
 from fuchsiacourse import config_table
 from fuchsiacourse import dispatch_service
@@ -150,7 +151,8 @@
         with_detection: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
-        self.clock = paused_clock.PausedClock()
+        self.gate = process_gate.ProcessGate()
+        self.clock = paused_clock.PausedClock(gate=self.gate)
         self.file = file or service()
         self.broken: list[tuple[str, dict[str, typing.Any]]] = []
         self.invariants = invariant_checks.Invariants(
--- a/tests/test_dispatch_random.py
+++ b/tests/test_dispatch_random.py
@@ -36,7 +36,7 @@
             await asyncio.sleep(self.rng.expovariate(150.0))
             if self.rng.random() < 0.05:
                 self.disturb()
-        self.world.clock.resume()
+        self.world.gate.resume()
         for target in self.world.targets.targets_by_address.values():
             target.is_hung = target.is_unreachable = False
         await asyncio.gather(*tasks)
@@ -76,9 +76,9 @@
         elif choice == 2:
             target.is_hung = not target.is_hung
         elif choice == 3:
-            world.clock.pause()
+            world.gate.pause()
             asyncio.get_running_loop().call_later(
-                rng.random() * 3.0, world.clock.resume
+                rng.random() * 3.0, world.gate.resume
             )
         elif choice == 4:
             target.slow_factor = rng.choice([1.0, 5.0])
--- a/tests/test_shard_runner.py
+++ b/tests/test_shard_runner.py
@@ -246,13 +246,13 @@
         async def main(world):
             calls = [world.execute(world.request(BOOKING)) for _ in range(40)]
             await asyncio.sleep(0.01)
-            world.clock.pause()
+            world.gate.pause()
             sent = len(world.targets.records)
             for number in (1, 2):
                 world.target(number).is_hung = True
             await asyncio.sleep(5.0)
             sent = len(world.targets.records)
-            world.clock.resume()
+            world.gate.resume()
             await asyncio.sleep(0.1)
             self.assertEqual(sent, len(world.targets.records))
             done = [call.result() for call in calls if call.done()]
