Count failed subtests and only those

Cause: the plugin counted each subtest as failed, so a passing run ended with '32 passed, 8 failed'.

--- a/bench/test_selection.py
+++ b/bench/test_selection.py
@@ -45,9 +45,12 @@
             print(f"known red, but there is no such test: {test_id}")
 
     def testOutcome(self, event: typing.Any) -> None:
-        """Counts the outcome of a test or a failed import."""
+        """Counts the outcome of a test, a subtest or a failed import."""
         if event.outcome == result.PASS and event.expected:
             self.passed += 1
+        elif event.outcome == result.SUBTEST:
+            # Only a failed subtest counts; its test then reports nothing.
+            self.failed += event.exc_info is not None
         elif event.outcome != result.SKIP:
             self.failed += 1
 
