--- a/fuchsiacourse/entry.py
+++ b/fuchsiacourse/entry.py
@@ -50,6 +50,10 @@
             log=self.log,
         )
 
+    def _refresh_metrics(self) -> None:
+        super()._refresh_metrics()
+        self.service.refresh_metrics()
+
     async def start_service(self) -> None:
         """Starts to serve callers."""
         await self._http_server.start()
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -199,18 +199,24 @@
     def test_pause_before_the_sending(self):
         """Guards against work for a caller that has given up."""
 
-        async def scenario(fleet):
-            fleet.network.losses_by_call["execute"] = ["unreachable"]
+        def sent(fleet):
+            return sum(name == "execute" for name, _ in fleet.network.calls)
+
+        async def scenario(fleet, steps):
+            fleet.network.losses_by_call["execute"] = ["unreachable"] * 9
             call = asyncio.ensure_future(fleet.book(fleet.key()))
-            await asyncio.sleep(0)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            before = sent(fleet)
             asyncio.get_running_loop()._jumping.now_s += 5.0
             answer = await call
-            return (
-                answer.status,
-                answer.verdict,
-                sum(len(item.requests) for item in fleet.dispatchers),
+            return entry_fakes.told(answer), sent(fleet) - before
+
+        # The pause falls between any two steps of the event loop after the
+        # request's arrival.
+        for steps in range(1, 12):
+            told, sent_late = entry_fakes.run_fleet(
+                lambda fleet, steps=steps: scenario(fleet, steps),
+                dispatchers=9,
             )
-
-        self.assertEqual(
-            (504, NOT_RUN, 0), entry_fakes.run_fleet(scenario, dispatchers=2)
-        )
+            self.assertEqual(((504, NOT_RUN), 0), (told, sent_late), steps)
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -114,6 +114,33 @@
             entry_fakes.run_fleet(scenario, entries=3),
         )
 
+    def test_hand_over_in_parts(self):
+        """Guards against answers that are lost with a part."""
+
+        async def scenario(fleet):
+            keys = [fleet.key(number=number) for number in range(5)]
+            bodies = [key.encode() * 9000 for key in keys]
+            for key, body in zip(keys, bodies):
+                await fleet.book(key, body=body)
+            # A part and the acknowledgement of another one are lost.
+            fleet.network.losses_by_call["hand_over"] = ["", "request"]
+            fleet.network.losses_by_call["hand_over"] += ["", "reply"]
+            row = await self.stop(fleet)
+            answers = [
+                await fleet.book(key, entry=1, attempt=2, body=body)
+                for key, body in zip(keys, bodies)
+            ]
+            names = [name for name, _ in fleet.network.calls]
+            return (
+                row.successor != "",
+                [answer.body for answer in answers] == bodies,
+                names.count("hand_over"),
+            )
+
+        # Three parts, as two answers of 216,000 bytes fit into each.
+        result = entry_fakes.run_fleet(scenario, entries=3)
+        self.assertEqual((True, True, 5), result)
+
     def test_another_successor_if_nothing_was_sent(self):
         """Guards against losing all keys to a dead successor."""
 
