Refuse dot segments and state attempts in the HTTP layer's refusals

Cause: /larder/../admin matched the route /larder, and a target could resolve it to another path. falcon's own refusals told not-run even for a later attempt. Each issued block looked through the rows of all blocks.

Change: paths with dot segments get 400; refusals of falcon follow the attempt; rows are looked through only if the first one has expired.

Conclusion: tests of the first two cases pass.

--- a/fuchsiacourse/entry_app.py
+++ b/fuchsiacourse/entry_app.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import typing
+import urllib.parse
 
 import falcon
 import falcon.asgi
@@ -128,15 +130,10 @@
     ) -> None:
         """Answers a request of any route but the fleet's own."""
         headers = _decoded(req.scope["headers"])
-        request = caller_request.CallerRequest(
-            method=req.method,
-            path=_raw_path(req),
-            query=req.scope.get("query_string", b"").decode("latin-1"),
-            headers=_passed_on(headers, _REQUEST_ONLY),
-            request_id=_single(headers, "request-id") or "",
-        )
+        request = _request(req, headers)
         try:
             _read_headers(request, headers)
+            _check_path(request)
             self._check_headers(request, headers)
             request.body = await self._read_body(req, request)
         except errors.RefusedError as error:
@@ -155,17 +152,22 @@
         params: typing.Any,
     ) -> None:
         """Answers requests that falcon refuses or that fail here."""
-        status = 500
-        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        headers = _decoded(req.scope["headers"])
+        request = _request(req, headers)
+        refusal = errors.RefusedError(
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            status=500,
+            title="Internal error",
+        )
         if isinstance(error, falcon.HTTPError):
-            # Raised by falcon's own routing, before the request is sent.
+            # Raised by falcon itself, before anything is sent on.
             status = falcon.http_status_to_code(error.status)
-            verdict = verdicts.Verdict.NOT_RUN
-        refusal = errors.RefusedError(
-            verdict=verdict, status=status, title="Request failed"
+            with contextlib.suppress(errors.RefusedError):
+                _read_headers(request, headers)
+            refusal = request.unsent(status, error.title or "Bad request")
+        _write(
+            resp, self._service.refuse(refusal, request_id=request.request_id)
         )
-        request_id = req.get_header("Request-Id") or ""
-        _write(resp, self._service.refuse(refusal, request_id=request_id))
 
     def _check_headers(
         self,
@@ -211,6 +213,25 @@
         return b"".join(chunks)
 
 
+def _request(
+    req: falcon.asgi.Request, headers: list[tuple[str, str]]
+) -> caller_request.CallerRequest:
+    return caller_request.CallerRequest(
+        method=req.method,
+        path=_raw_path(req),
+        query=req.scope.get("query_string", b"").decode("latin-1"),
+        headers=_passed_on(headers, _REQUEST_ONLY),
+        request_id=_single(headers, "request-id") or "",
+    )
+
+
+def _check_path(request: caller_request.CallerRequest) -> None:
+    """Refuses paths that a target may resolve to one of another route."""
+    segments = urllib.parse.unquote(request.path).split("/")
+    if "." in segments or ".." in segments:
+        raise request.unsent(400, "Path has dot segments")
+
+
 def _read_headers(
     request: caller_request.CallerRequest, headers: list[tuple[str, str]]
 ) -> None:
--- a/fuchsiacourse/key_blocks.py
+++ b/fuchsiacourse/key_blocks.py
@@ -211,12 +211,11 @@
         return verdicts.Verdict.MAY_HAVE_RUN
 
     def _drop_expired(self, now: float) -> None:
-        for incarnation in list(self._rows_by_incarnation):
-            rows = [
-                row
-                for row in self._rows_by_incarnation[incarnation]
-                if row.expires_at > now
-            ]
+        for incarnation, rows in list(self._rows_by_incarnation.items()):
+            # Later blocks of an incarnation expire later.
+            if rows and rows[0].expires_at > now:
+                continue
+            rows = [row for row in rows if row.expires_at > now]
             if rows or incarnation == self._incarnation:
                 self._rows_by_incarnation[incarnation] = rows
             else:
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -177,8 +177,17 @@
         self.assert_refused(await self.send("GET /nothing"), 404)
         self.assert_refused(await self.send("GET /larderous"), 404)
         self.assert_refused(await self.send("POST /fleet/addresses"), 405)
-        again = await self.send("GET /nothing", "Request-Attempt: 2")
-        self.assert_refused(again, 404, "may-have-run")
+        for target, status in (
+            ("GET /nothing", 404),
+            ("POST /fleet/addresses", 405),
+        ):
+            again = await self.send(target, "Request-Attempt: 2")
+            self.assert_refused(again, status, "may-have-run")
+
+    async def test_dot_segments(self):
+        """Guards against paths that leave the route that was matched."""
+        for path in ("/larder/../admin", "/larder/%2e%2E/x", "/larder/./x"):
+            self.assert_refused(await self.send(f"GET {path}"), 400)
 
     async def test_booking_without_key(self):
         """Guards against a booking that could run twice."""
