--- a/bench/entry_faults.py
+++ b/bench/entry_faults.py
@@ -8,10 +8,13 @@
 from bench import entry_fakes
 from bench import virtual_loop
 from fuchsiacourse import errors
+from fuchsiacourse import fleet_pb2
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import verdict as verdicts
 
 BOOKINGS = 40
+LOOKUPS = 20
+CORRUPT_SHARE = 0.1
 MAX_ATTEMPTS = 4
 
 
@@ -40,12 +43,14 @@
             process.queue_s = (0.0, 0.8)
             process.run_s = (0.01, 0.6)
             process.refusal_share = 0.1
+            process.corrupt = self._corrupt
             process.owner = self.fleet.dispatch_rows[0].rpc_address
 
     async def run(self) -> None:
         """Runs everything to its end."""
         await asyncio.gather(
             *[self._book(number) for number in range(BOOKINGS)],
+            *[self._look_up(number) for number in range(LOOKUPS)],
             self._stop_one(),
             self._lose_one(),
             self._pause(),
@@ -65,6 +70,23 @@
                 break
             await asyncio.sleep(self._rng.uniform(0, 0.5))
 
+    async def _look_up(self, number: int) -> None:
+        await asyncio.sleep(self._rng.uniform(0, 12))
+        body = f"lookup-{number}".encode()
+        answer = await self.fleet.look_up(
+            entry=self._rng.randrange(4), body=body
+        )
+        if not answer.refused and answer.body != body:
+            self.wrong_answers.append((body.decode(), answer.body))
+
+    def _corrupt(self, reply: fleet_pb2.ExecuteReply) -> None:
+        if self._rng.random() >= CORRUPT_SHARE:
+            return
+        if self._rng.random() < 0.5:
+            reply.request_id = "another"
+        else:
+            reply.body = reply.body[:-1]
+
     def _new_key(self, number: int) -> str:
         issuer = self._rng.randrange(4)
         if self._rng.random() < 0.2:
