--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -12,6 +12,7 @@
 from bench import fake_targets
 from bench import paused_clock
 from bench import plain_health
+from bench import process_gate
 from bench import virtual_loop
 from fuchsiacourse import config_table
 from fuchsiacourse import dispatch_service
@@ -150,7 +151,8 @@
         with_detection: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
-        self.clock = paused_clock.PausedClock()
+        self.gate = process_gate.ProcessGate()
+        self.clock = paused_clock.PausedClock(gate=self.gate)
         self.file = file or service()
         self.broken: list[tuple[str, dict[str, typing.Any]]] = []
         self.invariants = invariant_checks.Invariants(
@@ -170,6 +172,7 @@
         )
         self.targets = fake_targets.FakeTargets(
             clock=virtual_loop.VirtualClock(),
+            gate=self.gate,
             rng=random.Random(seed + 1),
             run_time=fake_targets.exponential_by_prefix(
                 mean_s_by_prefix
--- a/bench/measure_queue.py
+++ b/bench/measure_queue.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import collections.abc
 
@@ -130,7 +129,7 @@
                 value=shares[queue_load.DISPATCH],
                 unit="share",
                 bound=_CREST_BOUND,
-                higher_is_better=True,
+                at_least=True,
                 baselines=_baselines(shares),
             )
         )
@@ -158,8 +157,8 @@
     return queue_load.worth(outcomes) / queue_load.optimum(load, outcomes)
 
 
-def _baselines(values: dict[str, float]) -> list[tuple[str, float]]:
-    return [(name, values[name]) for name in baseline_policies.BASELINES]
+def _baselines(values: dict[str, float]) -> dict[str, float]:
+    return {name: values[name] for name in baseline_policies.BASELINES}
 
 
 def leaving() -> list[figure.Figure]:
@@ -170,10 +169,10 @@
     """
     figures = []
     for user in USERS:
-        baselines = [
-            (name, virtual_loop.run(_leaving_baseline(user, name)))
+        baselines = {
+            name: virtual_loop.run(_leaving_baseline(user, name))
             for name in baseline_policies.BASELINES
-        ]
+        }
         for source in ("target", "hosts"):
             figures.append(
                 figure.Figure(
@@ -280,19 +279,3 @@
     "crest": crest,
     "leaving": leaving,
 }
-
-
-def main() -> int:
-    """Prints the figures of the named measures."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("measure", nargs="*", default=list(MEASURES))
-    is_met = True
-    for name in parser.parse_args().measure:
-        for item in MEASURES[name]():
-            print(item.line(), flush=True)
-            is_met = is_met and item.is_met
-    return 0 if is_met else 1
-
-
-if __name__ == "__main__":
-    raise SystemExit(main())
