--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -40,6 +40,8 @@
 # Added to the longest deadline for delays between processes.
 _PREDECESSOR_MARGIN_S = 5.0
 _TICK_S = 0.02
+# Short beside the bound on detection.
+_HEALTH_TICK_S = 0.1
 _UPKEEP_S = 1.0
 _PAUSE_S = timer_service.PAUSE_THRESHOLD_S
 
@@ -133,6 +135,7 @@
         self._started_s = self._last_tick_s = self._clock.now()
         self._timers.on_wake(lambda _: self._check_pause(self._clock.now()))
         self._timers.every(_TICK_S, self._tick)
+        self._timers.every(_HEALTH_TICK_S, self._tick_health)
         self._timers.every(_UPKEEP_S, self._drop_idle)
         self._upkeep.start(self._owned_runners)
 
@@ -351,6 +354,11 @@
         for runner in self._runners_by_key.values():
             runner.tick(now)
 
+    def _tick_health(self) -> None:
+        now = self._clock.now()
+        for runner in self._runners_by_key.values():
+            runner.health.tick(now)
+
     def _check_pause(self, now: float) -> None:
         """Rechecks deadlines and owners before anything is sent."""
         pause_s = now - self._last_tick_s
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -326,7 +326,6 @@
 
     def tick(self, now: float) -> None:
         """Does what time alone brings about."""
-        self.health.tick(now)
         self.expire(now)
         self._refuse_hopeless(now)
         self._relieve_stragglers(now)
