--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -172,6 +172,7 @@
         )
         self.targets = fake_targets.FakeTargets(
             clock=virtual_loop.VirtualClock(),
+            gate=self.gate,
             rng=random.Random(seed + 1),
             run_time=fake_targets.exponential_by_prefix(
                 mean_s_by_prefix
