--- a/bench/shard_run.py
+++ b/bench/shard_run.py
@@ -25,6 +25,7 @@
 AGENT_INTERVAL_S = 0.25
 PROBE_INTERVAL_S = 0.5
 WRITE_S = 0.01
+MAX_QUEUE = 300
 
 _OUT = (target_row.TargetState.EJECTED, target_row.TargetState.CANARY)
 
@@ -145,8 +146,13 @@
             kind=kind,
             due_s=self.now + kind.deadline_ms / 1000.0,
         )
-        self._queues[0 if kind.is_short else 1].append(request)
-        self._bind()
+        queue = self._queues[0 if kind.is_short else 1]
+        if len(queue) >= MAX_QUEUE:
+            return
+        queue.append(request)
+        # Behind others a request waits for a slot or the next tick.
+        if len(queue) == 1:
+            self._bind()
 
     def _bind(self) -> None:
         for queue in self._queues:
@@ -156,7 +162,7 @@
                     continue
                 rows = self.health.candidates(queue[0].kind, self.now)
                 if not rows:
-                    break
+                    return
                 self._start(rows[0], queue.popleft())
 
     def _start(self, row: target_row.TargetRow, request: _Request) -> None:
--- a/fuchsiacourse/candidates.py
+++ b/fuchsiacourse/candidates.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import math
+import random
 
+from fuchsiacourse import detector as detectors
 from fuchsiacourse import service_file
+from fuchsiacourse import shard as shards
 from fuchsiacourse import target_health
 from fuchsiacourse import target_row
 
@@ -12,8 +15,21 @@
 SLOW_START_S = 10.0
 # Attempts of a canary that must succeed one after the other.
 CANARIES_NEEDED = 5
-# Time between the starts of two canary attempts at a target.
+# Time between the starts of two tests of an ejected and a suspect target.
 CANARY_INTERVAL_S = 0.2
+SUSPECT_TEST_INTERVAL_S = 0.05
+# The same for a target that is found sick and that the floor, the platform
+# or a common fault keeps from being ejected.
+HELD_TEST_INTERVAL_S = 5.0
+# Time for which all other targets must have been full before a suspect takes
+# ordinary work. Slots free up within milliseconds at ordinary load.
+SUSPECT_WAIT_S = 0.1
+
+TEST_RANK = 0
+ORDINARY_RANK = 1
+SUSPECT_RANK = 2
+
+_State = target_row.TargetState
 
 
 def cold_allowance(
@@ -26,6 +42,29 @@
     return max(1, math.floor(row.target.slots * min(1.0, share)))
 
 
+def is_testable(service: service_file.ServiceFile, kind: str) -> bool:
+    """Tells whether tests can show that a kind of request is well.
+
+    Args:
+        service: Service file.
+        kind: Name of a kind; of all kinds if it is empty.
+    """
+    if kind in service.kinds_by_name:
+        return service.kinds_by_name[kind].idempotent
+    return any(item.idempotent for item in service.kinds)
+
+
+def test_interval_s(
+    row: target_row.TargetRow, details: target_health.TargetHealth
+) -> float:
+    """Returns the time until the next test of a target in seconds."""
+    if row.state is _State.CANARY:
+        return CANARY_INTERVAL_S
+    if details.condemned_since_s is not None or details.is_listed:
+        return HELD_TEST_INTERVAL_S
+    return SUSPECT_TEST_INTERVAL_S
+
+
 def may_test(
     row: target_row.TargetRow,
     details: target_health.TargetHealth,
@@ -35,18 +74,24 @@
 ) -> bool:
     """Tells whether a request may test a canary or a suspect now.
 
-    Only idempotent requests are used, one at a time, because a failed test
-    must be repeatable elsewhere. If one kind led to the ejection, this
-    kind is tested.
+    Only idempotent requests are used, because a failed test must be
+    repeatable elsewhere, and one at a time unless the running ones are
+    late. If one kind led to the suspicion, this kind is tested.
     """
     if not kind.idempotent or now < details.next_canary_s:
         return False
-    if any(item.is_canary for item in row.attempts_by_id.values()):
+    if any(
+        item.is_canary and not item.is_counted_late
+        for item in row.attempts_by_id.values()
+    ):
         return False
     sick = service.kinds_by_name.get(details.sick_kind)
     if sick is not None and sick.idempotent:
         return sick.name == kind.name
-    return True
+    # Short requests tell sooner whether the target is sick.
+    return kind.is_short or not any(
+        item.is_short and item.idempotent for item in service.kinds
+    )
 
 
 class Candidate:
@@ -69,7 +114,87 @@
         self.rank = rank
 
 
-def ranked(found: list[Candidate]) -> list[target_row.TargetRow]:
-    """Returns the rows of the candidates, best first."""
-    found.sort(key=lambda item: item.rank)
-    return [item.row for item in found]
+class Candidates:
+    """Orders the targets of a shard for one request.
+
+    Args:
+        shard: Tables of the shard.
+        detector: Evidence on the targets.
+        rng: Source of randomness for ties.
+    """
+
+    __slots__ = ("_shard", "_detector", "_rng", "_full_since_s")
+
+    def __init__(
+        self,
+        *,
+        shard: shards.Shard,
+        detector: detectors.Detector,
+        rng: random.Random,
+    ) -> None:
+        self._shard = shard
+        self._detector = detector
+        self._rng = rng
+        # Since when no target but suspects has a free slot.
+        self._full_since_s: float | None = None
+
+    def listed(
+        self, kind: service_file.RequestKind, now: float
+    ) -> list[target_row.TargetRow]:
+        """Returns targets that may take one more request, best first.
+
+        Args:
+            kind: Kind of the request.
+            now: Monotonic time in seconds.
+        """
+        found = []
+        only_suspects = True
+        for row in self._shard.targets_by_id.values():
+            if row.leaving:
+                continue
+            if row.state in (_State.HEALTHY, _State.COLD):
+                only_suspects = False
+            target = row.target
+            if len(row.attempts_by_id) >= min(
+                target.slots, target.connection_limit
+            ):
+                continue
+            rank = self._rank(row, kind, now)
+            if rank is not None:
+                found.append(Candidate(row=row, rank=rank))
+        found.sort(key=lambda item: item.rank)
+        if any(item.rank[0] == ORDINARY_RANK for item in found):
+            self._full_since_s = None
+        elif self._full_since_s is None:
+            self._full_since_s = now
+        since = self._full_since_s
+        if since is None or only_suspects or now - since >= SUSPECT_WAIT_S:
+            return [item.row for item in found]
+        return [item.row for item in found if item.rank[0] != SUSPECT_RANK]
+
+    def _rank(
+        self,
+        row: target_row.TargetRow,
+        kind: service_file.RequestKind,
+        now: float,
+    ) -> tuple[int, float, int, float] | None:
+        details = target_health.of(row, now)
+        details.canary_offered = False
+        if row.state is _State.EJECTED:
+            return None
+        chance = self._rng.random()
+        if row.state in (_State.CANARY, _State.SUSPECT):
+            if may_test(row, details, self._shard.service, kind, now):
+                details.canary_offered = True
+                return TEST_RANK, 0.0, 0, chance
+            if row.state is _State.CANARY:
+                return None
+            score = self._detector.score(row, now).value
+            return SUSPECT_RANK, score, row.in_flight, chance
+        allowance = row.target.slots
+        is_cold = row.state is _State.COLD
+        if is_cold:
+            allowance = cold_allowance(row, details, now)
+        if row.in_flight >= allowance:
+            return None
+        return ORDINARY_RANK, row.in_flight / allowance, int(is_cold), chance
--- a/fuchsiacourse/detector.py
+++ b/fuchsiacourse/detector.py
@@ -13,6 +13,7 @@
 import math
 
 from fuchsiacourse import evidence
+from fuchsiacourse import likelihood
 from fuchsiacourse import service_file
 from fuchsiacourse import shard as shards
 from fuchsiacourse import target_row
@@ -20,22 +21,12 @@
 # Name under which the scores over all kinds are kept.
 ALL_KINDS = ""
 
-# Shares of attempts over the limits at a healthy and at an unhealthy target.
-LATE_SHARE = 0.1
-VERY_LATE_SHARE = 0.02
-SICK_PROMPT_SHARE = 0.3
-SICK_VERY_LATE_SHARE = 0.5
+# Failures of the peers are multiplied by this before a comparison.
+PEER_MARGIN = 2.0
 # The limits lie above the quantiles by these factors, because a quantile of
 # few observations is inexact and an error of the limit adds up over time.
 LATE_MARGIN = 1.15
-VERY_LATE_MARGIN = 1.3
-
-# Shares of failed attempts at a healthy and at an unhealthy target.
-ERROR_SHARE = 0.003
-SICK_ERROR_SHARE = 0.3
-SHED_SHARE = 0.05
-# Failures of the peers are multiplied by this before a comparison.
-PEER_MARGIN = 2.0
+VERY_LATE_MARGIN = 1.15
 
 # Attempts of the peers without which expected_ms gives the limits.
 MIN_PEER_WEIGHT = 30.0
@@ -45,7 +36,7 @@
 LIMITS_INTERVAL_S = 1.0
 SHARES_INTERVAL_S = 0.1
 SCALE_INTERVAL_S = 2.0
-HALF_LIFE_S = 20.0
+HALF_LIFE_S = 40.0
 # Scores lose all but 1/e in this time, so that a target without work does
 # not stay suspect.
 SCORE_DECAY_S = 30.0
@@ -131,6 +122,12 @@
         for kept in row.evidence_by_kind.values():
             kept.reset_scores(now)
 
+    def lower(self, row: target_row.TargetRow, limit: float) -> None:
+        """Lowers the scores of a target to a limit."""
+        for kept in row.evidence_by_kind.values():
+            kept.latency_score = min(limit, kept.latency_score)
+            kept.error_score = min(limit, kept.error_score)
+
     def forget(self, row: target_row.TargetRow) -> None:
         """Forgets everything of a target whose process is another one."""
         for kind, kept in row.evidence_by_kind.items():
@@ -173,7 +170,9 @@
             kept.recent.late += 1.0
         if level == 2:
             kept.recent.very_late += 1.0
-        step = _open_ratio(expected, level) - _open_ratio(expected, before)
+        step = likelihood.unfinished(expected, level) - likelihood.unfinished(
+            expected, before
+        )
         self._add_latency(row, kept, step, now)
 
     def finished(
@@ -213,20 +212,19 @@
             kept.recent.count += 1.0
         if outcome is target_row.Outcome.SHED:
             kept.recent.sheds += 1.0
-            share = _capped(expected.sheds, SICK_ERROR_SHARE)
-            step = math.log(SICK_ERROR_SHARE / share)
+            step = likelihood.failed(expected.sheds)
             self._add_error(row, kept, step, now)
             return False
         if outcome in _FAILURES:
             kept.recent.errors += 1.0
-            share = _capped(expected.errors, SICK_ERROR_SHARE)
-            step = math.log(SICK_ERROR_SHARE / share)
+            step = likelihood.failed(expected.errors)
             self._add_error(row, kept, step, now)
             return False
-        share = _capped(expected.errors, SICK_ERROR_SHARE)
-        step = math.log((1.0 - SICK_ERROR_SHARE) / (1.0 - share))
+        step = likelihood.succeeded(expected.errors)
         self._add_error(row, kept, step, now)
-        step = _closed_ratio(expected, level) - _open_ratio(expected, level)
+        step = likelihood.finished(expected, level) - likelihood.unfinished(
+            expected, level
+        )
         self._add_latency(row, kept, step, now)
         if shifts_limits:
             self._add_bucket(kept, attempt, now)
@@ -312,7 +310,7 @@
             very_late_s = FALLBACK_VERY_LATE * expected_s
         else:
             late_s, very_late_s = evidence.quantiles(
-                pool, kept, (LATE_SHARE, VERY_LATE_SHARE)
+                pool, kept, (likelihood.LATE_SHARE, likelihood.VERY_LATE_SHARE)
             )
             late_s *= LATE_MARGIN
             very_late_s *= VERY_LATE_MARGIN
@@ -338,16 +336,24 @@
             if kept is None:
                 continue
             recent = kept.recent
-            late.append(recent.share(recent.late, LATE_SHARE, now))
+            late.append(recent.share(recent.late, likelihood.LATE_SHARE, now))
             very_late.append(
-                recent.share(recent.very_late, VERY_LATE_SHARE, now)
+                recent.share(recent.very_late, likelihood.VERY_LATE_SHARE, now)
             )
-            failed.append(recent.share(recent.errors, ERROR_SHARE, now))
-            shed.append(recent.share(recent.sheds, SHED_SHARE, now))
-        expected.late = max(LATE_SHARE, _upper_median(late))
-        expected.very_late = max(VERY_LATE_SHARE, _upper_median(very_late))
-        expected.errors = max(ERROR_SHARE, PEER_MARGIN * _upper_median(failed))
-        expected.sheds = max(SHED_SHARE, PEER_MARGIN * _upper_median(shed))
+            failed.append(
+                recent.share(recent.errors, likelihood.ERROR_SHARE, now)
+            )
+            shed.append(recent.share(recent.sheds, likelihood.SHED_SHARE, now))
+        expected.late = max(likelihood.LATE_SHARE, _upper_median(late))
+        expected.very_late = max(
+            likelihood.VERY_LATE_SHARE, _upper_median(very_late)
+        )
+        expected.errors = max(
+            likelihood.ERROR_SHARE, PEER_MARGIN * _upper_median(failed)
+        )
+        expected.sheds = max(
+            likelihood.SHED_SHARE, PEER_MARGIN * _upper_median(shed)
+        )
 
     def _decay(self, kept: evidence.KindEvidence, now: float) -> None:
         elapsed_s = now - kept.scored_at_s
@@ -387,30 +393,3 @@
     if not values:
         return 0.0
     return sorted(values)[len(values) // 2]
-
-
-def _capped(share: float, sick: float) -> float:
-    # A share as high as that of an unhealthy target tells nothing.
-    return min(share, sick)
-
-
-def _open_ratio(expected: evidence.Expectation, level: int) -> float:
-    """Log-likelihood ratio of an attempt that has passed some limits."""
-    if level == 0 or expected.very_late >= SICK_VERY_LATE_SHARE:
-        return 0.0
-    if level == 2:
-        return math.log(SICK_VERY_LATE_SHARE / expected.very_late)
-    sick = 1.0 - SICK_PROMPT_SHARE
-    return math.log(sick / min(sick, expected.late))
-
-
-def _closed_ratio(expected: evidence.Expectation, level: int) -> float:
-    """Log-likelihood ratio of a finished attempt."""
-    if level == 2 or expected.very_late >= SICK_VERY_LATE_SHARE:
-        return _open_ratio(expected, level)
-    if level == 0:
-        prompt = max(SICK_PROMPT_SHARE, 1.0 - expected.late)
-        return math.log(SICK_PROMPT_SHARE / prompt)
-    sick = 1.0 - SICK_PROMPT_SHARE - SICK_VERY_LATE_SHARE
-    healthy = max(0.01, expected.late - expected.very_late)
-    return math.log(sick / max(sick / 4.0, healthy))
--- a/fuchsiacourse/health.py
+++ b/fuchsiacourse/health.py
@@ -19,8 +19,10 @@
 from fuchsiacourse import target_row
 from fuchsiacourse import target_states
 
-# Time for which refused or lost connections must stand out before an
-# ejection, so that a network fault shows at the other targets as well.
+# Time for which a target must stand out before an ejection, so that a fault
+# of the network or the observer shows at the other targets as well; longer
+# for refused or lost connections, which come at once.
+SETTLE_S = 0.2
 CONNECTION_SETTLE_S = 0.5
 # A target unheard of for this time counts as cold.
 UNKNOWN_GRACE_S = 5.0
@@ -55,12 +57,14 @@
         detector: detectors.Detector | None = None,
     ) -> None:
         self._shard = shard
-        self._rng = rng
         self._invariants = invariants
         self._detector = detector or detectors.Detector(
             shard=shard,
             false_ejections_per_target_s=false_ejections_per_target_s,
         )
+        self._candidates = orders.Candidates(
+            shard=shard, detector=self._detector, rng=rng
+        )
         self._crash_signs = crash_signs.CrashSigns()
         self._states = target_states.TargetStates(
             shard=shard, detector=self._detector, log=log
@@ -84,7 +88,7 @@
         if attempt.is_canary:
             details.canary_offered = False
             details.canary_used = True
-            details.next_canary_s = now + orders.CANARY_INTERVAL_S
+            details.next_canary_s = now + orders.test_interval_s(row, details)
 
     def finished(
         self,
@@ -117,7 +121,7 @@
             attempt,
             outcome,
             now,
-            shifts_limits=self._shifts_limits(row),
+            shifts_limits=self._states.shifts_limits(row),
         )
         if attempt.is_canary:
             self._states.judge_canary(row, good, outcome, now)
@@ -188,21 +192,15 @@
 
         A canary whose test is due comes first, because behind the healthy
         targets it would only be tested at full load. Healthy and cold
-        targets follow by their use, suspects come last.
+        targets follow by their use. Suspects come last, and only if all
+        others have been full for a moment.
 
         Args:
             kind: Kind of the request.
             now: Monotonic time in seconds.
         """
         self._states.lapse(now)
-        found = []
-        for row in self._shard.targets_by_id.values():
-            if row.leaving or not row.free_slots:
-                continue
-            rank = self._rank(row, kind, now)
-            if rank is not None:
-                found.append(orders.Candidate(row=row, rank=rank))
-        return orders.ranked(found)
+        return self._candidates.listed(kind, now)
 
     def lapse(self, now: float) -> None:
         """Ends ejections of an outdated status, as ``candidates`` does."""
@@ -228,11 +226,11 @@
             since = details.condemned_since_s
             if since is None or row.leaving or row.state in _OUT:
                 continue
-            if details.reason == "errors" and self._crash_signs.is_unreached(
-                row.id, now
-            ):
-                if now - since < CONNECTION_SETTLE_S:
-                    continue
+            settle_s = SETTLE_S
+            if self._crash_signs.is_unreached(row.id, now):
+                settle_s = CONNECTION_SETTLE_S
+            if now - since < settle_s:
+                continue
             if self._states.is_common_fault(row, now):
                 continue
             score = self._detector.score(row, now)
@@ -336,36 +334,6 @@
             and now - details.first_seen_s > UNKNOWN_GRACE_S
         )
 
-    def _rank(
-        self,
-        row: target_row.TargetRow,
-        kind: service_file.RequestKind,
-        now: float,
-    ) -> tuple[int, float, int, float] | None:
-        details = target_health.of(row, now)
-        details.canary_offered = False
-        if row.state is _State.EJECTED:
-            return None
-        if row.state in (_State.CANARY, _State.SUSPECT):
-            if orders.may_test(row, details, self._shard.service, kind, now):
-                details.canary_offered = True
-                return (0, 0.0, 0, self._rng.random())
-            if row.state is _State.CANARY:
-                return None
-            score = self._detector.score(row, now).value
-            return (2, score, row.in_flight, self._rng.random())
-        allowance = row.target.slots
-        if row.state is _State.COLD:
-            allowance = orders.cold_allowance(row, details, now)
-        if row.in_flight >= allowance:
-            return None
-        return (
-            1,
-            row.in_flight / allowance,
-            int(row.state is _State.COLD),
-            self._rng.random(),
-        )
-
     def _note_incarnation(
         self,
         row: target_row.TargetRow,
@@ -384,17 +352,3 @@
             self._states.restart(row, now)
         if draining and change is not incarnations.Change.OUTDATED:
             self._states.set_leaving(row, now, source="target")
-
-    def _shifts_limits(self, row: target_row.TargetRow) -> bool:
-        """Tells whether a target's latencies count for its peers.
-
-        A sick target must not raise the limits, but if most targets are
-        suspect the latencies have changed for all of them.
-        """
-        if row.state in _OUT:
-            return False
-        if row.state is not _State.SUSPECT:
-            return True
-        rows = self._shard.targets_by_id.values()
-        suspects = sum(item.state is _State.SUSPECT for item in rows)
-        return 2 * suspects > len(rows)
--- a/fuchsiacourse/target_health.py
+++ b/fuchsiacourse/target_health.py
@@ -40,6 +40,9 @@
         "is_listed",
         "condemned_since_s",
         "is_suspect",
+        "suspicions",
+        "suspected_at_s",
+        "suspect_until_s",
     )
 
     def __init__(self, *, now: float) -> None:
@@ -74,6 +77,10 @@
         self.is_listed = False
         self.condemned_since_s: float | None = None
         self.is_suspect = False
+        # Number of suspicions, the older ones with less weight.
+        self.suspicions = 0.0
+        self.suspected_at_s = 0.0
+        self.suspect_until_s = 0.0
 
 
 def of(row: target_row.TargetRow, now: float) -> TargetHealth:
--- a/fuchsiacourse/target_states.py
+++ b/fuchsiacourse/target_states.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from fuchsiacourse import candidates as orders
@@ -15,10 +16,19 @@
 
 # Shares of the threshold at which a target becomes suspect and at which it
 # is no longer so.
-SUSPECT_SHARE = 0.5
-CLEAR_SHARE = 0.25
+SUSPECT_SHARE = 0.3
+CLEAR_SHARE = 0.15
 # Failed probes or bad reports in a row that make a target suspect.
 WEAK_SIGNS = 3
+# A target stays suspect for at least this time; the time triples with each
+# suspicion of late, because a flapping target looks good between its faults.
+FIRST_SUSPICION_S = 1.5
+# The same for a kind that no test may use.
+UNTESTABLE_SUSPICION_S = 5.0
+SUSPICION_FACTOR = 3.0
+MAX_SUSPICION_S = 60.0
+# Earlier suspicions lose all but 1/e of their weight in this time.
+SUSPICION_MEMORY_S = 30.0
 # An ejection younger than this counts as happening at the same time.
 AT_ONCE_S = 30.0
 FIRST_BACKOFF_S = 5.0
@@ -205,9 +215,20 @@
         elif details.condemned_since_s is None:
             details.condemned_since_s = now
             details.reason = score.reason
+        if (
+            details.is_suspect
+            and now >= details.suspect_until_s
+            and score.value < threshold
+            and not orders.is_testable(self._shard.service, score.kind)
+        ):
+            # No test can clear the target, so it gets ordinary work again
+            # and a longer suspicion if that fails.
+            self._detector.lower(row, CLEAR_SHARE * threshold / 2.0)
+            score = self._detector.score(row, now)
         share = CLEAR_SHARE if details.is_suspect else SUSPECT_SHARE
         suspect = (
             score.value >= share * threshold
+            or (details.is_suspect and now < details.suspect_until_s)
             or details.weak_signs >= WEAK_SIGNS
             or (details.is_listed and not details.is_readmitted)
         )
@@ -215,7 +236,9 @@
             return
         details.is_suspect = suspect
         if suspect:
-            details.sick_kind = score.kind
+            strong = score.value >= SUSPECT_SHARE * threshold
+            details.sick_kind = score.kind if strong else ""
+            self._remember_suspicion(details, now)
         self.update_suspects(now)
 
     def update_suspects(self, now: float) -> None:
@@ -241,6 +264,20 @@
             if slots < needed:
                 slots += row.target.slots
 
+    def shifts_limits(self, row: target_row.TargetRow) -> bool:
+        """Tells whether a target's latencies count for its peers.
+
+        A sick target must not raise the limits, but if most targets are
+        suspect the latencies have changed for all of them.
+        """
+        if row.state in OUT:
+            return False
+        if row.state is not _State.SUSPECT:
+            return True
+        rows = self._shard.targets_by_id.values()
+        suspects = sum(item.state is _State.SUSPECT for item in rows)
+        return 2 * suspects > len(rows)
+
     def is_common_fault(self, row: target_row.TargetRow, now: float) -> bool:
         """Tells whether most targets of the shard or zone fail at once.
 
@@ -256,7 +293,12 @@
             if out and now - details.ejected_at_s > AT_ONCE_S:
                 continue
             in_zone = other.target.availability_zone == zone
-            unhealthy = out or details.is_suspect
+            unhealthy = (
+                out
+                or details.weak_signs >= WEAK_SIGNS
+                or self._detector.score(other, now).value
+                >= SUSPECT_SHARE * self._detector.threshold
+            )
             for index, counted in enumerate((True, in_zone)):
                 counts[index] += counted
                 sick[index] += counted and unhealthy
@@ -285,6 +327,20 @@
         self._detector.reset(row, now)
         self.enter(row, _State.COLD, now)
 
+    def _remember_suspicion(
+        self, details: target_health.TargetHealth, now: float
+    ) -> None:
+        elapsed_s = now - details.suspected_at_s
+        weight = math.exp(-max(0.0, elapsed_s) / SUSPICION_MEMORY_S)
+        details.suspicions = details.suspicions * weight
+        first_s = FIRST_SUSPICION_S
+        if not orders.is_testable(self._shard.service, details.sick_kind):
+            first_s = UNTESTABLE_SUSPICION_S
+        hold_s = first_s * SUSPICION_FACTOR**details.suspicions
+        details.suspect_until_s = now + min(MAX_SUSPICION_S, hold_s)
+        details.suspicions += 1.0
+        details.suspected_at_s = now
+
     def _set_suspicion(
         self, row: target_row.TargetRow, suspect: bool, now: float
     ) -> None:
