--- a/fuchsiacourse/shard_upkeep.py
+++ b/fuchsiacourse/shard_upkeep.py
@@ -1,4 +1,4 @@
-"""Periodic work on the shards: probes, host list, ejection, quarantine."""
+"""Periodic work on shards: probes, host list, ejection, quarantine."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 from fuchsiacourse import health as healths
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import logs
+from fuchsiacourse import members as member_tables
 from fuchsiacourse import prober
 from fuchsiacourse import quarantine as quarantines
 from fuchsiacourse import settings as settings_files
@@ -23,12 +24,17 @@
 from fuchsiacourse import target_row
 from fuchsiacourse import timers as timer_service
 
-_EJECTION_INTERVAL_S = 0.25
-_QUARANTINE_INTERVAL_S = 0.25
+_EXCHANGE_INTERVAL_S = 0.25
+# The host list is looked at for each tick of this interval and read when it
+# is due.
+_HOSTS_TICK_S = 0.5
 _HOSTS_INTERVAL_S = 2.0
+# Bound on reads of the host list by the whole fleet. The platform allows
+# about 2,000 reads a second for everything.
+_HOSTS_READS_PER_S = 200.0
 
-ShardKey = tuple[str, str]
 Runners = collections.abc.Callable[[], list[shard_runner.ShardRunner]]
+NewHealth = collections.abc.Callable[[shards.Shard], typing.Any]
 
 
 class ShardUpkeep:
@@ -38,15 +44,15 @@
         settings: Settings of dispatch.
         clock: Source of time.
         timers: Timer service of the process.
-        rng: Source of the jitter.
-        self_id: Own member identifier.
+        rng: Source of randomness.
+        members: Members of the fleet.
         config: Configuration in force.
         target_client: Port to the targets.
         store: Port to the platform's object API.
         invariants: Receives the checks.
         log: Logger.
-        new_health: Makes the health of a shard; if it is given, no
-            ejection takes place.
+        new_health: Makes the health of a shard, by default
+            ``health.Health``; another one is not ejected by.
     """
 
     def __init__(
@@ -56,27 +62,30 @@
         clock: clocks.Clock,
         timers: timer_service.Timers,
         rng: random.Random,
-        self_id: str,
+        members: member_tables.Members,
         config: config_table.ConfigTable,
         target_client: target_clients.TargetClient,
         store: stores.Store,
         invariants: invariant_checks.Invariants,
         log: typing.Any,
-        new_health: typing.Callable[[shards.Shard], typing.Any] | None,
+        new_health: NewHealth | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._timers = timers
         self._rng = rng
-        self._self_id = self_id
+        self._members = members
+        self._hosts_due_s = 0.0
         self._config = config
         self._store = store
         self._invariants = invariants
         self._log = log
         self._new_health = new_health
         self._quarantines_by_service: dict[str, quarantines.Quarantine] = {}
-        self._agents_by_key: dict[ShardKey, ejection_agent.EjectionAgent] = {}
-        self._healths_by_key: dict[ShardKey, typing.Any] = {}
+        self._agents_by_key: dict[
+            tuple[str, str], ejection_agent.EjectionAgent
+        ] = {}
+        self._runners: Runners = list
         self._prober = prober.Prober(
             interval_s=settings.probe_interval_s,
             clock=clock,
@@ -84,7 +93,6 @@
             rng=rng,
             target_client=target_client,
         )
-        self._runners: Runners = list
 
     def start(self, runners: Runners) -> None:
         """Starts the timers.
@@ -96,11 +104,8 @@
         self._timers.every(
             prober.TICK_S, lambda: self._prober.run_due(runners())
         )
-        self._timers.every(_HOSTS_INTERVAL_S, self._read_hosts, jitter=0.1)
-        self._timers.every(_EJECTION_INTERVAL_S, self._run_agents, jitter=0.1)
-        self._timers.every(
-            _QUARANTINE_INTERVAL_S, self._run_quarantines, jitter=0.1
-        )
+        self._timers.every(_HOSTS_TICK_S, self._read_hosts_if_due)
+        self._timers.every(_EXCHANGE_INTERVAL_S, self._exchange)
 
     def health_of(self, shard: shards.Shard) -> typing.Any:
         """Makes the health of a shard."""
@@ -118,39 +123,46 @@
 
     def added(self, runner: shard_runner.ShardRunner) -> None:
         """Takes over a shard."""
-        key = runner.shard.key
-        if key[0] not in self._quarantines_by_service:
-            self._quarantines_by_service[key[0]] = quarantines.Quarantine(
-                service=key[0],
+        service = runner.shard.service.service
+        if service not in self._quarantines_by_service:
+            quarantine = quarantines.Quarantine(
+                service=service,
                 store=self._store,
                 clock=self._clock,
                 log=self._log,
             )
-        if self._new_health is not None:
-            return
-        self._healths_by_key[key] = runner.health
-        self._quarantines_by_service[key[0]].subscribe(
-            runner.health.crash_explained
-        )
-        self._agents_by_key[key] = ejection_agent.EjectionAgent(
-            shard=runner.shard,
-            health=runner.health,
-            store=self._store,
-            clock=self._clock,
-            config=self._config,
-            self_id=self._self_id,
-            log=self._log,
-            invariants=self._invariants,
-        )
+            quarantine.subscribe(
+                lambda target_ids: self._explained(service, target_ids)
+            )
+            self._quarantines_by_service[service] = quarantine
+            self._timers.spawn(quarantine.run_once())
+        if self._new_health is None:
+            self._agents_by_key[runner.shard.key] = (
+                ejection_agent.EjectionAgent(
+                    shard=runner.shard,
+                    health=runner.health,
+                    store=self._store,
+                    clock=self._clock,
+                    config=self._config,
+                    self_id=self._members.self.id,
+                    log=self._log,
+                    invariants=self._invariants,
+                )
+            )
+
+    def dropped(
+        self, runner: shard_runner.ShardRunner, *, is_last: bool
+    ) -> None:
+        """Forgets a shard.
 
-    def dropped(self, runner: shard_runner.ShardRunner) -> None:
-        """Forgets a shard."""
-        key = runner.shard.key
+        Args:
+            runner: Runner of the shard.
+            is_last: Whether no other shard of its service is left.
+        """
         self._prober.forget(runner)
-        self._agents_by_key.pop(key, None)
-        self._healths_by_key.pop(key, None)
-        if not any(other[0] == key[0] for other in self._healths_by_key):
-            self._quarantines_by_service.pop(key[0], None)
+        self._agents_by_key.pop(runner.shard.key, None)
+        if is_last:
+            del self._quarantines_by_service[runner.shard.service.service]
 
     def is_quarantined(self, service: str, fingerprint: str) -> bool:
         """Whether requests with a fingerprint are refused."""
@@ -161,53 +173,55 @@
 
     def attempt_ended(
         self,
-        key: ShardKey,
+        runner: shard_runner.ShardRunner,
         row: target_row.TargetRow,
         attempt: target_row.Attempt,
         outcome: target_row.Outcome,
     ) -> None:
         """Notes the end of an attempt."""
-        quarantine = self._quarantines_by_service.get(key[0])
+        quarantine = self._quarantines_by_service.get(
+            runner.shard.service.service
+        )
         if outcome is target_row.Outcome.OK and quarantine is not None:
             quarantine.answered(attempt.fingerprint)
-        if outcome is target_row.Outcome.CONNECTION_LOST:
-            self._prober.probe_soon(key, row)
-        if outcome in (
-            target_row.Outcome.CONNECTION_LOST,
-            target_row.Outcome.UNREACHABLE,
-        ):
-            self._report_crashes(key)
-
-    def _report_crashes(self, key: ShardKey) -> None:
-        health = self._healths_by_key.get(key)
-        if health is None:
-            return
-        quarantine = self._quarantines_by_service[key[0]]
-        now = self._clock.now()
-        for crash in health.take_crashes():
-            for fingerprint in crash.fingerprints:
-                quarantine.crashed(fingerprint, crash.target_id, now)
+        elif outcome is target_row.Outcome.CONNECTION_LOST:
+            # The probe tells a crash from a broken connection.
+            self._prober.hurry(runner, row)
 
-    async def _run_agents(self) -> None:
+    def _explained(self, service: str, target_ids: list[str]) -> None:
         for runner in self._runners():
+            if runner.shard.service.service == service:
+                runner.health.crash_explained(target_ids)
+
+    def _exchange(self) -> None:
+        runners = self._runners()
+        for runner in runners:
+            self._take_crashes(runner)
             agent = self._agents_by_key.get(runner.shard.key)
             if agent is not None:
-                # A slow platform must not hold up the other shards.
                 self._timers.spawn(agent.run_once())
-
-    async def _run_quarantines(self) -> None:
-        services = set()
-        for runner in self._runners():
-            self._report_crashes(runner.shard.key)
-            services.add(runner.shard.key[0])
-        for service in services:
+        for service in {item.shard.service.service for item in runners}:
             quarantine = self._quarantines_by_service[service]
             self._timers.spawn(quarantine.run_once())
 
-    async def _read_hosts(self) -> None:
-        runners = self._runners()
-        if not runners:
+    def _take_crashes(self, runner: shard_runner.ShardRunner) -> None:
+        quarantine = self._quarantines_by_service[runner.shard.service.service]
+        now = self._clock.now()
+        for crash in runner.health.take_crashes():
+            for fingerprint in crash.fingerprints:
+                quarantine.crashed(fingerprint, crash.target_id, now)
+
+    async def _read_hosts_if_due(self) -> None:
+        now = self._clock.now()
+        if now < self._hosts_due_s or not self._runners():
             return
+        readers = len(self._members.alive(member_tables.DISPATCH))
+        self._hosts_due_s = now + max(
+            _HOSTS_INTERVAL_S, readers / _HOSTS_READS_PER_S
+        )
+        await self._read_hosts()
+
+    async def _read_hosts(self) -> None:
         try:
             hosts = await self._store.hosts()
         except errors.StoreError as error:
@@ -215,7 +229,7 @@
             return
         leaving = {host.address for host in hosts if host.leaving}
         now = self._clock.now()
-        for runner in runners:
+        for runner in self._runners():
             for row in runner.shard.targets_by_id.values():
                 if row.target.address in leaving:
                     runner.health.host_leaving(row, now)
