Add a test of a new owner and leaving targets, known to fail

A process that takes a shard over has not heard of its targets yet and sends to all of them; the first probe comes up to 1 s later.

--- a/bench/soak_targets.py
+++ b/bench/soak_targets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import functools
 import hashlib
 import json
 import math
@@ -21,6 +22,10 @@
 # that targets cancel its requests. The others are losses of the host.
 CLOSED_SHARE = 0.5
 
+Start = typing.Callable[
+    [], typing.Coroutine[typing.Any, typing.Any, typing.Any]
+]
+
 ANSWER_FIELDS = ("path", "digest")
 
 
@@ -107,13 +112,15 @@
         self, call: target_client.TargetCall
     ) -> target_client.TargetAnswer:
         """Sends a request; its end passes the gate of the process."""
-        return await self._run(self._targets.send(call))
+        return await self._run(functools.partial(self._targets.send, call))
 
     async def probe(
         self, address: str, *, path: str
     ) -> target_client.TargetReport:
         """Asks a target for its report."""
-        return await self._run(self._targets.probe(address, path=path))
+        return await self._run(
+            functools.partial(self._targets.probe, address, path=path)
+        )
 
     def kill(self) -> None:
         """Ends the process; its connections may be closed."""
@@ -121,11 +128,9 @@
             for task in list(self._sent):
                 task.cancel()
 
-    async def _run(
-        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
-    ) -> typing.Any:
+    async def _run(self, start: Start) -> typing.Any:
         await self._gate.passing()
-        task = asyncio.ensure_future(coroutine)
+        task = asyncio.ensure_future(start())
         self._sent[task] = None
         task.add_done_callback(self._ended)
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,13 @@
 """Short runs of the soak with fixed seeds."""
 
+import asyncio
 import unittest
 
+from bench import soak_fleet
 from bench import soak_mutations
 from bench import soak_run
+from bench import virtual_loop
+from fuchsiacourse import members
 
 
 class SoakTest(unittest.TestCase):
@@ -30,3 +34,28 @@
                 result = soak_run.run(1, 6, mutation=name, is_settling=False)
                 mutation = soak_mutations.MUTATIONS_BY_NAME[name]
                 self.assertTrue(mutation.first_break(result.broken))
+
+    def test_new_owner_sends_nothing_to_a_leaving_target(self):
+        """Guards against an owner that has not heard of the target yet."""
+        for seed in range(1, 4):
+            with self.subTest(seed=seed):
+                late = virtual_loop.run(self.replace_owners(seed))
+                self.assertEqual([], late)
+
+    async def replace_owners(self, seed: int) -> list[str]:
+        fleet = soak_fleet.SoakFleet(seed=seed)
+        await fleet.start()
+        await asyncio.sleep(4)
+        for target in list(fleet.targets.targets_by_address.values())[::4]:
+            target.is_draining = True
+            known_s = fleet.clock.now()
+            fleet.targets.leaving_known_s[target.address] = known_s
+        await asyncio.sleep(4)
+        for process in fleet.running:
+            if process.role == members.DISPATCH:
+                fleet.replace(process)
+                await asyncio.sleep(1)
+                process.kill()
+        await asyncio.sleep(2)
+        await fleet.stop_callers()
+        return fleet.targets.late_starts
