--- a/bench/fake_links.py
+++ b/bench/fake_links.py
@@ -58,6 +58,11 @@
         """Returns the running state of the process with an IP number."""
         return self._gates_by_ip.setdefault(ip, process_gate.ProcessGate())
 
+    def end_run(self) -> None:
+        """Lets the event loop close, whatever processes wait for."""
+        for gate in self._gates_by_ip.values():
+            gate.end_run()
+
     def link(self, source: str, destination: str) -> Link:
         """Returns the condition of the way between two IP numbers."""
         return self.links_by_pair.get((source, destination), self.default)
--- a/bench/process_gate.py
+++ b/bench/process_gate.py
@@ -18,12 +18,13 @@
     and replies of its ports go on after a pause, and never after a kill.
     """
 
-    __slots__ = ("_running", "_waiting", "is_killed")
+    __slots__ = ("_running", "_waiting", "_is_run_over", "is_killed")
 
     def __init__(self) -> None:
         self._running = asyncio.Event()
         self._running.set()
         self._waiting: list[Callback] = []
+        self._is_run_over = False
         self.is_killed = False
 
     @property
@@ -35,7 +36,7 @@
         """Waits for the end of a pause; never returns after a kill."""
         while not self._running.is_set():
             await self._running.wait()
-        if self.is_killed:
+        if self.is_killed and not self._is_run_over:
             await asyncio.get_running_loop().create_future()
 
     def deliver(self, callback: Callback, *, is_datagram: bool) -> None:
@@ -74,3 +75,12 @@
         self.is_killed = True
         self._waiting.clear()
         self._running.set()
+
+    def end_run(self) -> None:
+        """Lets the tasks of ended processes be cancelled.
+
+        What a task does after its cancellation passes the gate as well,
+        and would keep the event loop from closing.
+        """
+        self._is_run_over = True
+        self._running.set()
