Add service-level burn: collection, platform objects and the report

Cause: entries counted answers by kind and month, but nothing kept the counts or showed them to operators.

Change: entries report changed rows to two collectors of their zone; the first merges cumulative rows by incarnation into burn/<zone>/<month>, so repeats, lost replies and outages neither lose nor double counts; the report program prints a table, JSON and a page with plots.

Not run yet against a real fleet.

--- /dev/null
+++ b/fuchsiacourse/burn_view.py
@@ -0,0 +1,274 @@
+"""Service-level burn computed from the platform's objects."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import burn_object
+from fuchsiacourse import errors
+from fuchsiacourse import service_file
+from fuchsiacourse import store as stores
+
+SHORT_WINDOW_S = 3_600.0
+LONG_WINDOW_S = 72 * 3_600.0
+
+
+class KindBurn:
+    """Service level of one request kind in one month.
+
+    Args:
+        service: Name of the service.
+        kind: Name of the request kind.
+        counts: Counts of all zones.
+        objective: Share of good requests asked for; None without one.
+        burn_short: Burn rate over the last hour; None without samples.
+        burn_long: Burn rate over the last 72 hours.
+        points: Unix times and shares of good requests between samples.
+    """
+
+    __slots__ = (
+        "service",
+        "kind",
+        "counts",
+        "objective",
+        "burn_short",
+        "burn_long",
+        "points",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        kind: str,
+        counts: burn_object.BurnRow,
+        objective: float | None,
+        burn_short: float | None,
+        burn_long: float | None,
+        points: list[tuple[float, float]],
+    ) -> None:
+        self.service = service
+        self.kind = kind
+        self.counts = counts
+        self.objective = objective
+        self.burn_short = burn_short
+        self.burn_long = burn_long
+        self.points = points
+
+    @property
+    def name(self) -> str:
+        """Service and kind."""
+        return f"{self.service}/{self.kind}"
+
+    @property
+    def good_share(self) -> float:
+        """Share of requests answered whole and in time."""
+        return _share(self.counts.good, self.counts.total)
+
+    @property
+    def worth_share(self) -> float:
+        """Share of the worth that was served in time."""
+        return _share(self.counts.worth_served, self.counts.worth)
+
+    @property
+    def budget_left(self) -> float | None:
+        """Share of the month's errors that may still happen.
+
+        It counts the requests so far; a negative value means that the
+        objective is missed.
+        """
+        if self.objective is None or not self.counts.total:
+            return None
+        return 1.0 - (1.0 - self.good_share) / (1.0 - self.objective)
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Returns the service level as JSON values."""
+        return {
+            "service": self.service,
+            "kind": self.kind,
+            "total": self.counts.total,
+            "good": self.counts.good,
+            "good_share": self.good_share,
+            "worth": self.counts.worth,
+            "worth_served": self.counts.worth_served,
+            "worth_share": self.worth_share,
+            "objective": self.objective,
+            "budget_left": self.budget_left,
+            "burn_1h": self.burn_short,
+            "burn_72h": self.burn_long,
+        }
+
+
+class BurnView:
+    """Service levels of all kinds in one month.
+
+    Args:
+        month: Calendar month.
+        kinds: Kinds with requests or an objective, the worst first.
+        problems: Objects that could not be read.
+    """
+
+    def __init__(
+        self, *, month: str, kinds: list[KindBurn], problems: list[str]
+    ) -> None:
+        self.month = month
+        self.kinds = kinds
+        self.problems = problems
+
+    @property
+    def worth_share(self) -> float:
+        """Worth served in time as a share of all worth."""
+        served = sum(item.counts.worth_served for item in self.kinds)
+        return _share(served, sum(item.counts.worth for item in self.kinds))
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Returns the view as JSON values."""
+        return {
+            "month": self.month,
+            "worth_share": self.worth_share,
+            "kinds": [item.as_dict() for item in self.kinds],
+            "problems": self.problems,
+        }
+
+
+async def read(
+    store: stores.Store,
+    services_by_name: dict[str, service_file.ServiceFile],
+    *,
+    month: str,
+) -> BurnView:
+    """Reads the counters of all zones for a month.
+
+    Args:
+        store: Object API.
+        services_by_name: Service files in force.
+        month: Calendar month, ``2026-01``.
+
+    Raises:
+        StoreError: The platform does not answer.
+    """
+    objects = []
+    problems = []
+    for stored in await store.list(burn_object.PREFIX):
+        if not stored.key.endswith(f"/{month}"):
+            continue
+        try:
+            objects.append(burn_object.decode(stored.value))
+        except errors.StoreError as error:
+            problems.append(f"{stored.key}: {error}")
+    return BurnView(
+        month=month,
+        kinds=combine(objects, services_by_name),
+        problems=problems,
+    )
+
+
+def combine(
+    objects: list[burn_object.BurnObject],
+    services_by_name: dict[str, service_file.ServiceFile],
+) -> list[KindBurn]:
+    """Returns the service level of each kind, the worst first."""
+    names = {
+        (service.service, kind.name)
+        for service in services_by_name.values()
+        for kind in service.kinds
+    }
+    for item in objects:
+        names |= item.totals().keys()
+    kinds = [
+        _kind_burn(name, objects, services_by_name) for name in sorted(names)
+    ]
+    return sorted(kinds, key=_badness, reverse=True)
+
+
+def _kind_burn(
+    name: burn_object.RowKey,
+    objects: list[burn_object.BurnObject],
+    services_by_name: dict[str, service_file.ServiceFile],
+) -> KindBurn:
+    counts = burn_object.BurnRow()
+    for item in objects:
+        counts = counts.plus(item.totals().get(name, burn_object.BurnRow()))
+    objective = _objective(name, services_by_name)
+    return KindBurn(
+        service=name[0],
+        kind=name[1],
+        counts=counts,
+        objective=objective,
+        burn_short=_burn(name, objects, objective, SHORT_WINDOW_S),
+        burn_long=_burn(name, objects, objective, LONG_WINDOW_S),
+        points=_points(name, objects),
+    )
+
+
+def _objective(
+    name: burn_object.RowKey,
+    services_by_name: dict[str, service_file.ServiceFile],
+) -> float | None:
+    service = services_by_name.get(name[0])
+    if service is None:
+        return None
+    for objective in service.objectives:
+        if objective.kind == name[1]:
+            return objective.ratio
+    return None
+
+
+def _burn(
+    name: burn_object.RowKey,
+    objects: list[burn_object.BurnObject],
+    objective: float | None,
+    window_s: float,
+) -> float | None:
+    """Returns how many times faster than allowed errors happen.
+
+    A rate of 1 uses up exactly the budget of the objective.
+    """
+    total = good = 0
+    for item in objects:
+        counted = _window(name, item, window_s)
+        total += counted[0]
+        good += counted[1]
+    if objective is None or not total:
+        return None
+    return (1.0 - good / total) / (1.0 - objective)
+
+
+def _window(
+    name: burn_object.RowKey, item: burn_object.BurnObject, window_s: float
+) -> tuple[int, int]:
+    """Returns total and good requests of one zone within a window."""
+    if not item.samples:
+        return 0, 0
+    last = item.totals().get(name, burn_object.BurnRow())
+    begin_s = item.samples[-1].at - window_s
+    before = [sample for sample in item.samples if sample.at <= begin_s]
+    first = (0, 0)
+    if before:
+        first = before[-1].counts_by_key.get(name, (0, 0))
+    return last.total - first[0], last.good - first[1]
+
+
+def _points(
+    name: burn_object.RowKey, objects: list[burn_object.BurnObject]
+) -> list[tuple[float, float]]:
+    """Returns the share of good requests after each sample of a zone."""
+    points = []
+    for item in objects:
+        previous = (0, 0)
+        for sample in item.samples:
+            counts = sample.counts_by_key.get(name, (0, 0))
+            total = counts[0] - previous[0]
+            if total > 0:
+                points.append((sample.at, (counts[1] - previous[1]) / total))
+            previous = counts
+    return sorted(points)
+
+
+def _badness(item: KindBurn) -> float:
+    left = item.budget_left
+    return -1e9 if left is None else -left
+
+
+def _share(part: float, whole: float) -> float:
+    return part / whole if whole else 1.0
--- a/fuchsiacourse/dispatch.py
+++ b/fuchsiacourse/dispatch.py
@@ -8,6 +8,7 @@
 import typer
 
 from fuchsiacourse import aiohttp_target_client
+from fuchsiacourse import burn_collector
 from fuchsiacourse import dispatch_service
 from fuchsiacourse import member
 from fuchsiacourse import members
@@ -45,6 +46,14 @@
             log=self.log,
             metrics=self.metrics,
         )
+        self._burn_collector = burn_collector.BurnCollector(
+            clock=self.clock,
+            timers=self.timers,
+            members=self.node.members,
+            store=self.store,
+            log=self.log,
+        )
+        self.rpc_server.add_burn(report=self._burn_collector.report)
         self.rpc_server.add_dispatch(
             execute=self.service.execute, withdraw=self.service.withdraw
         )
@@ -52,11 +61,13 @@
     async def start_service(self) -> None:
         """Starts the timers of the shards."""
         self.service.start()
+        self._burn_collector.start()
 
     async def drain_service(self) -> None:
         """Passes on what is queued and finishes what is at targets."""
         self.node.set_state(member.State.LEAVING)
         await self.service.drain()
+        await self._burn_collector.flush()
         # Entries that have not heard of the stop yet get a certain refusal
         # from this process, which a closed connection would not give them.
         await self.clock.sleep(LINGER_S)
--- a/fuchsiacourse/entry.py
+++ b/fuchsiacourse/entry.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from fuchsiacourse import burn_sender
 from fuchsiacourse import entry_app
 from fuchsiacourse import entry_service
 from fuchsiacourse import http_server
@@ -39,6 +40,13 @@
             log=self.log,
             metrics=self.metrics,
         )
+        self._burn_sender = burn_sender.BurnSender(
+            counters=self.service.burn,
+            members=self.node.members,
+            peers=self.peers,
+            timers=self.timers,
+            log=self.log,
+        )
         self.rpc_server.add_entry(
             relay=self.service.relay, hand_over=self.service.hand_over
         )
@@ -57,10 +65,12 @@
     async def start_service(self) -> None:
         """Starts to serve callers."""
         await self._http_server.start()
+        self._burn_sender.start()
 
     async def drain_service(self) -> None:
         """Leaves the address lists, waits and hands the ledger over."""
         await self.service.drain()
+        await self._burn_sender.send()
 
     async def stop_service(self) -> None:
         """Closes the caller port."""
--- a/fuchsiacourse/fleet_grpc.py
+++ b/fuchsiacourse/fleet_grpc.py
@@ -126,3 +126,31 @@
             fuchsiacourse.fleet_pb2.FetchRequest,
             fuchsiacourse.fleet_pb2.FetchReply,
         )
+
+
+class BurnRpcBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Report(self, stream: 'grpclib.server.Stream[fuchsiacourse.fleet_pb2.BurnReport, fuchsiacourse.fleet_pb2.BurnAck]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/fuchsiacourse.BurnRpc/Report': grpclib.const.Handler(
+                self.Report,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                fuchsiacourse.fleet_pb2.BurnReport,
+                fuchsiacourse.fleet_pb2.BurnAck,
+            ),
+        }
+
+
+class BurnRpcStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Report = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/fuchsiacourse.BurnRpc/Report',
+            fuchsiacourse.fleet_pb2.BurnReport,
+            fuchsiacourse.fleet_pb2.BurnAck,
+        )
--- a/fuchsiacourse/grpc_peers.py
+++ b/fuchsiacourse/grpc_peers.py
@@ -8,6 +8,7 @@
 import grpclib.client
 import grpclib.exceptions
 
+from fuchsiacourse import burn_peers
 from fuchsiacourse import errors
 from fuchsiacourse import fleet_grpc
 from fuchsiacourse import fleet_pb2
@@ -25,7 +26,7 @@
 )
 
 
-class GrpcPeers(peers.Peers):
+class GrpcPeers(peers.Peers, burn_peers.BurnPeers):
     """Calls peers with one HTTP/2 connection for each address."""
 
     __slots__ = ("_channels_by_address",)
@@ -77,6 +78,17 @@
         stub = fleet_grpc.EntryRpcStub(self._channel(address))
         return await self._call(stub.HandOver, request, timeout_s)
 
+    async def report_burn(
+        self,
+        address: str,
+        report: fleet_pb2.BurnReport,
+        *,
+        timeout_s: float,
+    ) -> fleet_pb2.BurnAck:
+        """Sends counters of service levels to a collector."""
+        stub = fleet_grpc.BurnRpcStub(self._channel(address))
+        return await self._call(stub.Report, report, timeout_s)
+
     async def fetch_config(
         self,
         address: str,
--- a/fuchsiacourse/grpc_server.py
+++ b/fuchsiacourse/grpc_server.py
@@ -58,6 +58,14 @@
         await _serve(stream, self._fetch)
 
 
+class _Burn(fleet_grpc.BurnRpcBase):
+    def __init__(self, *, report: Handler) -> None:
+        self._report = report
+
+    async def Report(self, stream: typing.Any) -> None:
+        await _serve(stream, self._report)
+
+
 class GrpcServer:
     """Serves the calls of other processes.
 
@@ -82,6 +90,10 @@
         """Adds the calls of the configuration agent."""
         self._services.append(_Config(fetch=fetch))
 
+    def add_burn(self, *, report: Handler) -> None:
+        """Adds the calls of a burn collector."""
+        self._services.append(_Burn(report=report))
+
     async def start(self) -> None:
         """Starts to listen."""
         ip, _, port = self._address.rpartition(":")
--- /dev/null
+++ b/fuchsiacourse/report.py
@@ -0,0 +1,137 @@
+"""Program that reports the burn of the service-level objectives."""
+
+from __future__ import annotations
+
+import functools
+import json
+import pathlib
+import typing
+
+import rich.console
+import rich.table
+import typer
+
+from fuchsiacourse import burn_counters
+from fuchsiacourse import burn_page
+from fuchsiacourse import burn_view
+from fuchsiacourse import fleet_view
+from fuchsiacourse import http_store
+from fuchsiacourse import operator_program
+from fuchsiacourse import settings
+from fuchsiacourse import system_clock
+
+app = typer.Typer(add_completion=False)
+
+_FILE_WIDTH = 140
+
+
+class Report:
+    """Service levels and the targets that are not in use.
+
+    Args:
+        view: Service levels.
+        ejections: Rows of targets that are ejected, leaving or cold.
+        at: Unix time of the reading in seconds.
+    """
+
+    __slots__ = ("view", "ejections", "at")
+
+    def __init__(
+        self,
+        *,
+        view: burn_view.BurnView,
+        ejections: burn_page.EjectionRows,
+        at: float,
+    ) -> None:
+        self.view = view
+        self.ejections = ejections
+        self.at = at
+
+
+@app.command()
+def main(
+    settings_path: operator_program.SettingsOption,
+    month: typing.Annotated[
+        str | None,
+        typer.Option(help="Month, as 2026-01; by default this one (UTC)."),
+    ] = None,
+    html: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="File to write the page with plots to."),
+    ] = None,
+    as_json: operator_program.JsonOption = False,
+) -> None:
+    """Shows error budgets, burn rates and ejections of one month."""
+    report = operator_program.run(
+        settings_path, functools.partial(_read, month)
+    )
+    if html is not None:
+        page = burn_page.render(report.view, report.ejections, at=report.at)
+        html.write_text(page, encoding="utf-8")
+    if as_json:
+        content = report.view.as_dict() | {"not_in_use": report.ejections}
+        print(json.dumps(content))
+        return
+    _show(report)
+
+
+async def _read(
+    month: str | None,
+    options: settings.OperatorSettings,
+    store: http_store.HttpStore,
+) -> Report:
+    now = system_clock.SystemClock().wall()
+    fleet = await fleet_view.read(store)
+    view = await burn_view.read(
+        store,
+        fleet.services_by_name,
+        month=month or burn_counters.month_of(now, time_zone="UTC"),
+    )
+    ejections = [
+        {"service": name} | row
+        for name in fleet.services_by_name
+        for row in fleet.targets(name)
+        if row["state"] != "in use"
+    ]
+    return Report(view=view, ejections=ejections, at=now)
+
+
+def _show(report: Report) -> None:
+    console = rich.console.Console(markup=False, highlight=False)
+    if not console.is_terminal:
+        console.width = _FILE_WIDTH
+    table = rich.table.Table(
+        "kind",
+        "requests",
+        "in time",
+        "objective",
+        "budget left",
+        "burn 1 h",
+        "burn 72 h",
+        "worth in time",
+        title=f"Service levels in {report.view.month}",
+    )
+    for item in report.view.kinds:
+        table.add_row(
+            item.name,
+            str(item.counts.total),
+            f"{item.good_share:.2%}",
+            burn_page.percent(item.objective),
+            burn_page.percent(item.budget_left),
+            burn_page.factor(item.burn_short),
+            burn_page.factor(item.burn_long),
+            f"{item.worth_share:.2%}",
+        )
+    console.print(table)
+    console.print(f"worth served in time: {report.view.worth_share:.2%}")
+    for row in report.ejections:
+        console.print(
+            f"{row['service']}/{row['target']} is {row['state']}:"
+            f" {row.get('reason', '')}"
+        )
+    for line in report.view.problems:
+        console.print(f"unreadable: {line}")
+
+
+if __name__ == "__main__":
+    app()
