Show in ctl which ejections the floor keeps out of effect

Cause: a target that the floor re-admits was shown as ejected.

Change: FleetView reads status objects with service_status and applies floor.in_effect; such a target is shown as re-admitted.

--- a/fuchsiacourse/ctl.py
+++ b/fuchsiacourse/ctl.py
@@ -69,8 +69,6 @@
         f" {content['total_slots']} slots in use, floor"
         f" {content['floor_slots']}"
     )
-    if content["floor_readmits"]:
-        console.print("below the floor: ejected targets are used again")
     _show(console, "Shards", content["shards"])
     _show(console, "Targets", content["targets"])
     for row in content["targets"]:
--- a/fuchsiacourse/fleet_view.py
+++ b/fuchsiacourse/fleet_view.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import typing
 
 import pydantic
 
 from fuchsiacourse import errors
+from fuchsiacourse import floor
 from fuchsiacourse import in_force
 from fuchsiacourse import manifest as manifests
 from fuchsiacourse import members as member_table
 from fuchsiacourse import rendezvous
 from fuchsiacourse import service_file
+from fuchsiacourse import service_status
 from fuchsiacourse import store as stores
 
-STATUS_PREFIX = "status/"
+_STATUS_PREFIX = service_status.key("")
+# States of a target that gets ordinary work.
+IN_USE = ("in use", "re-admitted")
 _PARALLEL_READS = 8
 
 Json = dict[str, typing.Any]
@@ -28,7 +31,7 @@
     Args:
         manifest: The published manifest.
         services_by_name: Service files of the manifest.
-        status_by_service: Content of the ``status/`` objects.
+        status_by_service: Status of the services that have one.
         reports: Reports of the zones.
         hosts: The platform's list of hosts.
         problems: Objects that could not be read, with the reason.
@@ -39,7 +42,7 @@
         *,
         manifest: manifests.Manifest,
         services_by_name: dict[str, service_file.ServiceFile],
-        status_by_service: dict[str, Json],
+        status_by_service: dict[str, service_status.ServiceStatus],
         reports: list[in_force.ZoneReport],
         hosts: list[stores.HostRecord],
         problems: list[str],
@@ -105,15 +108,22 @@
 
     def targets(self, service: str) -> list[Json]:
         """Returns the targets of a service with their published state."""
-        status = self.status_by_service.get(service, {})
-        ejected = _mapping(status.get("ejected"))
-        leaving = _mapping(status.get("leaving"))
-        cold = _mapping(status.get("cold"))
+        status = self._status(service)
         leaving_addresses = {
             item.address for item in self.hosts if item.leaving
         }
+        parsed = self.services_by_name[service]
+        in_effect = floor.in_effect(
+            parsed,
+            status,
+            [
+                target.id
+                for target in parsed.targets
+                if target.address in leaving_addresses
+            ],
+        )
         rows = []
-        for target in self.services_by_name[service].targets:
+        for target in parsed.targets:
             row: Json = {
                 "target": target.id,
                 "address": target.address,
@@ -123,19 +133,30 @@
                 "state": "in use",
                 "reason": "no ejection is published",
             }
-            if target.id in leaving:
+            rows.append(row)
+            if target.id in status.leaving:
                 row["state"] = "leaving"
-                row["reason"] = f"incarnation {leaving[target.id]} drains"
+                row["reason"] = (
+                    f"incarnation {status.leaving[target.id]} drains"
+                )
             elif target.address in leaving_addresses:
                 row["state"] = "leaving"
                 row["reason"] = "the host list shows it as leaving"
-            elif target.id in ejected:
+            elif target.id in status.ejected:
+                ejection = status.ejected[target.id]
                 row["state"] = "ejected"
-                row.update(_mapping(ejected[target.id]))
-            elif target.id in cold:
+                row |= {
+                    name: getattr(ejection, name)
+                    for name in ejection.__slots__
+                }
+                if target.id not in in_effect:
+                    row["state"] = "re-admitted"
+                    row["reason"] += ", but the floor needs it"
+            elif target.id in status.cold:
                 row["state"] = "cold"
                 row["reason"] = "it started and gets canary requests only"
-            rows.append(row)
+            elif target.id in status.released:
+                row["reason"] = "its ejection has ended"
         return rows
 
     def shards(self, service: str) -> list[Json]:
@@ -168,24 +189,23 @@
         """Returns everything that is known of one service."""
         parsed = self.services_by_name[service]
         targets = self.targets(service)
-        status = self.status_by_service.get(service, {})
-        usable = sum(
-            row["slots"] for row in targets if row["state"] == "in use"
-        )
+        usable = sum(row["slots"] for row in targets if row["state"] in IN_USE)
         return {
             "service": service,
             "number": self.manifest.number,
             "version": self.manifest.services[service].version,
-            "status_number": status.get("config_number"),
+            "status_number": self._status(service).config_number,
             "floor_slots": parsed.floor_slots,
             "total_slots": parsed.total_slots,
             "slots_in_use": usable,
-            # Processes then use some of the ejected targets again.
-            "floor_readmits": usable < parsed.floor_slots,
             "targets": targets,
             "shards": self.shards(service),
         }
 
+    def _status(self, service: str) -> service_status.ServiceStatus:
+        found = self.status_by_service.get(service)
+        return found or service_status.ServiceStatus(service=service)
+
     def as_dict(self) -> Json:
         """Returns the whole view for the JSON output."""
         return {
@@ -226,10 +246,12 @@
         names = [only_service]
     services = await _services(store, manifest, names, problems)
     status = {}
-    for item in await store.list(STATUS_PREFIX):
-        content = _json(item, problems)
-        if content is not None:
-            status[item.key.removeprefix(STATUS_PREFIX)] = content
+    for item in await store.list(_STATUS_PREFIX):
+        name = item.key.removeprefix(_STATUS_PREFIX)
+        try:
+            status[name] = service_status.decode(item.value, service=name)
+        except errors.StoreError as error:
+            problems.append(str(error))
     return FleetView(
         manifest=manifest,
         services_by_name=services,
@@ -283,19 +305,3 @@
         except pydantic.ValidationError as error:
             problems.append(service_file.describe(error, source=item.key))
     return reports
-
-
-def _json(item: stores.StoredObject, problems: list[str]) -> Json | None:
-    try:
-        content = json.loads(item.value)
-    except ValueError as error:
-        problems.append(f"{item.key}: {error}")
-        return None
-    if not isinstance(content, dict):
-        problems.append(f"{item.key}: not an object")
-        return None
-    return content
-
-
-def _mapping(value: typing.Any) -> Json:
-    return value if isinstance(value, dict) else {}
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -15,6 +15,7 @@
 from fuchsiacourse import platform_stub
 from fuchsiacourse import publish
 from fuchsiacourse import publisher
+from fuchsiacourse import service_status
 from fuchsiacourse import settings
 from fuchsiacourse import store
 from tests import test_grpc_peers
@@ -170,7 +171,15 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.write("files/larder.json", test_service_file.valid())
+        content = test_service_file.valid()
+        first = content["targets"][0]
+        content["targets"] += [
+            first
+            | {"id": f"larder-{number}", "address": f"127.0.0.1:{number}"}
+            for number in (2, 3)
+        ]
+        # The floor needs two of the three targets.
+        self.write("files/larder.json", content | {"floor_slots": 6})
         await self.publish()
         member = in_force.MemberReport(
             host="127.0.1.1", role="dispatch", state="alive", number=0
@@ -182,21 +191,23 @@
             written_at=1.8e9,
             members={"m1": member},
         )
-        ejection = {
-            "since": 1.8e9,
-            "reason": "slow",
-            "evidence": {"ratio": 9.5},
-            "by": "m1",
-            "backoff_s": 5,
-        }
+        ejection = service_status.Ejection(
+            since=1.8e9,
+            reason="slow",
+            evidence={"ratio": 9.5},
+            by="m1",
+            backoff_s=5,
+        )
+        status = service_status.ServiceStatus(
+            service="larder",
+            ejected={"larder-1": ejection, "larder-2": ejection},
+        )
         for key, content in (
-            ("in_force/tay-a", report.model_dump()),
-            ("status/larder", {"ejected": {"larder-1": ejection}}),
-            ("status/other", []),
+            ("in_force/tay-a", report.model_dump_json().encode()),
+            ("status/larder", status.encode()),
+            ("status/other", b"[]"),
         ):
-            self.stub.model.table.put(
-                key, json.dumps(content).encode(), if_version=None
-            )
+            self.stub.model.table.put(key, content, if_version=None)
         self.stub.model.set_host(
             store.HostRecord(
                 host="127.0.1.9",
@@ -212,7 +223,10 @@
         content = json.loads(result.stdout)
         self.assertEqual(1, content["members"][0]["lag"])
         self.assertEqual(1, content["zones"][0]["behind"])
-        self.assertEqual("ejected", content["services"]["larder"][0]["state"])
+        self.assertEqual(
+            ["re-admitted", "ejected", "in use"],
+            [row["state"] for row in content["services"]["larder"]],
+        )
         self.assertEqual("leaving", content["hosts"][0]["state"])
         self.assertIn("status/other", content["problems"][0])
         shown = await self.run_program(ctl.app, "status")
@@ -224,7 +238,7 @@
         result = await self.run_program(ctl.app, "explain", "larder")
         self.assertEqual(0, result.exit_code, result.output)
         self.assertIn(
-            'larder-1 is ejected: slow; evidence {"ratio": 9.5}', result.stdout
+            'larder-2 is ejected: slow; evidence {"ratio": 9.5}', result.stdout
         )
         self.assertIn("m1", result.stdout)
         unknown = await self.run_program(ctl.app, "explain", "ladder")
