Share an account's limit by its keepers and offer keys after not-run

Cause: an entry that does not keep an account granted it a full share, so that a caller of all 40 entries got 13 times its limit. Ranking all entries for each address list grows with the fleet.

Change: entries that do not keep an account divide one limit among all of them. Keepers are remembered until the membership changes. A refusal of a keyed request with not-run carries a new block, because its key is closed.

Conclusion: a caller of all entries gets at most twice its limit.

--- a/fuchsiacourse/account_limits.py
+++ b/fuchsiacourse/account_limits.py
@@ -39,14 +39,15 @@
         service: service_file.ServiceFile,
         account: str,
         *,
-        keepers: int,
+        shares: int,
     ) -> float:
         """Counts a request and returns how long it is over the limit.
 
         Args:
             service: Service that is asked.
             account: Account of the caller.
-            keepers: Entries that share the limit of an account.
+            shares: Equal parts that the limit is divided into; one of
+                them is granted here.
 
         Returns:
             0 if the request is within the limit; else the seconds until
@@ -57,7 +58,7 @@
         if limit is None:
             return 0.0
         now = self._clock.now()
-        bucket = self._bucket((service.service, account), limit, keepers, now)
+        bucket = self._bucket((service.service, account), limit, shares, now)
         if bucket.take(1.0, now_s=now):
             return 0.0
         return bucket.wait_s(1.0, now_s=now)
@@ -66,11 +67,11 @@
         self,
         name: tuple[str, str],
         limit: service_file.AccountLimit,
-        keepers: int,
+        shares: int,
         now: float,
     ) -> token_bucket.TokenBucket:
-        rate_per_s = limit.rate_per_s / keepers
-        burst = max(1.0, limit.burst / keepers)
+        rate_per_s = limit.rate_per_s / shares
+        burst = max(1.0, limit.burst / shares)
         bucket = self._buckets.get(name)
         if bucket is None:
             bucket = token_bucket.TokenBucket(
--- a/fuchsiacourse/address_list.py
+++ b/fuchsiacourse/address_list.py
@@ -5,10 +5,9 @@
 import random
 import typing
 
+from fuchsiacourse import account_keepers
 from fuchsiacourse import key_blocks
 from fuchsiacourse import member as member_rows
-from fuchsiacourse import members as member_tables
-from fuchsiacourse import rendezvous
 
 # Longest list for a caller without an account.
 MAX_ADDRESSES = 16
@@ -56,51 +55,25 @@
         }
 
 
-def keepers(
-    members: member_tables.Members, account: str, *, count: int
-) -> list[member_rows.Member]:
-    """Returns the entries of the own region that keep an account's limits.
-
-    Args:
-        members: Member table.
-        account: Account of the caller.
-        count: Entries for each account.
-    """
-    ids = [row.id for row in _entries(members)]
-    return [
-        members.by_id[id]
-        for id in rendezvous.ranked(f"account/{account}", ids)[:count]
-    ]
-
-
 def choose(
-    members: member_tables.Members,
+    keepers: account_keepers.AccountKeepers,
     account: str,
     *,
-    count: int,
+    own: member_rows.Member,
     rng: random.Random,
 ) -> list[member_rows.Member]:
     """Returns the entries for a caller, the own process first if listed.
 
     Args:
-        members: Member table.
+        keepers: Entries by account.
         account: Account of the caller; empty if none was given.
-        count: Entries for each account.
+        own: Row of the own process.
         rng: Spreads callers without an account.
     """
     if account:
-        rows = keepers(members, account, count=count)
+        rows = keepers.keepers(account)
     else:
-        rows = _entries(members)
+        rows = keepers.entries()
         rng.shuffle(rows)
-    rows.sort(key=lambda row: row is not members.self)
+    rows.sort(key=lambda row: row is not own)
     return rows[:MAX_ADDRESSES]
-
-
-def _entries(members: member_tables.Members) -> list[member_rows.Member]:
-    region = members.self.region
-    return members.alive(
-        member_tables.ENTRY, region=region
-    ) or members.in_state(
-        member_tables.ENTRY, member_rows.State.SUSPECT, region=region
-    )
--- a/fuchsiacourse/entry_service.py
+++ b/fuchsiacourse/entry_service.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+from fuchsiacourse import account_keepers
 from fuchsiacourse import account_limits
 from fuchsiacourse import address_list
 from fuchsiacourse import burn_counters
@@ -96,11 +97,13 @@
             block_size=settings.key_block_size,
             lifetime_s=settings.key_block_lifetime_s,
         )
-        self._owners = owner_ranking.OwnerRanking(members=members)
+        self._keepers = account_keepers.AccountKeepers(
+            members=members, count=settings.entries_per_account
+        )
         self._executor = executors.Executor(
             clock=clock,
             members=members,
-            owners=self._owners,
+            owners=owner_ranking.OwnerRanking(members=members),
             peers=peers,
             regions=region_choice.RegionChoice(
                 clock=clock,
@@ -219,9 +222,9 @@
             )
         return address_list.AddressList(
             entries=address_list.choose(
-                self._members,
+                self._keepers,
                 account,
-                count=self._settings.entries_per_account,
+                own=self._members.self,
                 rng=self._rng,
             ),
             ttl_s=self._settings.address_list_ttl_s,
@@ -262,6 +265,9 @@
         try:
             answer = await self._decide(request, hops)
         except errors.RefusedError as error:
+            # The caller needs a new key after not-run.
+            if request.key and error.verdict is verdicts.Verdict.NOT_RUN:
+                error.offer_keys = True
             answer = self.refuse(error)
         except Exception as error:
             # The fault may have come after the request was sent.
@@ -323,12 +329,10 @@
 
     def _admit(self, execution: executions.Execution) -> None:
         account = execution.request.account
-        keepers = min(
-            self._settings.entries_per_account,
-            self._owners.entries(self._settings.region),
-        )
         wait_s = self._limits.wait_s(
-            execution.route.service, account, keepers=max(1, keepers)
+            execution.route.service,
+            account,
+            shares=self._keepers.shares(account),
         )
         if wait_s > 0:
             raise execution.request.unsent(
--- a/fuchsiacourse/owner_ranking.py
+++ b/fuchsiacourse/owner_ranking.py
@@ -6,6 +6,7 @@
 
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
+from fuchsiacourse import membership_watch
 
 # Candidates that are remembered for a shard; a request tries fewer.
 _MAX_CANDIDATES = 8
@@ -15,8 +16,7 @@
     """Ranks the dispatch members of a region for a shard.
 
     Ranking all members for each request would cost more than the request
-    in a large fleet. Changes that don't matter here, such as a new
-    configuration number, keep what is remembered.
+    in a large fleet.
 
     Args:
         members: Member table.
@@ -25,10 +25,10 @@
     def __init__(self, *, members: member_tables.Members) -> None:
         self._members = members
         self._candidates: dict[tuple[str, str], list[member_rows.Member]] = {}
-        self._signatures_by_id: dict[str, tuple[object, ...]] = {}
         self._ids_by_address: dict[str, str] = {}
-        self._entries_by_region: dict[str, int] = {}
-        members.subscribe(self._note)
+        self._watch = membership_watch.MembershipWatch(
+            members=members, on_change=self._forget
+        )
 
     def candidates(
         self, service: str, region: str
@@ -41,15 +41,6 @@
             self._candidates[service, region] = found
         return found
 
-    def entries(self, region: str) -> int:
-        """Returns the number of alive entries of a region."""
-        number = self._entries_by_region.get(region)
-        if number is None:
-            rows = self._members.alive(member_tables.ENTRY, region=region)
-            number = len(rows)
-            self._entries_by_region[region] = number
-        return number
-
     def member_id(self, address: str) -> str:
         """Returns the member at an RPC address; empty if none is known."""
         if not self._ids_by_address:
@@ -60,13 +51,6 @@
             }
         return self._ids_by_address.get(address, "")
 
-    def _note(self, row: member_rows.Member) -> None:
-        signature = (row.state, row.rpc_address)
-        if self._signatures_by_id.get(row.id) == signature:
-            return
-        self._signatures_by_id[row.id] = signature
-        if len(self._signatures_by_id) > 2 * len(self._members.by_id):
-            self._signatures_by_id.clear()
+    def _forget(self) -> None:
         self._candidates.clear()
         self._ids_by_address.clear()
-        self._entries_by_region.clear()
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -11,7 +11,7 @@
 class AccountLimitsTest(unittest.TestCase):
     """An account must get its rate, shared by the entries that keep it."""
 
-    def admitted(self, *, keepers=1, account="glen", seconds=10, **limits):
+    def admitted(self, *, shares=1, account="glen", seconds=10, **limits):
         """Returns how many of 100 requests a second are admitted."""
 
         async def main():
@@ -21,7 +21,7 @@
             )
             admitted = 0
             for _ in range(100 * seconds):
-                wait_s = table.wait_s(service, account, keepers=keepers)
+                wait_s = table.wait_s(service, account, shares=shares)
                 admitted += wait_s == 0.0
                 await asyncio.sleep(0.01)
             return admitted
@@ -36,7 +36,7 @@
     def test_share_of_each_keeper(self):
         """Guards against an account that gets its limit at each entry."""
         limit = {"rate_per_s": 6.0, "burst": 30}
-        admitted = self.admitted(keepers=3, default=limit)
+        admitted = self.admitted(shares=3, default=limit)
         self.assertAlmostEqual(30, admitted, delta=1)
 
     def test_limit_of_one_account(self):
@@ -59,7 +59,7 @@
                 clock=virtual_loop.VirtualClock(), max_buckets=10
             )
             for number in range(100):
-                table.wait_s(service, f"account-{number}", keepers=1)
+                table.wait_s(service, f"account-{number}", shares=1)
             return len(table)
 
         self.assertEqual(10, virtual_loop.run(main()))
--- a/tests/test_address_list.py
+++ b/tests/test_address_list.py
@@ -4,6 +4,7 @@
 
 from bench import entry_fakes
 from bench import virtual_loop
+from fuchsiacourse import account_keepers
 from fuchsiacourse import address_list
 from fuchsiacourse import errors
 from fuchsiacourse import member as member_rows
@@ -74,3 +75,23 @@
             return answer.body
 
         self.assertNotIn(b'"keys"', virtual_loop.run(main()))
+
+    def test_shares_of_a_limit(self):
+        """Guards against granting an account its limit at each entry."""
+
+        async def main():
+            fleet = entry_fakes.EntryFleet(entries=20)
+            keepers = [
+                account_keepers.AccountKeepers(members=table, count=3)
+                for table in fleet.tables
+            ]
+            before = [item.shares("glen") for item in keepers]
+            for row in keepers[0].keepers("glen"):
+                row.state = member_rows.State.DEAD
+                fleet.gossip(row)
+            after = [item.shares("glen") for item in keepers]
+            return before, after
+
+        before, after = virtual_loop.run(main())
+        self.assertEqual([3] * 3 + [20] * 17, sorted(before))
+        self.assertEqual([3] * 3 + [17] * 17, sorted(after))
--- a/tests/test_owner_ranking.py
+++ b/tests/test_owner_ranking.py
@@ -29,6 +29,5 @@
             self.assertIs(second, found[0])
             self.assertNotIn(first, found)
             self.assertEqual("", ranking.member_id(first.rpc_address))
-            self.assertEqual(1, ranking.entries("tayside"))
 
         virtual_loop.run(main())
