Ask the platform and the targets before a shard's first work

Change: a process that makes the tables of a shard, or was paused, reads the host list and probes all targets first, and sends to a target once it has answered. After 0.5 s work is sent anyway, so that neither an outage of the platform nor unanswered probes stop the service. Shards with requests are looked after also where they are not owned, because the last hop of a request executes. RunTimes decides what an attempt's end teaches.

--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -28,6 +28,8 @@
 from fuchsiacourse import store as stores
 from fuchsiacourse import timers as timer_service
 
+# Longer than dispatch waits for news of a new shard's targets.
+_WARM_UP_S = 0.6
 REGION = "tayside"
 SERVICE = "larder"
 LOOKUP = service_file.RequestKind(
@@ -244,6 +246,12 @@
         """Starts an Execute call."""
         return asyncio.ensure_future(self.dispatch.execute(request))
 
+    async def warm_up(self) -> None:
+        """Makes the shard's tables and waits for news of its targets."""
+        await self.execute(self.request())
+        await asyncio.sleep(_WARM_UP_S)
+        self.targets.forget_records()
+
     async def withdraw(self, request: fleet_pb2.ExecuteRequest) -> str:
         """Withdraws a request and returns the outcome."""
         reply = await self.dispatch.withdraw(
--- a/bench/fake_targets.py
+++ b/bench/fake_targets.py
@@ -145,6 +145,13 @@
         self.targets_by_address[address] = target
         return target
 
+    def forget_records(self) -> None:
+        """Starts the record anew."""
+        self.records.clear()
+        self.records_by_request.clear()
+        for target in self.targets_by_address.values():
+            target.most_in_flight = target.in_flight
+
     def runs_of(self, request_id: str) -> list[RunRecord]:
         """Returns the executions of a request."""
         return self.records_by_request.get(request_id, [])
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -137,7 +137,7 @@
         self._timers.every(_TICK_S, self._tick)
         self._timers.every(_HEALTH_TICK_S, self._tick_health)
         self._timers.every(_UPKEEP_S, self._drop_idle)
-        self._upkeep.start(self._owned_runners)
+        self._upkeep.start(self._served_runners)
 
     async def execute(
         self, request: fleet_pb2.ExecuteRequest
@@ -314,11 +314,16 @@
         self._upkeep.added(runner)
         return runner
 
-    def _owned_runners(self) -> list[shard_runner.ShardRunner]:
+    def _served_runners(self) -> list[shard_runner.ShardRunner]:
+        """Returns the shards that are owned or have requests here.
+
+        The last hop of a request may be a process that is not the owner;
+        it must know the targets as well.
+        """
         return [
             runner
             for key, runner in self._runners_by_key.items()
-            if self._owners.owns(key)
+            if self._owners.owns(key) or not runner.is_idle
         ]
 
     def _member_changed(self, row: member_rows.Member) -> None:
@@ -369,6 +374,7 @@
         for runner in self._runners_by_key.values():
             runner.expire(now)
         self._recheck_owners()
+        self._upkeep.verify(self.runners)
 
     def _drop_idle(self) -> None:
         for key, runner in list(self._runners_by_key.items()):
--- a/fuchsiacourse/prober.py
+++ b/fuchsiacourse/prober.py
@@ -70,6 +70,20 @@
         if probe is not None:
             probe.due_s = self._clock.now()
 
+    def ask_all(self, runner: shard_runner.ShardRunner) -> None:
+        """Probes every target of a shard at once.
+
+        Probes under way are dropped without a judgement, because this
+        process may have been paused while they were answered.
+        """
+        now = self._clock.now()
+        for probe in self._probes_by_shard.get(runner.shard.key, {}).values():
+            probe.due_s = now
+            if probe.sent_s is not None and probe.sent_s < now:
+                probe.handle.cancel()
+                probe.sent_s = None
+        self.run_due([runner])
+
     def run_due(self, runners: list[shard_runner.ShardRunner]) -> None:
         """Starts the probes that are due."""
         now = self._clock.now()
@@ -81,8 +95,7 @@
             for row in rows.values():
                 probe = probes.get(row.id)
                 if probe is None:
-                    first_s = now + self._rng.random() * self._interval_s
-                    probe = probes[row.id] = _Probe(due_s=first_s)
+                    probe = probes[row.id] = _Probe(due_s=now)
                 self._run_if_due(runner, row, probe, now)
 
     def _run_if_due(
@@ -112,7 +125,7 @@
         row: target_row.TargetRow,
         probe: _Probe,
     ) -> None:
-        report = None
+        asked_s = self._clock.now()
         try:
             report = await self._target_client.probe(
                 row.target.address, path=runner.shard.service.probe_path
@@ -126,3 +139,5 @@
             return
         runner.health.reported(row, report, now)
         runner.leaving.note(row, now, is_leaving=report.draining)
+        runner.verification.heard(row.id, asked_s)
+        runner.bind(now)
--- a/fuchsiacourse/run_times.py
+++ b/fuchsiacourse/run_times.py
@@ -7,6 +7,7 @@
 import sortedcontainers
 
 from fuchsiacourse import service_file
+from fuchsiacourse import target_row
 
 # Requests that the mean remembers. A few hundred are needed, because one
 # straggler in a hundred requests runs 30 times longer than the mean.
@@ -20,6 +21,9 @@
 _INITIAL_QUANTILE_MEANS = 3.0
 
 
+Outcome = target_row.Outcome
+
+
 class _KindTimes:
     __slots__ = ("_slot_s", "_served", "_recent", "_sorted")
 
@@ -76,6 +80,22 @@
         """Returns the 95th percentile of an attempt in seconds."""
         return self._of(kind).straggler_s
 
+    def ended(
+        self,
+        kind: service_file.RequestKind,
+        outcome: target_row.Outcome,
+        run_s: float,
+    ) -> None:
+        """Learns from the end of an attempt."""
+        if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
+            return
+        is_served = outcome is Outcome.OK
+        self.add_slot_time(kind, run_s, is_served=is_served)
+        # The age of an attempt that was ended early would lower the
+        # percentile, unless it is above it.
+        if is_served or run_s >= self.straggler_s(kind):
+            self.add_run_time(kind, run_s)
+
     def add_slot_time(
         self,
         kind: service_file.RequestKind,
@@ -95,9 +115,5 @@
     def add_run_time(
         self, kind: service_file.RequestKind, run_s: float
     ) -> None:
-        """Adds the run time of an attempt.
-
-        For an attempt that was ended early it is its age; it must not be
-        below the 95th percentile then, or it would lower it.
-        """
+        """Adds the run time of an attempt."""
         self._of(kind).add_run_time(run_s)
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -27,6 +27,7 @@
 from fuchsiacourse import target_client as target_clients
 from fuchsiacourse import target_row
 from fuchsiacourse import timers as timer_service
+from fuchsiacourse import verification as verifications
 
 _MAX_ATTEMPTS = 6
 # Requests of a kind that are looked at when the first can't be bound, for
@@ -83,6 +84,7 @@
             queue=self.queue, times=self.times
         )
         self.targets = shard_targets.ShardTargets(shard=shard)
+        self.verification = verifications.Verification()
         self.leaving = leaving_targets.LeavingTargets(invariants=invariants)
         self._attempts = attempt_runner.AttemptRunner(
             shard=shard,
@@ -111,6 +113,7 @@
             targets=self.targets,
             health=health,
             offers=self._offers,
+            verification=self.verification,
             attempts=self._attempts,
             short_slot_share=settings.short_slot_share,
         )
@@ -229,30 +232,16 @@
         answer: target_clients.TargetAnswer | None,
     ) -> None:
         now = self._clock.now()
-        self._learn(row, run, outcome, now)
+        self.times.ended(row.kind, outcome, now - run.attempt.started_s)
         self._offers.ended(run.target, outcome, now)
+        if outcome is Outcome.OK:
+            self.verification.heard(run.target.id, run.attempt.started_s)
         self._on_ended(self, run.target, run.attempt, outcome)
         if row.state is request_row.RequestState.RUNNING:
             self._settle(row, run, outcome, answer, now)
         self.targets.released(run.target)
         self.bind(now)
 
-    def _learn(
-        self,
-        row: RequestRow,
-        run: request_row.AttemptRun,
-        outcome: Outcome,
-        now: float,
-    ) -> None:
-        if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
-            return
-        run_s = now - run.attempt.started_s
-        self.times.add_slot_time(
-            row.kind, run_s, is_served=outcome is Outcome.OK
-        )
-        if outcome is Outcome.OK or run_s >= self.times.straggler_s(row.kind):
-            self.times.add_run_time(row.kind, run_s)
-
     def _settle(
         self,
         row: RequestRow,
--- a/fuchsiacourse/shard_upkeep.py
+++ b/fuchsiacourse/shard_upkeep.py
@@ -38,7 +38,7 @@
 
 
 class ShardUpkeep:
-    """Runs the timers of the shards that this process owns.
+    """Runs the timers of the shards that this process serves.
 
     Args:
         settings: Settings of dispatch.
@@ -98,7 +98,7 @@
         """Starts the timers.
 
         Args:
-            runners: Returns the runners of the owned shards.
+            runners: Returns the runners of the shards to look after.
         """
         self._runners = runners
         self._timers.every(
@@ -122,7 +122,7 @@
         )
 
     def added(self, runner: shard_runner.ShardRunner) -> None:
-        """Takes over a shard."""
+        """Takes over a shard that has no requests yet."""
         service = runner.shard.service.service
         if service not in self._quarantines_by_service:
             quarantine = quarantines.Quarantine(
@@ -149,6 +149,15 @@
                     invariants=self._invariants,
                 )
             )
+        self.verify([runner])
+
+    def verify(self, runners: list[shard_runner.ShardRunner]) -> None:
+        """Asks the platform and the targets before work is sent to them."""
+        for runner in runners:
+            runner.verification.begin(self._clock.now())
+            self._prober.ask_all(runner)
+        if runners:
+            self._timers.spawn(self._read_hosts(runners))
 
     def dropped(
         self, runner: shard_runner.ShardRunner, *, is_last: bool
@@ -212,25 +221,28 @@
                 quarantine.crashed(fingerprint, crash.target_id, now)
 
     async def _read_hosts_if_due(self) -> None:
-        now = self._clock.now()
-        if now < self._hosts_due_s or not self._runners():
-            return
+        if self._clock.now() >= self._hosts_due_s and self._runners():
+            await self._read_hosts([])
+
+    async def _read_hosts(self, added: list[shard_runner.ShardRunner]) -> None:
+        """Reads the host list for the served shards and some others."""
+        asked_s = self._clock.now()
         readers = len(self._members.alive(member_tables.DISPATCH))
-        self._hosts_due_s = now + max(
+        self._hosts_due_s = asked_s + max(
             _HOSTS_INTERVAL_S, readers / _HOSTS_READS_PER_S
         )
-        await self._read_hosts()
-
-    async def _read_hosts(self) -> None:
+        leaving = set()
         try:
             hosts = await self._store.hosts()
+            leaving = {host.address for host in hosts if host.leaving}
         except errors.StoreError as error:
             logs.warning(self._log, "host_list_failed", error=str(error))
-            return
-        leaving = {host.address for host in hosts if host.leaving}
         now = self._clock.now()
-        for runner in self._runners():
+        served = self._runners()
+        for runner in served + [item for item in added if item not in served]:
             for row in runner.shard.targets_by_id.values():
                 if row.target.address in leaving:
                     runner.health.host_leaving(row, now)
                     runner.leaving.note(row, now, is_leaving=True)
+            runner.verification.hosts_read(asked_s)
+            runner.bind(now)
--- a/fuchsiacourse/target_choice.py
+++ b/fuchsiacourse/target_choice.py
@@ -9,6 +9,7 @@
 from fuchsiacourse import request_row
 from fuchsiacourse import shard_targets
 from fuchsiacourse import target_row
+from fuchsiacourse import verification as verifications
 
 
 class TargetChoice:
@@ -18,6 +19,7 @@
         targets: Targets of the shard.
         health: Health of the shard's targets (``health.Health``).
         offers: Limits after shedding.
+        verification: Holds work back until targets are known.
         attempts: Counts the slots held by long work.
         short_slot_share: Share of the slots that long work can't take.
     """
@@ -28,12 +30,14 @@
         targets: shard_targets.ShardTargets,
         health: typing.Any,
         offers: offers.Offers,
+        verification: verifications.Verification,
         attempts: attempt_runner.AttemptRunner,
         short_slot_share: float,
     ) -> None:
         self._targets = targets
         self._health = health
         self._offers = offers
+        self._verification = verification
         self._attempts = attempts
         self._long_share = 1.0 - short_slot_share
 
@@ -61,6 +65,8 @@
                 continue
             if not self._offers.allows(target, now):
                 continue
+            if not self._verification.allows(target, now):
+                continue
             if (untried or is_hedge) and target.id not in untried:
                 continue
             if is_hedge and self._health.is_canary(target):
--- a/tests/test_answer_checks.py
+++ b/tests/test_answer_checks.py
@@ -1,5 +1,6 @@
 """Tests of the checks of answers."""
 
+import dataclasses
 import unittest
 
 from bench import dispatch_world
@@ -23,11 +24,10 @@
             ],
         )
         options = {"request_id": "a-1", "status": 200, **use}
-        kind = dispatch_world.LOOKUP.model_copy(
-            update={
-                "method": method,
-                "answer_checks": checks or service_file.AnswerChecks(),
-            }
+        kind = dataclasses.replace(
+            dispatch_world.LOOKUP,
+            method=method,
+            answer_checks=checks or service_file.AnswerChecks(),
         )
         return answer_checks.classify(
             target_client.TargetAnswer(headers=headers, body=body, **options),
--- a/tests/test_dispatch_random.py
+++ b/tests/test_dispatch_random.py
@@ -40,7 +40,8 @@
         for target in self.world.targets.targets_by_address.values():
             target.is_hung = target.is_unreachable = False
         await asyncio.gather(*tasks)
-        await asyncio.sleep(1.0)
+        # A booking whose entry is gone runs on for 30 s at most.
+        await asyncio.sleep(40.0)
 
     async def request(self):
         world, rng = self.world, self.rng
--- a/tests/test_dispatch_service.py
+++ b/tests/test_dispatch_service.py
@@ -17,10 +17,12 @@
 class DispatchCase(unittest.TestCase):
     """Runs a coroutine with a new world on the virtual loop."""
 
-    def run_world(self, main, **options):
+    def run_world(self, main, *, is_warm=True, **options):
         async def run():
             world = dispatch_world.DispatchWorld(**options)
             try:
+                if is_warm:
+                    await world.warm_up()
                 await main(world)
                 self.assertEqual([], world.broken)
                 self.assertEqual([], world.failures)
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -36,7 +36,7 @@
             self.assertEqual(0, world.targets.probe_count)
             self.assertEqual(0, world.store.calls_by_name["hosts"])
 
-        self.run_world(main)
+        self.run_world(main, is_warm=False)
 
     def test_host_list_is_read_every_two_seconds_at_most(self):
         """Guards against spending the platform's reads."""
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -1,5 +1,6 @@
 """Tests of the queue, its order and admission to it."""
 
+import dataclasses
 import random
 import unittest
 
@@ -43,14 +44,14 @@
 
     def test_short_and_dear_kinds_go_first(self):
         """Guards against short work behind long work."""
-        search = SEARCH.model_copy(update={"worth": 100.0})
+        search = dataclasses.replace(SEARCH, worth=100.0)
         for number, kind in enumerate((search, LOOKUP, BOOKING)):
             self.queue.push(row(kind, 3.0, number))
         self.assertEqual(["booking", "lookup", "search"], self.order())
 
     def test_worth_per_slot_second_counts_at_peak(self):
         """Guards against cheap short work displacing dear long work."""
-        search = SEARCH.model_copy(update={"worth": 100.0})
+        search = dataclasses.replace(SEARCH, worth=100.0)
         for number in range(50):
             self.queue.push(row((search, LOOKUP)[number % 2], 3.0, number))
         self.assertEqual(["search", "lookup"], self.order())
--- a/tests/test_shard_runner.py
+++ b/tests/test_shard_runner.py
@@ -139,10 +139,16 @@
         """Guards against losing the answer of a late booking."""
 
         async def main(world):
-            world.target(1).slow_factor = world.target(2).slow_factor = 2000.0
-            reply = await world.execute(world.request(BOOKING))
-            self.assertGreater(world.clock.now(), 3.0)
-            self.assertEqual(fleet_pb2.RAN, reply.verdict)
+            for number in (1, 2):
+                world.target(number).slow_factor = 100.0
+            began_s = world.clock.now()
+            late = 0
+            calls = [world.execute(world.request(BOOKING)) for _ in range(6)]
+            for call in calls:
+                reply = await call
+                late += world.clock.now() - began_s > 3.0
+                self.assertEqual(fleet_pb2.RAN, reply.verdict)
+            self.assertTrue(late)
 
         self.run_world(main)
 
@@ -171,6 +177,7 @@
         """Guards against a wrong verdict at the deadline."""
 
         async def main(world):
+            began_s = world.clock.now()
             world.target(1).is_hung = world.target(2).is_hung = True
             calls = [
                 world.execute(world.request(deadline_ms=500)) for _ in range(7)
@@ -179,7 +186,8 @@
             verdicts = [reply.verdict for reply in replies]
             self.assertEqual(6, verdicts.count(fleet_pb2.MAY_HAVE_RUN))
             self.assertEqual(1, verdicts.count(fleet_pb2.NOT_RUN))
-            self.assertAlmostEqual(0.5, world.clock.now(), delta=0.05)
+            waited_s = world.clock.now() - began_s
+            self.assertAlmostEqual(0.5, waited_s, delta=0.05)
             await asyncio.sleep(0.1)
             self.assertEqual(0, world.target(1).in_flight)
 
@@ -206,10 +214,11 @@
         """Guards against waiting for a deadline that can't be met."""
 
         async def main(world):
+            began_s = world.clock.now()
             calls = [world.execute(world.request()) for _ in range(400)]
             await asyncio.sleep(0.001)
             late = await world.execute(world.request())
-            self.assertLess(world.clock.now(), 0.1)
+            self.assertLess(world.clock.now() - began_s, 0.1)
             self.assertEqual("overload", late.refusal)
             self.assertEqual(fleet_pb2.NOT_RUN, late.verdict)
             self.assertGreater(late.retry_after_ms, 0)
@@ -362,6 +371,48 @@
 
         self.run_world(main)
 
+    def test_new_owner_asks_before_it_sends(self):
+        """Guards against work for targets that left under another owner."""
+
+        async def main(world):
+            world.target(1).is_draining = world.target(2).is_draining = True
+            world.target(2).tells_draining = False
+            world.platform.set_host(
+                dispatch_world.leaving_host(world.file.targets[1]), lag_s=0.0
+            )
+            reply = await world.execute(world.request())
+            self.assertEqual(fleet_pb2.NOT_RUN, reply.verdict)
+            self.assertEqual([], world.targets.records)
+
+        self.run_world(main, is_warm=False)
+
+    def test_process_asks_again_after_a_pause(self):
+        """Guards against knowledge from before a pause."""
+
+        async def main(world):
+            world.gate.pause()
+            world.target(1).is_draining = True
+            await asyncio.sleep(5.0)
+            world.gate.resume()
+            calls = [world.execute(world.request()) for _ in range(4)]
+            await asyncio.gather(*calls)
+            runs = {record.target_id for record in world.targets.records}
+            self.assertEqual({"target-2"}, runs)
+
+        self.run_world(main)
+
+    def test_unanswered_probes_do_not_hold_work_back_for_long(self):
+        """Guards against an outage of probes that stops the service."""
+
+        async def main(world):
+            world.platform.faults.outage = True
+            world.target(1).probes_fail = world.target(2).probes_fail = True
+            reply = await world.execute(world.request())
+            self.assertEqual(fleet_pb2.RAN, reply.verdict)
+            self.assertLess(world.clock.now(), 0.8)
+
+        self.run_world(main, is_warm=False)
+
     def test_queue_is_sent_on_when_the_owner_changes(self):
         """Guards against two owners that work off queues for long."""
 
