--- /dev/null
+++ b/bench/process_cost.py
@@ -0,0 +1,145 @@
+"""Processor time and memory of real processes at rest."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import tempfile
+
+from bench import local_fleet
+from bench import slope
+
+SAMPLES = pathlib.Path("samples/glenmorach")
+SETTLE_S = 5.0
+LENGTH_S = 10.0
+_CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+# Fields of /proc/<pid>/stat after the command name, from 0.
+_USER_FIELD = 11
+_SYSTEM_FIELD = 12
+
+
+class ProcessCost:
+    """Cost of one process at rest.
+
+    Args:
+        cpu_us_per_s: Processor time in microseconds a second.
+        memory_bytes: Resident memory.
+    """
+
+    __slots__ = ("cpu_us_per_s", "memory_bytes")
+
+    def __init__(self, *, cpu_us_per_s: float, memory_bytes: int) -> None:
+        self.cpu_us_per_s = cpu_us_per_s
+        self.memory_bytes = memory_bytes
+
+
+def _cpu_ticks(pid: int) -> int:
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    fields = text.rpartition(")")[2].split()
+    return int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
+
+
+def _memory_bytes(pid: int) -> int:
+    text = pathlib.Path(f"/proc/{pid}/statm").read_text(encoding="ascii")
+    return int(text.split()[1]) * _PAGE_BYTES
+
+
+async def _measure(
+    fleet: local_fleet.LocalFleet, services: int
+) -> tuple[int, ProcessCost, ProcessCost]:
+    """Returns targets and the costs of one entry and one dispatch."""
+    fleet.write_operator_settings()
+    await fleet.start_platform()
+    parsed = fleet.copy_services(SAMPLES)
+    for item in parsed[services:]:
+        (fleet.folder / "services" / f"{item.service}.json").unlink()
+    targets = 0
+    for item in parsed[:services]:
+        await fleet.start_targets(item.service)
+        targets += len(item.targets)
+    place = local_fleet.HostPlace(
+        ip=fleet.host_ip(1), availability_zone="tay-a", region="tayside"
+    )
+    other = local_fleet.HostPlace(
+        ip=fleet.host_ip(2), availability_zone="lot-a", region="lothian"
+    )
+    seeds = [f"{place.ip}:{local_fleet.DISPATCH_GOSSIP_PORT}"]
+    started = []
+    for where in (place, other):
+        started.append(await fleet.start_entry(where, seeds=seeds))
+        started.append(await fleet.start_dispatch(where, seeds=seeds))
+    await fleet.publish()
+    await fleet.wait_ready(item.name for item in started)
+    await _use_all_shards(fleet)
+    await asyncio.sleep(SETTLE_S)
+    pids = [item.process.pid for item in started[:2]]
+    begin = [_cpu_ticks(pid) for pid in pids]
+    await asyncio.sleep(LENGTH_S)
+    costs = [
+        ProcessCost(
+            cpu_us_per_s=(_cpu_ticks(pid) - ticks)
+            * 1e6
+            / _CLOCK_TICKS_PER_S
+            / LENGTH_S,
+            memory_bytes=_memory_bytes(pid),
+        )
+        for pid, ticks in zip(pids, begin, strict=True)
+    ]
+    in_region = sum(
+        target.region == place.region
+        for item in parsed[:services]
+        for target in item.targets
+    )
+    return in_region, costs[0], costs[1]
+
+
+async def _use_all_shards(fleet: local_fleet.LocalFleet) -> None:
+    """Sends one request a service, so that each shard is in use."""
+    await fleet.run(
+        "load",
+        "run",
+        "--services",
+        str(fleet.folder / "services"),
+        "--address",
+        f"{fleet.host_ip(1)}:{local_fleet.HTTP_PORT}",
+        "--seconds",
+        "3",
+        "--rate",
+        "20",
+        timeout_s=60.0,
+    )
+
+
+def slopes() -> list[slope.Slope]:
+    """Measures the processes of one host by the targets that it owns."""
+    points = []
+    for services in (1, 2, 3):
+        with tempfile.TemporaryDirectory() as folder:
+            points.append(asyncio.run(_run(pathlib.Path(folder), services)))
+    return [
+        slope.Slope(
+            name=f"{role}_{name}_at_rest",
+            unit=unit,
+            per="target",
+            points=[
+                (row[0], getattr(row[index], attribute)) for row in points
+            ],
+        )
+        for index, role in ((1, "entry"), (2, "dispatch"))
+        for name, unit, attribute in (
+            ("cpu", "us/s", "cpu_us_per_s"),
+            ("memory", "B", "memory_bytes"),
+        )
+    ]
+
+
+async def _run(
+    folder: pathlib.Path, services: int
+) -> tuple[int, ProcessCost, ProcessCost]:
+    fleet = local_fleet.LocalFleet(folder=folder)
+    try:
+        return await _measure(fleet, services)
+    finally:
+        await fleet.stop()
