--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -74,6 +74,22 @@
             await self.store.put("a", b"1", if_version=0)
         self.assertEqual(b"1", (await self.store.get("a")).value)
 
+    async def test_slow_platform(self):
+        """Guards against a late write or a hung watch taken for refused."""
+        self.stub.model.faults.delay_s = 2 * TIMEOUT_S
+        with self.assertRaises(errors.StoreUnsure):
+            await self.store.put("a", b"1", if_version=0)
+        with self.assertRaises(errors.StoreUnavailable):
+            await self.store.get("a")
+        batch = await self.stub.model.wait_for_change(
+            "a", after_revision=0, timeout_s=5.0
+        )
+        self.assertEqual(b"1", batch.objects[0].value)
+        self.stub.model.faults.delay_s = 0
+        self.stub.model.faults.hang_watches = True
+        with self.assertRaises(errors.StoreUnavailable):
+            await self.store.watch("a", after_revision=0, timeout_s=0.01)
+
     async def test_refusals(self):
         """Guards against an outage or a limit taken for an effect."""
         self.stub.model.faults.outage = True
