--- a/bench/fake_targets.py
+++ b/bench/fake_targets.py
@@ -6,6 +6,7 @@
 import collections.abc
 import random
 
+from bench import process_gate
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
 from fuchsiacourse import target_client
@@ -25,6 +26,7 @@
     __slots__ = (
         "request_id",
         "target_id",
+        "address",
         "method",
         "path",
         "started_s",
@@ -42,6 +44,7 @@
     ) -> None:
         self.request_id = call.request_id
         self.target_id = call.target_id
+        self.address = call.address
         self.method = call.method
         self.path = call.path
         self.started_s = started_s
@@ -107,6 +110,7 @@
         straggler_factor: How many times longer they run.
         queues: Whether a target lets requests beyond its slots wait in
             order of arrival instead of shedding them.
+        gate: Running state of the process that the client belongs to.
     """
 
     def __init__(
@@ -118,6 +122,7 @@
         straggler_share: float = 0.0,
         straggler_factor: float = 30.0,
         queues: bool = False,
+        gate: process_gate.ProcessGate | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -125,6 +130,7 @@
         self._straggler_share = straggler_share
         self._straggler_factor = straggler_factor
         self._queues = queues
+        self._gate = gate or process_gate.ProcessGate()
         self.targets_by_address: dict[str, FakeTarget] = {}
         self.records: list[RunRecord] = []
         self.records_by_request: dict[str, list[RunRecord]] = {}
@@ -139,6 +145,13 @@
         self.targets_by_address[address] = target
         return target
 
+    def forget_records(self) -> None:
+        """Starts the record anew."""
+        self.records.clear()
+        self.records_by_request.clear()
+        for target in self.targets_by_address.values():
+            target.most_in_flight = target.in_flight
+
     def runs_of(self, request_id: str) -> list[RunRecord]:
         """Returns the executions of a request."""
         return self.records_by_request.get(request_id, [])
@@ -147,6 +160,15 @@
         self, call: target_client.TargetCall
     ) -> target_client.TargetAnswer:
         """Runs a request at a fake target."""
+        try:
+            return await self._send(call)
+        finally:
+            # A paused process sees the outcome when it goes on.
+            await self._gate.passing()
+
+    async def _send(
+        self, call: target_client.TargetCall
+    ) -> target_client.TargetAnswer:
         target = self.targets_by_address.get(call.address)
         await self._clock.sleep(NETWORK_S)
         if target is None or target.is_unreachable:
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -40,6 +40,9 @@
 # Added to the longest deadline for delays between processes.
 _PREDECESSOR_MARGIN_S = 5.0
 _TICK_S = 0.02
+# Short beside the bound on detection.
+_HEALTH_TICK_S = 0.1
+_UPKEEP_S = 1.0
 _PAUSE_S = timer_service.PAUSE_THRESHOLD_S
 
 Refusal = execute_replies.Refusal
@@ -96,7 +99,7 @@
             clock=clock,
             timers=timers,
             rng=rng,
-            self_id=members.self.id,
+            members=members,
             config=config,
             target_client=target_client,
             store=store,
@@ -132,8 +135,9 @@
         self._started_s = self._last_tick_s = self._clock.now()
         self._timers.on_wake(lambda _: self._check_pause(self._clock.now()))
         self._timers.every(_TICK_S, self._tick)
-        self._timers.every(1.0, self._drop_idle)
-        self._upkeep.start(self._owned_runners)
+        self._timers.every(_HEALTH_TICK_S, self._tick_health)
+        self._timers.every(_UPKEEP_S, self._drop_idle)
+        self._upkeep.start(self._served_runners)
 
     async def execute(
         self, request: fleet_pb2.ExecuteRequest
@@ -272,15 +276,19 @@
             for row in runner.requests.queued():
                 runner.refuse(row, Refusal.DRAINING)
         limit_s = self._clock.now() + self._settings.drain_max_s
-        while self._live_keys_by_id and self._clock.now() < limit_s:
+        while self._is_busy() and self._clock.now() < limit_s:
             await self._clock.sleep(_TICK_S)
         self._invariants.check(
             invariant_checks.InvariantId.GRACEFUL_STOP,
-            not self._live_keys_by_id,
-            requests=len(self._live_keys_by_id),
+            not self._is_busy(),
+            requests=sum(len(runner.requests) for runner in self.runners),
         )
         logs.event(self._log, "dispatch_drained")
 
+    def _is_busy(self) -> bool:
+        # Also a booking whose entry is gone is finished.
+        return any(not runner.is_idle for runner in self.runners)
+
     def _runner(
         self, service: service_file.ServiceFile, region: str
     ) -> shard_runner.ShardRunner:
@@ -306,11 +314,16 @@
         self._upkeep.added(runner)
         return runner
 
-    def _owned_runners(self) -> list[shard_runner.ShardRunner]:
+    def _served_runners(self) -> list[shard_runner.ShardRunner]:
+        """Returns the shards that are owned or have requests here.
+
+        The last hop of a request may be a process that is not the owner;
+        it must know the targets as well.
+        """
         return [
             runner
             for key, runner in self._runners_by_key.items()
-            if self._owners.owns(key)
+            if self._owners.owns(key) or not runner.is_idle
         ]
 
     def _member_changed(self, row: member_rows.Member) -> None:
@@ -346,6 +359,11 @@
         for runner in self._runners_by_key.values():
             runner.tick(now)
 
+    def _tick_health(self) -> None:
+        now = self._clock.now()
+        for runner in self._runners_by_key.values():
+            runner.health.tick(now)
+
     def _check_pause(self, now: float) -> None:
         """Rechecks deadlines and owners before anything is sent."""
         pause_s = now - self._last_tick_s
@@ -356,6 +374,7 @@
         for runner in self._runners_by_key.values():
             runner.expire(now)
         self._recheck_owners()
+        self._upkeep.verify(self.runners)
 
     def _drop_idle(self) -> None:
         for key, runner in list(self._runners_by_key.items()):
--- a/fuchsiacourse/shard_upkeep.py
+++ b/fuchsiacourse/shard_upkeep.py
@@ -13,6 +13,7 @@
 from fuchsiacourse import health as healths
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import logs
+from fuchsiacourse import members as member_tables
 from fuchsiacourse import prober
 from fuchsiacourse import quarantine as quarantines
 from fuchsiacourse import settings as settings_files
@@ -24,22 +25,27 @@
 from fuchsiacourse import timers as timer_service
 
 _EXCHANGE_INTERVAL_S = 0.25
+# The host list is looked at for each tick of this interval and read when it
+# is due.
+_HOSTS_TICK_S = 0.5
 _HOSTS_INTERVAL_S = 2.0
-_HOSTS_JITTER = 0.1
+# Bound on reads of the host list by the whole fleet. The platform allows
+# about 2,000 reads a second for everything.
+_HOSTS_READS_PER_S = 200.0
 
 Runners = collections.abc.Callable[[], list[shard_runner.ShardRunner]]
 NewHealth = collections.abc.Callable[[shards.Shard], typing.Any]
 
 
 class ShardUpkeep:
-    """Runs the timers of the shards that this process owns.
+    """Runs the timers of the shards that this process serves.
 
     Args:
         settings: Settings of dispatch.
         clock: Source of time.
         timers: Timer service of the process.
         rng: Source of randomness.
-        self_id: Own member identifier.
+        members: Members of the fleet.
         config: Configuration in force.
         target_client: Port to the targets.
         store: Port to the platform's object API.
@@ -56,7 +62,7 @@
         clock: clocks.Clock,
         timers: timer_service.Timers,
         rng: random.Random,
-        self_id: str,
+        members: member_tables.Members,
         config: config_table.ConfigTable,
         target_client: target_clients.TargetClient,
         store: stores.Store,
@@ -68,7 +74,8 @@
         self._clock = clock
         self._timers = timers
         self._rng = rng
-        self._self_id = self_id
+        self._members = members
+        self._hosts_due_s = 0.0
         self._config = config
         self._store = store
         self._invariants = invariants
@@ -91,15 +98,13 @@
         """Starts the timers.
 
         Args:
-            runners: Returns the runners of the owned shards.
+            runners: Returns the runners of the shards to look after.
         """
         self._runners = runners
         self._timers.every(
             prober.TICK_S, lambda: self._prober.run_due(runners())
         )
-        self._timers.every(
-            _HOSTS_INTERVAL_S, self._read_hosts, jitter=_HOSTS_JITTER
-        )
+        self._timers.every(_HOSTS_TICK_S, self._read_hosts_if_due)
         self._timers.every(_EXCHANGE_INTERVAL_S, self._exchange)
 
     def health_of(self, shard: shards.Shard) -> typing.Any:
@@ -117,7 +122,7 @@
         )
 
     def added(self, runner: shard_runner.ShardRunner) -> None:
-        """Takes over a shard."""
+        """Takes over a shard that has no requests yet."""
         service = runner.shard.service.service
         if service not in self._quarantines_by_service:
             quarantine = quarantines.Quarantine(
@@ -139,11 +144,20 @@
                     store=self._store,
                     clock=self._clock,
                     config=self._config,
-                    self_id=self._self_id,
+                    self_id=self._members.self.id,
                     log=self._log,
                     invariants=self._invariants,
                 )
             )
+        self.verify([runner])
+
+    def verify(self, runners: list[shard_runner.ShardRunner]) -> None:
+        """Asks the platform and the targets before work is sent to them."""
+        for runner in runners:
+            runner.verification.begin(self._clock.now())
+            self._prober.ask_all(runner)
+        if runners:
+            self._timers.spawn(self._read_hosts(runners))
 
     def dropped(
         self, runner: shard_runner.ShardRunner, *, is_last: bool
@@ -206,19 +220,29 @@
             for fingerprint in crash.fingerprints:
                 quarantine.crashed(fingerprint, crash.target_id, now)
 
-    async def _read_hosts(self) -> None:
-        runners = self._runners()
-        if not runners:
-            return
+    async def _read_hosts_if_due(self) -> None:
+        if self._clock.now() >= self._hosts_due_s and self._runners():
+            await self._read_hosts([])
+
+    async def _read_hosts(self, added: list[shard_runner.ShardRunner]) -> None:
+        """Reads the host list for the served shards and some others."""
+        asked_s = self._clock.now()
+        readers = len(self._members.alive(member_tables.DISPATCH))
+        self._hosts_due_s = asked_s + max(
+            _HOSTS_INTERVAL_S, readers / _HOSTS_READS_PER_S
+        )
+        leaving = set()
         try:
             hosts = await self._store.hosts()
+            leaving = {host.address for host in hosts if host.leaving}
         except errors.StoreError as error:
             logs.warning(self._log, "host_list_failed", error=str(error))
-            return
-        leaving = {host.address for host in hosts if host.leaving}
         now = self._clock.now()
-        for runner in runners:
+        served = self._runners()
+        for runner in served + [item for item in added if item not in served]:
             for row in runner.shard.targets_by_id.values():
                 if row.target.address in leaving:
                     runner.health.host_leaving(row, now)
                     runner.leaving.note(row, now, is_leaving=True)
+            runner.verification.hosts_read(asked_s)
+            runner.bind(now)
