Use suspects at peak

Cause: health gives ordinary work to suspects only when all others have been full for 0.1 s. At peak each slot that gets free is offered at once, so the others never look full, and the slots of suspects stayed idle while requests were refused.

Change: dispatch tells health.candidates that its queue is at peak, and suspects then take work at once, still last.

--- a/bench/plain_health.py
+++ b/bench/plain_health.py
@@ -67,7 +67,11 @@
         """Does nothing."""
 
     def candidates(
-        self, kind: service_file.RequestKind, now: float
+        self,
+        kind: service_file.RequestKind,
+        now: float,
+        *,
+        is_backlogged: bool = False,
     ) -> list[target_row.TargetRow]:
         """Returns targets with a free slot."""
         rows = [
--- a/fuchsiacourse/candidates.py
+++ b/fuchsiacourse/candidates.py
@@ -139,13 +139,20 @@
         self._full_since_s: float | None = None
 
     def listed(
-        self, kind: service_file.RequestKind, now: float
+        self,
+        kind: service_file.RequestKind,
+        now: float,
+        *,
+        is_backlogged: bool = False,
     ) -> list[target_row.TargetRow]:
         """Returns targets that may take one more request, best first.
 
         Args:
             kind: Kind of the request.
             now: Monotonic time in seconds.
+            is_backlogged: Whether more requests are queued than all targets
+                can serve in time. Each slot that gets free is then seen
+                here first, so the others never look full for long.
         """
         found = []
         only_suspects = True
@@ -168,7 +175,9 @@
         elif self._full_since_s is None:
             self._full_since_s = now
         since = self._full_since_s
-        if since is None or only_suspects or now - since >= SUSPECT_WAIT_S:
+        if since is None or only_suspects or is_backlogged:
+            return [item.row for item in found]
+        if now - since >= SUSPECT_WAIT_S:
             return [item.row for item in found]
         return [item.row for item in found if item.rank[0] != SUSPECT_RANK]
 
--- a/fuchsiacourse/health.py
+++ b/fuchsiacourse/health.py
@@ -186,7 +186,11 @@
         self._states.update_suspects(now)
 
     def candidates(
-        self, kind: service_file.RequestKind, now: float
+        self,
+        kind: service_file.RequestKind,
+        now: float,
+        *,
+        is_backlogged: bool = False,
     ) -> list[target_row.TargetRow]:
         """Returns targets that may take one more request, best first.
 
@@ -198,9 +202,11 @@
         Args:
             kind: Kind of the request.
             now: Monotonic time in seconds.
+            is_backlogged: Whether more requests are queued than all targets
+                can serve in time.
         """
         self._states.lapse(now)
-        return self._candidates.listed(kind, now)
+        return self._candidates.listed(kind, now, is_backlogged=is_backlogged)
 
     def lapse(self, now: float) -> None:
         """Ends ejections of an outdated status, as ``candidates`` does."""
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -191,13 +191,15 @@
         self._before_sending(now)
         if not self.queue:
             return
-        for kind_queue in self.admission.ordered(self.targets.usable_slots):
+        slots = self.targets.usable_slots
+        is_peak = self.admission.is_peak(slots)
+        for kind_queue in self.admission.ordered(slots):
             if not self.targets.has_free_slot:
                 return
-            self._bind_kind(kind_queue, now)
+            self._bind_kind(kind_queue, now, is_peak)
 
     def _bind_kind(
-        self, kind_queue: request_queue.KindQueue, now: float
+        self, kind_queue: request_queue.KindQueue, now: float, is_peak: bool
     ) -> None:
         is_progressing = True
         while is_progressing and kind_queue:
@@ -207,7 +209,7 @@
                     self.refuse(row, Refusal.DEADLINE)
                     is_progressing = True
                     continue
-                target = self._choice.choose(row, now)
+                target = self._choice.choose(row, now, is_backlogged=is_peak)
                 if target is not None:
                     self.queue.remove(row)
                     self._start(row, target, now)
--- a/fuchsiacourse/target_choice.py
+++ b/fuchsiacourse/target_choice.py
@@ -47,11 +47,18 @@
         now: float,
         *,
         is_hedge: bool = False,
+        is_backlogged: bool = False,
     ) -> target_row.TargetRow | None:
         """Returns a target with a free slot, or None.
 
         A target that was tried before is used again only when every usable
         target has been tried, and never for a hedge.
+
+        Args:
+            row: The request.
+            now: Monotonic time in seconds.
+            is_hedge: Whether the request is at another target already.
+            is_backlogged: Whether more is queued than can be served.
         """
         if not row.kind.is_short and not self._may_take_long():
             return None
@@ -60,7 +67,9 @@
             for target in self._targets.usable
             if target.id not in row.tried_target_ids
         }
-        for target in self._health.candidates(row.kind, now):
+        for target in self._health.candidates(
+            row.kind, now, is_backlogged=is_backlogged
+        ):
             if target.leaving or target.free_slots < 1:
                 continue
             if not self._offers.allows(target, now):
--- a/tests/test_shard_runner.py
+++ b/tests/test_shard_runner.py
@@ -242,6 +242,44 @@
 
         self.run_world(main)
 
+    def test_suspects_take_work_at_once_at_peak(self):
+        """Guards against idle slots while the queue refuses requests.
+
+        A booking doesn't test suspects, so it is ordinary work.
+        """
+
+        async def main(world):
+            runner = world.dispatch.runners[0]
+            rows = runner.shard.targets_by_id
+            rows["target-1"].state = target_row.TargetState.SUSPECT
+            rows["target-2"].attempts_by_id = dict.fromkeys("abc")
+            now = world.clock.now()
+            self.assertEqual([], runner.health.candidates(BOOKING, now))
+            found = runner.health.candidates(BOOKING, now, is_backlogged=True)
+            self.assertEqual([rows["target-1"]], found)
+            rows["target-2"].attempts_by_id = {}
+
+        self.run_world(main, with_detection=True)
+
+    def test_peak_is_told_to_health(self):
+        """Guards against a queue that keeps its backlog to itself."""
+
+        async def main(world):
+            runner = world.dispatch.runners[0]
+            told = []
+            candidates = runner.health.candidates
+
+            def noting(kind, now, *, is_backlogged=False):
+                told.append(is_backlogged)
+                return candidates(kind, now)
+
+            runner.health.candidates = noting
+            calls = [world.execute(world.request()) for _ in range(60)]
+            await asyncio.gather(*calls)
+            self.assertEqual({True, False}, set(told))
+
+        self.run_world(main)
+
     def test_long_work_leaves_the_reserved_slots(self):
         """Guards against long work in the slots kept for short work."""
 
