Settle a request before detection is told, and show the load

Cause: an exception in detection at the end of an attempt left the request unsettled, and its deadline then replied NOT_RUN for something that was sent.

Change: the request is settled whatever detection does; gauges of queue and slots by service in DispatchMetrics.

--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -21,6 +21,7 @@
 from fuchsiacourse import logs
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
+from fuchsiacourse import metrics as metric_tables
 from fuchsiacourse import platform_model
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as settings_files
@@ -194,6 +195,7 @@
             timers=self.timers,
             rng=self.rng,
         )
+        self.metrics = metric_tables.Metrics(program="dispatch")
         self.dispatch = dispatch_service.DispatchService(
             settings=_settings(overrides or {}),
             clock=self.clock,
@@ -205,6 +207,7 @@
             store=self.store,
             invariants=self.invariants,
             log=logs.silent(),
+            metrics=self.metrics,
             new_health=None if with_detection else _plain_health,
         )
         self.dispatch.start()
--- a/fuchsiacourse/attempt_runner.py
+++ b/fuchsiacourse/attempt_runner.py
@@ -199,8 +199,12 @@
         del run.target.attempts_by_id[run.id]
         del row.runs_by_id[run.id]
         self.long_in_flight -= not row.kind.is_short
-        self._tell_health(run, outcome, answer)
-        self._on_ended(row, run, outcome, answer)
+        try:
+            self._tell_health(run, outcome, answer)
+        finally:
+            # A fault of detection must not change what is told of the
+            # request.
+            self._on_ended(row, run, outcome, answer)
 
     def _tell_health(
         self,
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -10,6 +10,7 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import config_table
+from fuchsiacourse import dispatch_metrics
 from fuchsiacourse import execute_replies
 from fuchsiacourse import fleet_pb2
 from fuchsiacourse import invariants as invariant_checks
@@ -93,7 +94,9 @@
         self._target_client = target_client
         self._invariants = invariants
         self._log = log
-        self._metrics = metrics
+        self._metrics = dispatch_metrics.DispatchMetrics(
+            metrics=metrics, config=config
+        )
         self._upkeep = shard_upkeep.ShardUpkeep(
             settings=settings,
             clock=clock,
@@ -137,6 +140,9 @@
         self._timers.every(_TICK_S, self._tick)
         self._timers.every(_HEALTH_TICK_S, self._tick_health)
         self._timers.every(_UPKEEP_S, self._drop_idle)
+        self._timers.every(
+            _UPKEEP_S, lambda: self._metrics.show_load(self.runners)
+        )
         self._upkeep.start(self._served_runners)
 
     async def execute(
@@ -149,7 +155,7 @@
         reply = self._refusal(request, now)
         if reply is None:
             reply = await self._run(request, now)
-        self._count(request.service, reply)
+        self._metrics.count(request.service, reply)
         return reply
 
     def _refusal(
@@ -385,14 +391,3 @@
                 del self._runners_by_key[key]
                 services = {other[0] for other in self._runners_by_key}
                 self._upkeep.dropped(runner, is_last=key[0] not in services)
-
-    def _count(self, service: str, reply: fleet_pb2.ExecuteReply) -> None:
-        if self._metrics is None:
-            return
-        known = service in self._config.services_by_name
-        self._metrics.count(
-            "dispatch_replies",
-            "Replies to Execute calls.",
-            service=service if known else "unknown",
-            outcome=reply.refusal or "answered",
-        )
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -234,14 +234,15 @@
         answer: target_clients.TargetAnswer | None,
     ) -> None:
         now = self._clock.now()
+        # First, so that no fault below changes what is told of a request.
+        if row.state is request_row.RequestState.RUNNING:
+            self._settle(row, run, outcome, answer, now)
         self.times.ended(row.kind, outcome, now - run.attempt.started_s)
         self._offers.ended(run.target, outcome, now)
         if outcome is Outcome.OK:
             self.verification.heard(run.target.id, run.attempt.started_s)
-        self._on_ended(self, run.target, run.attempt, outcome)
-        if row.state is request_row.RequestState.RUNNING:
-            self._settle(row, run, outcome, answer, now)
         self.targets.released(run.target)
+        self._on_ended(self, run.target, run.attempt, outcome)
         self.bind(now)
 
     def _settle(
--- a/tests/test_dispatch_service.py
+++ b/tests/test_dispatch_service.py
@@ -172,3 +172,26 @@
             self.assertEqual(404, reply.status)
 
         self.run_world(main)
+
+    def test_metrics_have_bounded_labels(self):
+        """Guards against series for names that requests make up."""
+
+        async def main(world):
+            request = world.request()
+            request.service = "made-up"
+            await world.execute(request)
+            await asyncio.sleep(1.0)
+            replies = world.metrics.registry.get("dispatch_replies")
+            labels = {
+                (values["service"], values["outcome"])
+                for values, _ in replies.get_all()
+            }
+            self.assertEqual(
+                {
+                    (dispatch_world.SERVICE, "answered"),
+                    ("unknown", "unknown_service"),
+                },
+                labels,
+            )
+
+        self.run_world(main)
--- a/tests/test_shard_runner.py
+++ b/tests/test_shard_runner.py
@@ -135,6 +135,22 @@
 
         self.run_world(main)
 
+    def test_fault_of_detection_leaves_the_verdict_alone(self):
+        """Guards against NOT_RUN for a request whose end was not handled."""
+
+        async def main(world):
+            world.target(1).lost_share = world.target(2).lost_share = 1.0
+            runner = world.dispatch.runners[0]
+            health, runner.health.finished = runner.health.finished, None
+            reply = await world.execute(world.request(BOOKING))
+            self.assertEqual(fleet_pb2.MAY_HAVE_RUN, reply.verdict)
+            self.assertEqual("target_failed", reply.refusal)
+            runner.health.finished = health
+            self.assertEqual(1, len(world.failures))
+            world.failures.clear()
+
+        self.run_world(main)
+
     def test_started_booking_is_waited_for_after_its_deadline(self):
         """Guards against losing the answer of a late booking."""
 
