--- /dev/null
+++ b/tests/test_ejection_agent.py
@@ -0,0 +1,200 @@
+"""Tests of ejections through the status object."""
+
+import asyncio
+import json
+import random
+import unittest
+from unittest import mock
+
+from bench import fake_store
+from bench import floor_decider
+from bench import floor_run
+from bench import virtual_loop
+from fuchsiacourse import ejection_agent
+from fuchsiacourse import platform_model
+from fuchsiacourse import status_plan
+from fuchsiacourse import timers as timer_service
+
+KEY = "status/larder"
+LAPSED_S = ejection_agent.VIEW_VALID_S + 1.0
+
+
+class Fleet:
+    """Deciders over one platform; the floor leaves room for some slots."""
+
+    def __init__(self, *, regions, spare):
+        self.clock = virtual_loop.VirtualClock()
+        rng = random.Random(1)
+        timers = timer_service.Timers(
+            clock=self.clock, rng=rng, on_error=self.failed
+        )
+        self.platform = platform_model.PlatformModel(clock=self.clock)
+        self.world = floor_decider.World(rng=rng)
+        service = floor_run.make_service(rng)
+        self.service = service.model_copy(
+            update={"floor_slots": service.total_slots - spare}
+        )
+        self.world.publish(self.service)
+        self.deciders = []
+        for index, region in enumerate(regions):
+            connection = fake_store.FakeStore(
+                platform=self.platform,
+                clock=self.clock,
+                timers=timers,
+                rng=rng,
+            )
+            decider = floor_decider.Decider(
+                id=f"m{index}",
+                region=region,
+                world=self.world,
+                connection=connection,
+                clock=self.clock,
+                rng=rng,
+                on_step=lambda: None,
+            )
+            self.deciders.append(decider)
+            timers.spawn(decider.run())
+
+    def failed(self, error):
+        raise error
+
+    def out(self):
+        """Returns the ejections in effect in each decider."""
+        return [item.ejected(self.clock.now()) for item in self.deciders]
+
+    def content(self):
+        stored = self.platform.table.get(KEY)
+        return json.loads(stored.value) if stored is not None else None
+
+
+class EjectionAgentTest(unittest.TestCase):
+    """Several owners must agree on ejections and keep the floor."""
+
+    def run_fleet(self, scenario, *, regions=("north", "north"), spare=8):
+        async def main():
+            await scenario(Fleet(regions=regions, spare=spare))
+
+        virtual_loop.run(main())
+
+    def test_ejection_reaches_the_other_owner(self):
+        """Guards against an ejection that stays in one process."""
+
+        async def scenario(fleet):
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(2.0)
+            self.assertEqual([{"larder-north-0"}] * 2, fleet.out())
+            entry = fleet.content()["ejected"]["larder-north-0"]
+            self.assertEqual("latency", entry["reason"])
+
+        self.run_fleet(scenario)
+
+    def test_lost_reply_is_settled_by_reading(self):
+        """Guards against acting on, or repeating, an unsure write."""
+
+        async def scenario(fleet):
+            await asyncio.sleep(1.0)
+            fleet.platform.faults.lose_write_replies = 1
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(1.5)
+            self.assertIn("larder-north-0", fleet.content()["ejected"])
+            self.assertEqual([set()], fleet.out())
+            await asyncio.sleep(2.0)
+            self.assertEqual([{"larder-north-0"}], fleet.out())
+
+        self.run_fleet(scenario, regions=("north",))
+
+    def test_two_regions_share_the_spare_capacity(self):
+        """Guards against two owners using the same spare slots."""
+
+        async def scenario(fleet):
+            await asyncio.sleep(1.0)
+            # These targets have three slots each.
+            fleet.world.sick.update(("larder-north-2", "larder-south-1"))
+            await asyncio.sleep(3.0)
+            self.assertEqual(1, len(fleet.content()["ejected"]))
+            self.assertEqual(1, sum(len(out) for out in fleet.out()))
+
+        self.run_fleet(scenario, regions=("north", "south"), spare=3)
+
+    def test_no_ejection_without_the_platform(self):
+        """Guards against an ejection that nobody else can see."""
+
+        async def scenario(fleet):
+            fleet.platform.faults.outage = True
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(30.0)
+            self.assertEqual([set(), set()], fleet.out())
+
+        self.run_fleet(scenario)
+
+    def test_ejection_lapses_when_cut_off(self):
+        """Guards against an old ejection in effect after its release."""
+
+        async def scenario(fleet):
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(2.0)
+            first, second = fleet.deciders
+            first.connection.loses_requests = True
+            fleet.world.restart("larder-north-0")
+            second.doubted.clear()
+            await asyncio.sleep(LAPSED_S)
+            self.assertEqual(set(), first.ejected(fleet.clock.now()))
+
+        self.run_fleet(scenario)
+        self.assertLess(
+            1.2 * ejection_agent.VIEW_VALID_S, status_plan.RELEASE_HOLD_S
+        )
+
+    def test_lapse_is_checked(self):
+        """Guards against the test above passing without any lapse."""
+        with mock.patch.object(ejection_agent, "VIEW_VALID_S", 1e9):
+            with self.assertRaises(AssertionError):
+                self.test_ejection_lapses_when_cut_off()
+
+    def test_older_configuration_ejects_nothing(self):
+        """Guards against an owner that has missed a higher floor."""
+
+        async def scenario(fleet):
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(2.0)
+            raised = fleet.service.model_copy(
+                update={"floor_slots": fleet.service.floor_slots + 1}
+            )
+            number = fleet.world.publish(raised)
+            fleet.deciders[0].adopt_later(number, 0.0)
+            await asyncio.sleep(3.0)
+            self.assertEqual(2, fleet.content()["config_number"])
+            fleet.world.sick.add("larder-south-0")
+            await asyncio.sleep(3.0)
+            self.assertNotIn("larder-south-0", fleet.content()["ejected"])
+            fleet.deciders[1].adopt_later(number, 0.0)
+            await asyncio.sleep(3.0)
+            self.assertIn("larder-south-0", fleet.content()["ejected"])
+
+        self.run_fleet(scenario, regions=("north", "south"))
+
+    def test_raised_floor_and_leaving_target_readmit(self):
+        """Guards against ejections that stay while capacity is short."""
+
+        async def publish(fleet):
+            raised = fleet.service.model_copy(
+                update={"floor_slots": fleet.service.total_slots}
+            )
+            number = fleet.world.publish(raised)
+            for decider in fleet.deciders:
+                decider.adopt_later(number, 0.0)
+
+        async def leave(fleet):
+            fleet.world.leaving.add("larder-north-5")
+
+        async def scenario(fleet):
+            fleet.world.sick.add("larder-north-2")
+            await asyncio.sleep(2.0)
+            self.assertEqual([{"larder-north-2"}] * 2, fleet.out())
+            await change(fleet)
+            await asyncio.sleep(3.0)
+            self.assertEqual({}, fleet.content()["ejected"])
+            self.assertEqual([set(), set()], fleet.out())
+
+        for change in (publish, leave):
+            self.run_fleet(scenario, spare=3)
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,115 @@
+"""Tests of the quarantine of requests."""
+
+import unittest
+
+from bench import virtual_loop
+from bench import workload
+from fuchsiacourse import crash_signs
+from fuchsiacourse import errors
+from fuchsiacourse import logs
+from fuchsiacourse import quarantine
+from fuchsiacourse import store as stores
+from fuchsiacourse import target_row
+
+
+class Objects:
+    """One object; a write may take effect while its reply is lost."""
+
+    def __init__(self):
+        self.stored = None
+        self.loses_replies = 0
+
+    async def get(self, key):
+        return self.stored
+
+    async def put(self, key, value, *, if_version):
+        version = self.stored.version if self.stored is not None else 0
+        if version != if_version:
+            raise errors.VersionConflict(key)
+        self.stored = stores.StoredObject(
+            key=key, value=value, version=version + 1
+        )
+        if self.loses_replies:
+            self.loses_replies -= 1
+            raise errors.StoreUnsure(key)
+        return version + 1
+
+
+class QuarantineTest(unittest.TestCase):
+    """A request that crashes targets must be refused everywhere."""
+
+    def make(self, objects):
+        return quarantine.Quarantine(
+            service="larder",
+            store=objects,
+            clock=virtual_loop.VirtualClock(),
+            log=logs.silent(),
+        )
+
+    def test_two_targets_quarantine_everywhere(self):
+        """Guards against a request that crashes one target after another."""
+
+        async def main():
+            objects = Objects()
+            objects.loses_replies = 1
+            first, second = self.make(objects), self.make(objects)
+            first.crashed("f", "a", 0.0)
+            first.crashed("f", "a", 1.0)
+            self.assertFalse(first.is_quarantined("f"))
+            explained = []
+            first.subscribe(explained.append)
+            first.crashed("f", "b", 2.0)
+            self.assertTrue(first.is_quarantined("f"))
+            self.assertEqual([["a", "b"]], explained)
+            await first.run_once()
+            await second.run_once()
+            self.assertTrue(second.is_quarantined("f"))
+
+        virtual_loop.run(main())
+
+    def test_answered_request_is_innocent(self):
+        """Guards against refusing a popular request by chance."""
+
+        async def main():
+            kept = self.make(Objects())
+            kept.crashed("f", "a", 0.0)
+            kept.answered("f")
+            kept.crashed("f", "b", 1.0)
+            self.assertFalse(kept.is_quarantined("f"))
+            kept.crashed("f", "c", 1000.0)
+            self.assertFalse(kept.is_quarantined("f"))
+
+        virtual_loop.run(main())
+
+
+class CrashSignsTest(unittest.TestCase):
+    """A crash must be told from a single lost connection."""
+
+    def fail(self, signs, now, outcome=target_row.Outcome.CONNECTION_LOST):
+        attempt = target_row.Attempt(
+            request_id="r",
+            kind=workload.kinds("larder")[0],
+            fingerprint=f"f{now}",
+            target_id="t",
+            started_s=now,
+        )
+        signs.failed("t", attempt, outcome, now)
+
+    def test_single_loss_is_no_crash(self):
+        """Guards against blaming requests for a lost connection."""
+        signs = crash_signs.CrashSigns()
+        self.fail(signs, 1.0)
+        self.fail(signs, 3.0)
+        self.assertEqual([], signs.take())
+        signs.unreachable("t", 9.0)
+        self.assertEqual([], signs.take())
+
+    def test_crashes(self):
+        """Guards against missing a crash and its requests."""
+        signs = crash_signs.CrashSigns()
+        self.fail(signs, 1.0)
+        self.fail(signs, 1.05)
+        self.assertEqual(["f1.0", "f1.05"], signs.take()[0].fingerprints)
+        self.fail(signs, 2.0)
+        self.fail(signs, 4.0, target_row.Outcome.UNREACHABLE)
+        self.assertEqual(["f2.0"], signs.take()[0].fingerprints)
