Use the modules' own bounds of platform calls in the capacity rows

Cause: the rows assumed bounds that the modules do not have.

Change: reads of the host list are bounded at 200/s and those of the quarantine are one every 5 s a shard, as the modules do it.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -152,8 +152,8 @@
     reads = {
         "config": REGIONS * 3 * (1 / 10 + 1 / 30 + CHANGES_PER_S * 2),
         "status": shards / 60 + 0.05 * shards / 2,
-        "quarantine": _bounded(shards, 5.0, 0.01),
-        "hosts": _bounded(shards, 2.0, 0.02),
+        "quarantine": shards / 5,
+        "hosts": min(NODES / 2, 200.0),
         "burn": ZONES * 2 / 30,
     }
     writes = {
@@ -167,11 +167,6 @@
     ]
 
 
-def _bounded(count: float, interval_s: float, seconds_each: float) -> float:
-    """Returns calls per second of an interval that grows with the count."""
-    return count / max(interval_s, seconds_each * count)
-
-
 def _calls(
     name: str, parts: dict[str, float], limit: float
 ) -> list[CapacityRow]:
