--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -21,6 +21,7 @@
 from fuchsiacourse import logs
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
+from fuchsiacourse import metrics as metric_tables
 from fuchsiacourse import platform_model
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as settings_files
@@ -28,6 +29,8 @@
 from fuchsiacourse import store as stores
 from fuchsiacourse import timers as timer_service
 
+# Longer than dispatch waits for news of a new shard's targets.
+_WARM_UP_S = 0.6
 REGION = "tayside"
 SERVICE = "larder"
 LOOKUP = service_file.RequestKind(
@@ -192,6 +195,7 @@
             timers=self.timers,
             rng=self.rng,
         )
+        self.metrics = metric_tables.Metrics(program="dispatch")
         self.dispatch = dispatch_service.DispatchService(
             settings=_settings(overrides or {}),
             clock=self.clock,
@@ -203,6 +207,7 @@
             store=self.store,
             invariants=self.invariants,
             log=logs.silent(),
+            metrics=self.metrics,
             new_health=None if with_detection else _plain_health,
         )
         self.dispatch.start()
@@ -244,6 +249,12 @@
         """Starts an Execute call."""
         return asyncio.ensure_future(self.dispatch.execute(request))
 
+    async def warm_up(self) -> None:
+        """Makes the shard's tables and waits for news of its targets."""
+        await self.execute(self.request())
+        await asyncio.sleep(_WARM_UP_S)
+        self.targets.forget_records()
+
     async def withdraw(self, request: fleet_pb2.ExecuteRequest) -> str:
         """Withdraws a request and returns the outcome."""
         reply = await self.dispatch.withdraw(
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -10,6 +10,7 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import config_table
+from fuchsiacourse import dispatch_metrics
 from fuchsiacourse import execute_replies
 from fuchsiacourse import fleet_pb2
 from fuchsiacourse import invariants as invariant_checks
@@ -93,7 +94,9 @@
         self._target_client = target_client
         self._invariants = invariants
         self._log = log
-        self._metrics = metrics
+        self._metrics = dispatch_metrics.DispatchMetrics(
+            metrics=metrics, config=config
+        )
         self._upkeep = shard_upkeep.ShardUpkeep(
             settings=settings,
             clock=clock,
@@ -137,7 +140,10 @@
         self._timers.every(_TICK_S, self._tick)
         self._timers.every(_HEALTH_TICK_S, self._tick_health)
         self._timers.every(_UPKEEP_S, self._drop_idle)
-        self._upkeep.start(self._owned_runners)
+        self._timers.every(
+            _UPKEEP_S, lambda: self._metrics.show_load(self.runners)
+        )
+        self._upkeep.start(self._served_runners)
 
     async def execute(
         self, request: fleet_pb2.ExecuteRequest
@@ -149,7 +155,7 @@
         reply = self._refusal(request, now)
         if reply is None:
             reply = await self._run(request, now)
-        self._count(request.service, reply)
+        self._metrics.count(request.service, reply)
         return reply
 
     def _refusal(
@@ -314,11 +320,16 @@
         self._upkeep.added(runner)
         return runner
 
-    def _owned_runners(self) -> list[shard_runner.ShardRunner]:
+    def _served_runners(self) -> list[shard_runner.ShardRunner]:
+        """Returns the shards that are owned or have requests here.
+
+        The last hop of a request may be a process that is not the owner;
+        it must know the targets as well.
+        """
         return [
             runner
             for key, runner in self._runners_by_key.items()
-            if self._owners.owns(key)
+            if self._owners.owns(key) or not runner.is_idle
         ]
 
     def _member_changed(self, row: member_rows.Member) -> None:
@@ -369,6 +380,7 @@
         for runner in self._runners_by_key.values():
             runner.expire(now)
         self._recheck_owners()
+        self._upkeep.verify(self.runners)
 
     def _drop_idle(self) -> None:
         for key, runner in list(self._runners_by_key.items()):
@@ -379,14 +391,3 @@
                 del self._runners_by_key[key]
                 services = {other[0] for other in self._runners_by_key}
                 self._upkeep.dropped(runner, is_last=key[0] not in services)
-
-    def _count(self, service: str, reply: fleet_pb2.ExecuteReply) -> None:
-        if self._metrics is None:
-            return
-        known = service in self._config.services_by_name
-        self._metrics.count(
-            "dispatch_replies",
-            "Replies to Execute calls.",
-            service=service if known else "unknown",
-            outcome=reply.refusal or "answered",
-        )
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -27,6 +27,7 @@
 from fuchsiacourse import target_client as target_clients
 from fuchsiacourse import target_row
 from fuchsiacourse import timers as timer_service
+from fuchsiacourse import verification as verifications
 
 _MAX_ATTEMPTS = 6
 # Requests of a kind that are looked at when the first can't be bound, for
@@ -83,6 +84,7 @@
             queue=self.queue, times=self.times
         )
         self.targets = shard_targets.ShardTargets(shard=shard)
+        self.verification = verifications.Verification()
         self.leaving = leaving_targets.LeavingTargets(invariants=invariants)
         self._attempts = attempt_runner.AttemptRunner(
             shard=shard,
@@ -111,6 +113,7 @@
             targets=self.targets,
             health=health,
             offers=self._offers,
+            verification=self.verification,
             attempts=self._attempts,
             short_slot_share=settings.short_slot_share,
         )
@@ -188,13 +191,15 @@
         self._before_sending(now)
         if not self.queue:
             return
-        for kind_queue in self.admission.ordered(self.targets.usable_slots):
+        slots = self.targets.usable_slots
+        is_peak = self.admission.is_peak(slots)
+        for kind_queue in self.admission.ordered(slots):
             if not self.targets.has_free_slot:
                 return
-            self._bind_kind(kind_queue, now)
+            self._bind_kind(kind_queue, now, is_peak)
 
     def _bind_kind(
-        self, kind_queue: request_queue.KindQueue, now: float
+        self, kind_queue: request_queue.KindQueue, now: float, is_peak: bool
     ) -> None:
         is_progressing = True
         while is_progressing and kind_queue:
@@ -204,7 +209,7 @@
                     self.refuse(row, Refusal.DEADLINE)
                     is_progressing = True
                     continue
-                target = self._choice.choose(row, now)
+                target = self._choice.choose(row, now, is_backlogged=is_peak)
                 if target is not None:
                     self.queue.remove(row)
                     self._start(row, target, now)
@@ -229,30 +234,17 @@
         answer: target_clients.TargetAnswer | None,
     ) -> None:
         now = self._clock.now()
-        self._learn(row, run, outcome, now)
-        self._offers.ended(run.target, outcome, now)
-        self._on_ended(self, run.target, run.attempt, outcome)
+        # First, so that no fault below changes what is told of a request.
         if row.state is request_row.RequestState.RUNNING:
             self._settle(row, run, outcome, answer, now)
+        self.times.ended(row.kind, outcome, now - run.attempt.started_s)
+        self._offers.ended(run.target, outcome, now)
+        if outcome is Outcome.OK:
+            self.verification.heard(run.target.id, run.attempt.started_s)
         self.targets.released(run.target)
+        self._on_ended(self, run.target, run.attempt, outcome)
         self.bind(now)
 
-    def _learn(
-        self,
-        row: RequestRow,
-        run: request_row.AttemptRun,
-        outcome: Outcome,
-        now: float,
-    ) -> None:
-        if outcome in (Outcome.SHED, Outcome.UNREACHABLE):
-            return
-        run_s = now - run.attempt.started_s
-        self.times.add_slot_time(
-            row.kind, run_s, is_served=outcome is Outcome.OK
-        )
-        if outcome is Outcome.OK or run_s >= self.times.straggler_s(row.kind):
-            self.times.add_run_time(row.kind, run_s)
-
     def _settle(
         self,
         row: RequestRow,
