Discount evidence that most targets share

The shares of the peers followed a common change in 2 s, while a target is condemned within 1 s.

Change: recent shares follow in 0.5 s; the score of a condemned target is lowered to 0.55 of the threshold while most targets are sick.

--- a/fuchsiacourse/evidence.py
+++ b/fuchsiacourse/evidence.py
@@ -2,7 +2,7 @@
 
 Latencies go into histograms with logarithmic buckets that lose weight over
 time. Recent shares of late and failed attempts follow changes of load
-within about two seconds.
+within about half a second.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 _LOG_RATIO = math.log(BUCKET_RATIO)
 
 # Time in which the recent counts lose all but 1/e of their weight.
-RECENT_S = 2.0
+RECENT_S = 0.5
 # Observations at the expected share that are added to the recent counts.
 PRIOR_COUNT = 5.0
 
--- a/fuchsiacourse/health.py
+++ b/fuchsiacourse/health.py
@@ -183,6 +183,7 @@
             for attempt in row.attempts_by_id.values():
                 self._detector.aged(row, attempt, now)
             self._states.advance(row, now)
+        self._states.discount_common_faults(now)
         self._states.update_suspects(now)
 
     def candidates(
--- a/fuchsiacourse/target_states.py
+++ b/fuchsiacourse/target_states.py
@@ -18,6 +18,9 @@
 # is no longer so.
 SUSPECT_SHARE = 0.3
 CLEAR_SHARE = 0.15
+# Share that is left of a score that most targets share. Well above
+# SUSPECT_SHARE, so that the targets still count as sick together.
+DISCOUNTED_SHARE = 0.55
 # Failed probes or bad reports in a row that make a target suspect.
 WEAK_SIGNS = 3
 # A target stays suspect for at least this time; the time triples with each
@@ -264,6 +267,23 @@
             if slots < needed:
                 slots += row.target.slots
 
+    def discount_common_faults(self, now: float) -> None:
+        """Lowers scores that rose together with those of most targets.
+
+        Otherwise the target that recovers last from a common fault would
+        be ejected for it.
+        """
+        limit = DISCOUNTED_SHARE * self._detector.threshold
+        condemned = [
+            row
+            for row in self._shard.targets_by_id.values()
+            if target_health.of(row, now).condemned_since_s is not None
+            and self.is_common_fault(row, now)
+        ]
+        for row in condemned:
+            self._detector.lower(row, limit)
+            target_health.of(row, now).condemned_since_s = None
+
     def shifts_limits(self, row: target_row.TargetRow) -> bool:
         """Tells whether a target's latencies count for its peers.
 
--- /dev/null
+++ b/tests/test_candidates.py
@@ -0,0 +1,76 @@
+"""Tests of the order in which targets are offered work."""
+
+import random
+import unittest
+
+from bench import workload
+from fuchsiacourse import candidates
+from fuchsiacourse import detector as detectors
+from fuchsiacourse import shard as shards
+from fuchsiacourse import target_row
+
+STATES = target_row.TargetState
+
+
+class CandidatesTest(unittest.TestCase):
+    """Work must go to healthy targets with free slots first."""
+
+    def setUp(self):
+        self.service = workload.service(workload.USERS[0], "larder")
+        shard = shards.Shard(service=self.service, region="tayside")
+        self.rows = list(shard.targets_by_id.values())
+        self.candidates = candidates.Candidates(
+            shard=shard,
+            detector=detectors.Detector(
+                shard=shard, false_ejections_per_target_s=1e-6
+            ),
+            rng=random.Random(1),
+        )
+        self.lookup, self.booking = self.service.kinds[:2]
+
+    def listed(self, kind, now):
+        return self.candidates.listed(kind, now)
+
+    def fill(self, row, count):
+        row.attempts_by_id = {
+            f"{row.id}/{index}": target_row.Attempt(
+                request_id=str(index),
+                kind=self.booking,
+                fingerprint="",
+                target_id=row.id,
+                started_s=0.0,
+            )
+            for index in range(count)
+        }
+
+    def test_least_used_first_and_full_left_out(self):
+        """Guards against more requests than slots."""
+        for row, count in zip(self.rows, (3, 2, 0, 1)):
+            self.fill(row, count)
+        one, two, three, four = self.rows
+        self.assertEqual([three, four, two], self.listed(self.booking, 0.0))
+        three.leaving = True
+        self.assertEqual([four, two], self.listed(self.booking, 0.0))
+
+    def test_suspect_waits_while_others_are_full_for_a_moment(self):
+        """Guards against overflow to a sick target at ordinary load."""
+        suspect = self.rows[0]
+        suspect.state = STATES.SUSPECT
+        self.assertIs(suspect, self.listed(self.booking, 0.0)[-1])
+        for row in self.rows[1:]:
+            self.fill(row, 3)
+        self.assertEqual([], self.listed(self.booking, 1.0))
+        self.assertEqual([suspect], self.listed(self.booking, 1.2))
+
+    def test_only_suspects_are_used_at_once(self):
+        """Guards against waiting for targets that do not exist."""
+        for row in self.rows:
+            row.state = STATES.SUSPECT
+        self.assertEqual(4, len(self.listed(self.booking, 0.0)))
+
+    def test_suspect_is_tested_first_by_short_idempotent_work(self):
+        """Guards against a suspicion that nothing confirms or clears."""
+        self.rows[0].state = STATES.SUSPECT
+        self.assertIs(self.rows[0], self.listed(self.lookup, 0.0)[0])
+        export = self.service.kinds[2]
+        self.assertIsNot(self.rows[0], self.listed(export, 0.0)[0])
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -54,6 +54,13 @@
         ):
             self.assertEqual([], self.run_with(kind, targets=6).ejections)
 
+    def test_common_swing_ejects_none(self):
+        """Guards against ejections when all targets slow down together."""
+        run = self.run_with(
+            target_fault.FaultKind.FLAPPING, targets=6, seconds=25.0
+        )
+        self.assertEqual([], run.ejections)
+
 
 class HealthTest(unittest.TestCase):
     """States must follow reports, answers and the status object."""
