--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(BIN)/python -m bench.measure --measure $(MEASURE)
 
 soak: setup
-	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
+	$(BIN)/python -m bench.soak --seed $(SEED) --wall-seconds $(SECONDS)
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import sys
 import time
@@ -28,6 +29,10 @@
         float, typer.Option(help="Virtual seconds with faults.")
     ] = 30.0,
     seeds: typing.Annotated[int, typer.Option(help="Number of seeds.")] = 1,
+    wall_seconds: typing.Annotated[
+        float,
+        typer.Option(help="Go on with the next seeds for this long."),
+    ] = 0.0,
     mutation: typing.Annotated[
         str, typer.Option(help="Safeguard to switch off.")
     ] = "",
@@ -39,13 +44,17 @@
     if mutations:
         raise typer.Exit(_run_mutations(seed, seconds))
     failed = 0
-    for number in range(seed, seed + seeds):
+    begin_s = time.monotonic()
+    for number in itertools.count(seed):
         started_s = time.monotonic()
+        is_enough = number >= seed + seeds
+        if is_enough and started_s - begin_s >= wall_seconds:
+            break
         result = soak_run.run(number, seconds, mutation=mutation or None)
         failed += not result.is_good
         print("\n".join(result.lines()))
         print(f"wall_s={time.monotonic() - started_s:.1f}", flush=True)
-    print(f"{seeds} seeds, {failed} with a broken guarantee")
+    print(f"{number - seed} seeds, {failed} with a broken guarantee")
     raise typer.Exit(1 if failed else 0)
 
 
