Distrust a withdrawal that comes after dispatch's memory

Cause: dispatch forgets finished request ids after 600 s. An entry with a long deadline, or one that was paused, could withdraw a booking later than that, get 'withdrawn', and tell not-run for a booking that ran.

Change: an entry takes a withdrawal as proof for 540 s after the sending.

--- a/fuchsiacourse/executor.py
+++ b/fuchsiacourse/executor.py
@@ -25,6 +25,9 @@
 
 # Time for the reply to a withdrawal.
 WITHDRAW_TIMEOUT_S = 0.5
+# Dispatch remembers the ids of finished requests for 600 s. After that it
+# takes an id for unknown, so that its withdrawal proves nothing.
+WITHDRAWAL_PROOF_S = 540.0
 # A booking that has started is waited for this long after its deadline, so
 # that its caller's next attempt can learn the answer.
 LATE_ANSWER_S = 10.0
@@ -208,6 +211,7 @@
             unproved_sendings=execution.unproved_sendings,
         )
         execution.unproved_sendings += 1
+        sending.sent_at = self._clock.now()
         return await self._peers.execute(
             sending.address,
             sending.message(execution, remaining_s),
@@ -342,7 +346,10 @@
             # An answer that came in the meantime says more.
             if call.done():
                 return self._conclude(execution, sending, call)
-            if _is_withdrawn(sending, withdrawal):
+            age_s = self._clock.now() - sending.sent_at
+            if age_s < WITHDRAWAL_PROOF_S and _is_withdrawn(
+                sending, withdrawal
+            ):
                 execution.unproved_sendings -= 1
             elif not execution.is_idempotent:
                 await waiting.until(
--- a/fuchsiacourse/sending.py
+++ b/fuchsiacourse/sending.py
@@ -16,9 +16,19 @@
         region: Region of the shard.
         hops: Redirections that led here.
         request_id: Identifier of this sending only.
+
+    Attributes:
+        sent_at: Monotonic time of the sending in seconds.
     """
 
-    __slots__ = ("address", "member_id", "region", "hops", "request_id")
+    __slots__ = (
+        "address",
+        "member_id",
+        "region",
+        "hops",
+        "request_id",
+        "sent_at",
+    )
 
     def __init__(
         self,
@@ -34,6 +44,7 @@
         self.region = region
         self.hops = hops
         self.request_id = request_id
+        self.sent_at = 0.0
 
     def message(
         self, execution: executions.Execution, remaining_s: float
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -46,6 +46,23 @@
 
         self.assertEqual((504, MAYBE, 0), self.book(arrange))
 
+    def test_late_withdrawal_proves_nothing(self):
+        """Guards against not-run for a run that dispatch has forgotten."""
+        kinds = entry_fakes.service().model_dump(mode="json")["kinds"]
+        for kind in kinds:
+            kind["deadline_ms"] = 700_000
+
+        def arrange(fleet, dispatch):
+            fleet.network.losses_by_call["execute"] = ["reply"]
+            asyncio.get_running_loop().call_later(
+                650, dispatch._state_by_id.clear
+            )
+
+        self.assertEqual(
+            (504, MAYBE, 1),
+            self.book(arrange, service_changes={"kinds": kinds}),
+        )
+
     def test_started_run_beyond_its_deadline(self):
         """Guards against not-run for a run that has started."""
 
