--- a/fuchsiacourse/claims.py
+++ b/fuchsiacourse/claims.py
@@ -90,10 +90,18 @@
         self._claims += 1
         claim_id = f"{self._incarnation}-{self._claims}"
         try:
-            return await self._create(request, name, claim_id)
+            claim = await self._create(request, name, claim_id)
         except errors.StoreError as error:
-            logs.warning(self._log, "claim_failed", reason=repr(error))
+            self._log_refused("store", error=repr(error))
             raise _unavailable(request) from None
+        except errors.RefusedError:
+            self._log_refused("unsettled_or_over_budget")
+            raise
+        if claim.is_new:
+            logs.event(self._log, "key_claimed", account=request.account)
+        else:
+            self._log_refused("held", holder=claim.incarnation)
+        return claim
 
     async def delete_expired(self) -> None:
         """Deletes own claims that have expired, as the budget allows."""
@@ -109,6 +117,9 @@
                 )
                 return
 
+    def _log_refused(self, reason: str, **evidence: str) -> None:
+        logs.warning(self._log, "key_claim_refused", reason=reason, **evidence)
+
     async def _create(
         self,
         request: caller_request.CallerRequest,
--- a/fuchsiacourse/dispatch_metrics.py
+++ b/fuchsiacourse/dispatch_metrics.py
@@ -35,7 +35,7 @@
             return
         is_known = service in self._config.services_by_name
         self._metrics.count(
-            "dispatch_replies",
+            "dispatch_replies_total",
             "Replies to Execute calls.",
             service=service if is_known else _UNKNOWN,
             outcome=reply.refusal or "answered",
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -19,6 +19,7 @@
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
 from fuchsiacourse import metrics as metric_tables
+from fuchsiacourse import request_events
 from fuchsiacourse import request_row
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as settings_files
@@ -156,6 +157,11 @@
         if reply is None:
             reply = await self._run(request, now)
         self._metrics.count(request.service, reply)
+        if reply.refusal:
+            is_known = request.service in self._config.services_by_name
+            request_events.dispatch_refused(
+                self._log, request, reply, is_known=is_known
+            )
         return reply
 
     def _refusal(
--- a/fuchsiacourse/ejection_agent.py
+++ b/fuchsiacourse/ejection_agent.py
@@ -212,6 +212,7 @@
                 "target_readmitted",
                 service=plan.status.service,
                 target=id,
+                reason=plan.reasons_by_released[id],
             )
 
     def _adopt(
--- a/fuchsiacourse/entry_service.py
+++ b/fuchsiacourse/entry_service.py
@@ -32,6 +32,7 @@
 from fuchsiacourse import problem
 from fuchsiacourse import region_choice
 from fuchsiacourse import relays as relay_calls
+from fuchsiacourse import request_events
 from fuchsiacourse import settings as setting_models
 from fuchsiacourse import store as stores
 from fuchsiacourse import timers as timer_services
@@ -247,12 +248,10 @@
         """Sets the gauges of the process; called before they are read."""
         if self._metrics is None:
             return
-        for name, doc, value in (
-            ("entry_in_flight", "Requests being answered.", self._in_flight),
-            ("entry_ledger_records", "Ledger records.", len(self._ledger)),
-            ("entry_ledger_bytes", "Ledger size.", self._ledger.size_bytes),
-        ):
-            self._metrics.gauge(name, doc, value)
+        gauge = self._metrics.gauge
+        gauge("entry_in_flight", "Requests being answered.", self._in_flight)
+        gauge("entry_ledger_records", "Ledger records.", len(self._ledger))
+        gauge("entry_ledger_bytes", "Ledger size.", self._ledger.size_bytes)
 
     async def drain(self) -> None:
         """Stops as planned; returns when the process may close."""
@@ -268,6 +267,9 @@
             # The caller needs a new key after not-run.
             if request.key and error.verdict is verdicts.Verdict.NOT_RUN:
                 error.offer_keys = True
+            route = self._route(request)
+            name = "" if route is None else route.service.service
+            request_events.entry_refused(self._log, name, error)
             answer = self.refuse(error)
         except Exception as error:
             # The fault may have come after the request was sent.
@@ -335,6 +337,9 @@
             shares=self._keepers.shares(account),
         )
         if wait_s > 0:
+            request_events.over_limit(
+                self._log, execution.service, account, wait_s
+            )
             raise execution.request.unsent(
                 429,
                 "Account is over its limit",
@@ -376,7 +381,7 @@
         )
         if self._metrics is not None:
             self._metrics.count(
-                "entry_answers",
+                "entry_answers_total",
                 "Answers to callers.",
                 service=route.service.service,
                 verdict=answer.verdict.value,
--- a/fuchsiacourse/executor.py
+++ b/fuchsiacourse/executor.py
@@ -11,13 +11,13 @@
 from fuchsiacourse import execution as executions
 from fuchsiacourse import fleet_pb2
 from fuchsiacourse import invariants as invariant_checks
-from fuchsiacourse import logs
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
 from fuchsiacourse import owner_ranking
 from fuchsiacourse import peers as peer_ports
 from fuchsiacourse import problem
 from fuchsiacourse import region_choice
+from fuchsiacourse import request_events
 from fuchsiacourse import sending as sendings
 from fuchsiacourse import token_bucket
 from fuchsiacourse import verdict as verdicts
@@ -309,14 +309,9 @@
         if execution.is_idempotent and self._retries.take(
             1.0, now_s=self._clock.now()
         ):
+            request_events.sent_again(self._log, execution, sending, reason)
             return ""
-        logs.warning(
-            self._log,
-            "answer_lost",
-            service=execution.service,
-            dispatch=sending.address,
-            reason=reason,
-        )
+        request_events.answer_lost(self._log, execution, sending, reason)
         raise execution.refusal(502, "Connection to dispatch was lost")
 
     async def _withdraw(
@@ -342,7 +337,9 @@
             # An answer that came in the meantime says more.
             if call.done():
                 return self._conclude(execution, sending, call)
-            if _is_withdrawn(sending, withdrawal):
+            confirmed = _is_withdrawn(sending, withdrawal)
+            request_events.withdrawn(self._log, execution, sending, confirmed)
+            if confirmed:
                 execution.unproved_sendings -= 1
             elif not execution.is_idempotent:
                 await waiting.until(
--- a/fuchsiacourse/gossip.py
+++ b/fuchsiacourse/gossip.py
@@ -100,6 +100,7 @@
             deployment_key=deployment_key,
             handler=self._handle,
             metrics=metrics,
+            log=log,
         )
         self._exchange = table_exchange.TableExchange(
             clock=clock, timers=timers, transmit=self.transport.send
@@ -328,9 +329,8 @@
 
     def _accusation(self, id: str) -> list[fleet_pb2.MemberRecord]:
         row = self._members.by_id.get(id)
-        if row is None:
-            return []
-        if self._merge.told_state(row) not in (State.SUSPECT, State.DEAD):
+        accused = (State.SUSPECT, State.DEAD)
+        if row is None or self._merge.told_state(row) not in accused:
             return []
         return [self._encode(id, False)]
 
--- a/fuchsiacourse/gossip_transport.py
+++ b/fuchsiacourse/gossip_transport.py
@@ -9,6 +9,7 @@
 from fuchsiacourse import datagram as datagrams
 from fuchsiacourse import fleet_pb2
 from fuchsiacourse import gossip_codec
+from fuchsiacourse import logs
 from fuchsiacourse import members as member_table
 from fuchsiacourse import metrics as metric_tables
 
@@ -24,6 +25,7 @@
         deployment_key: Secret that the members of a deployment share.
         handler: Called with each valid packet of another member.
         metrics: Metrics of the process, None for none.
+        log: Logger.
     """
 
     def __init__(
@@ -34,12 +36,14 @@
         deployment_key: str,
         handler: Handler,
         metrics: metric_tables.Metrics | None,
+        log: typing.Any,
     ) -> None:
         self._datagram = datagram
         self._members = members
         self._codec = gossip_codec.GossipCodec(deployment_key=deployment_key)
         self._handler = handler
         self._metrics = metrics
+        self._log = log
         self.bytes_sent = 0
         self.bytes_received = 0
         self.packets_sent = 0
@@ -88,20 +92,23 @@
         self.packets_received += 1
         self._count("received", len(payload))
         if len(payload) > gossip_codec.MAX_PACKET_BYTES:
-            self._drop("malformed")
+            self._drop("malformed", address)
             return
         try:
             packet = self._codec.decode(payload)
         except gossip_codec.PacketError as error:
-            self._drop(error.reason)
+            self._drop(error.reason, address)
             return
         if packet.sender == self._members.self.id:
-            self._drop("own")
+            self._drop("own", address)
             return
         self._handler(packet)
 
-    def _drop(self, reason: str) -> None:
+    def _drop(self, reason: str, address: str) -> None:
         self.dropped_by_reason[reason] += 1
+        logs.event(
+            self._log, "gossip_packet_dropped", reason=reason, sender=address
+        )
         if self._metrics is not None:
             self._metrics.count(
                 "gossip_dropped_total",
--- a/fuchsiacourse/logs.py
+++ b/fuchsiacourse/logs.py
@@ -18,15 +18,23 @@
 )
 
 
-def configure(*, program: str, host: str = "") -> typing.Any:
+def configure(
+    *,
+    program: str,
+    host: str = "",
+    processor: typing.Any = None,
+) -> typing.Any:
     """Sets up the logs of a process and returns its logger.
 
     Args:
         program: Name of the program, on each line.
         host: Host of the process, on each line.
+        processor: structlog processor that sees each event first, by default
+            none.
     """
+    first = [] if processor is None else [processor]
     structlog.configure(
-        processors=[*_SHARED_PROCESSORS, _RENDERER],
+        processors=[*first, *_SHARED_PROCESSORS, _RENDERER],
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
--- a/fuchsiacourse/node_program.py
+++ b/fuchsiacourse/node_program.py
@@ -13,6 +13,7 @@
 import typer
 import uvloop
 
+from fuchsiacourse import decision_log
 from fuchsiacourse import errors
 from fuchsiacourse import grpc_peers
 from fuchsiacourse import grpc_server
@@ -45,10 +46,16 @@
 
     def __init__(self, *, settings: Settings, role: str) -> None:
         self.settings = settings
-        self.log = logs.configure(program=role, host=settings.host)
         self.clock = system_clock.SystemClock()
         self.rng = random.Random()
         self.metrics = metric_tables.Metrics(program=role)
+        self.log = logs.configure(
+            program=role,
+            host=settings.host,
+            processor=decision_log.DecisionLog(
+                metrics=self.metrics, clock=self.clock
+            ),
+        )
         self.timers = timer_services.Timers(
             clock=self.clock, rng=self.rng, on_error=self._on_timer_error
         )
@@ -168,7 +175,7 @@
     def _on_timer_error(self, error: Exception) -> None:
         self.log.error("timer_callback_failed", exc_info=error)
         self.metrics.count(
-            "timer_callback_failures", "Timer callbacks that failed."
+            "timer_callback_failures_total", "Timer callbacks that failed."
         )
 
     def _refresh_metrics(self) -> None:
--- /dev/null
+++ b/fuchsiacourse/request_events.py
@@ -0,0 +1,162 @@
+"""Log events of the decisions on single requests."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import errors
+from fuchsiacourse import execution as executions
+from fuchsiacourse import fleet_pb2
+from fuchsiacourse import logs
+from fuchsiacourse import request_row
+from fuchsiacourse import sending as sendings
+from fuchsiacourse import target_row
+
+# Label of requests whose service is not in the configuration; their own
+# text could have any number of values.
+UNKNOWN_SERVICE = "unknown"
+
+
+def dispatch_refused(
+    log: typing.Any,
+    request: fleet_pb2.ExecuteRequest,
+    reply: fleet_pb2.ExecuteReply,
+    *,
+    is_known: bool,
+) -> None:
+    """Logs that dispatch refused a request.
+
+    Args:
+        log: Logger.
+        request: The request.
+        reply: The reply with the refusal.
+        is_known: Whether the configuration has the service.
+    """
+    logs.event(
+        log,
+        "request_refused",
+        service=request.service if is_known else UNKNOWN_SERVICE,
+        reason=reply.refusal,
+        kind=request.kind,
+        queue_ms=reply.queue_ms,
+    )
+
+
+def entry_refused(
+    log: typing.Any, service: str, error: errors.RefusedError
+) -> None:
+    """Logs that the entry refused a request.
+
+    Args:
+        log: Logger.
+        service: Name of the service, empty without a route.
+        error: The refusal. Its status is the reason, because its title may
+            come from a peer.
+    """
+    logs.event(
+        log,
+        "request_refused",
+        service=service or UNKNOWN_SERVICE,
+        reason=str(error.status),
+        title=error.title,
+        verdict=error.verdict.value,
+    )
+
+
+def over_limit(
+    log: typing.Any, service: str, account: str, wait_s: float
+) -> None:
+    """Logs that an account is over its limit."""
+    logs.event(
+        log,
+        "account_over_limit",
+        service=service,
+        account=account,
+        wait_s=round(wait_s, 3),
+    )
+
+
+def hedged(
+    log: typing.Any,
+    service: str,
+    row: request_row.RequestRow,
+    target: target_row.TargetRow,
+    now: float,
+) -> None:
+    """Logs a hedged attempt."""
+    logs.event(
+        log,
+        "request_hedged",
+        service=service,
+        kind=row.kind.name,
+        target=target.id,
+        waited_s=round(now - row.arrived_s, 3),
+    )
+
+
+def retried(
+    log: typing.Any,
+    service: str,
+    row: request_row.RequestRow,
+    target: target_row.TargetRow,
+    outcome: target_row.Outcome,
+) -> None:
+    """Logs that dispatch queues a request again after an attempt."""
+    logs.event(
+        log,
+        "request_retried",
+        service=service,
+        reason=outcome.value,
+        kind=row.kind.name,
+        target=target.id,
+        attempts=row.attempts_made,
+    )
+
+
+def sent_again(
+    log: typing.Any,
+    execution: executions.Execution,
+    sending: sendings.Sending,
+    error: str,
+) -> None:
+    """Logs that the entry sends a request to another dispatch process."""
+    logs.event(
+        log,
+        "request_retried",
+        service=execution.service,
+        reason="dispatch_lost",
+        dispatch=sending.address,
+        error=error,
+    )
+
+
+def answer_lost(
+    log: typing.Any,
+    execution: executions.Execution,
+    sending: sendings.Sending,
+    reason: str,
+) -> None:
+    """Logs that the entry can't tell whether a request has run."""
+    logs.warning(
+        log,
+        "answer_lost",
+        service=execution.service,
+        dispatch=sending.address,
+        reason=reason,
+    )
+
+
+def withdrawn(
+    log: typing.Any,
+    execution: executions.Execution,
+    sending: sendings.Sending,
+    is_confirmed: bool,
+) -> None:
+    """Logs that the entry withdrew a request at its deadline."""
+    logs.event(
+        log,
+        "request_withdrawn",
+        service=execution.service,
+        reason="confirmed" if is_confirmed else "not_confirmed",
+        dispatch=sending.address,
+    )
--- a/fuchsiacourse/shard_runner.py
+++ b/fuchsiacourse/shard_runner.py
@@ -13,6 +13,7 @@
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import leaving_targets
 from fuchsiacourse import offers
+from fuchsiacourse import request_events
 from fuchsiacourse import request_queue
 from fuchsiacourse import request_row
 from fuchsiacourse import request_table
@@ -102,6 +103,7 @@
         self._clock = clock
         self._owner_address = owner_address
         self._invariants = invariants
+        self._log = log
         self._before_sending = before_sending
         self._on_ended = on_ended
         self.requests = request_table.RequestTable(queue=self.queue)
@@ -266,6 +268,8 @@
         if self._may_retry(row, outcome, now):
             row.state = request_row.RequestState.QUEUED
             self.queue.push(row)
+            name = self.shard.service.service
+            request_events.retried(self._log, name, row, run.target, outcome)
             return
         self.refuse(row, _failure(outcome, row))
 
@@ -356,6 +360,8 @@
         if target is None or not self._hedges.take():
             return False
         self._attempts.start(row, target, now, is_hedge=True)
+        name = self.shard.service.service
+        request_events.hedged(self._log, name, row, target, now)
         return True
 
     def _restart(self, watched: stragglers.Watched, now: float) -> bool:
--- a/fuchsiacourse/status_plan.py
+++ b/fuchsiacourse/status_plan.py
@@ -21,12 +21,20 @@
         status: Content to write.
     """
 
-    __slots__ = ("status", "ejected", "released", "held", "is_urgent")
+    __slots__ = (
+        "status",
+        "ejected",
+        "released",
+        "reasons_by_released",
+        "held",
+        "is_urgent",
+    )
 
     def __init__(self, *, status: service_status.ServiceStatus) -> None:
         self.status = status
         self.ejected: list[str] = []
         self.released: list[str] = []
+        self.reasons_by_released: dict[str, str] = {}
         # Targets that the floor keeps in use.
         self.held: list[str] = []
         self.is_urgent = False
@@ -130,7 +138,7 @@
             if row.id in plan.status.ejected and (
                 self._health.is_readmitted(row)
             ):
-                self._release(plan, row.id, next_release)
+                self._release(plan, row.id, next_release, "tests_passed")
 
     def _restore_floor(self, plan: StatusPlan, next_release: int) -> None:
         """Re-admits targets if others left, cooled or the floor rose."""
@@ -140,16 +148,21 @@
             useless = id in status.leaving or id in status.cold
             if id in kept or useless or id not in self._service.targets_by_id:
                 continue
-            self._release(plan, id, next_release)
+            self._release(plan, id, next_release, "floor")
             plan.is_urgent = True
 
     def _release(
-        self, plan: StatusPlan, target_id: str, next_release: int
+        self,
+        plan: StatusPlan,
+        target_id: str,
+        next_release: int,
+        reason: str,
     ) -> None:
         del plan.status.ejected[target_id]
         number = next_release + len(plan.released)
         plan.status.released[target_id] = f"{self._self_id}/{number}"
         plan.released.append(target_id)
+        plan.reasons_by_released[target_id] = reason
 
     def _eject(self, plan: StatusPlan) -> None:
         unknown = self._health.unknown_ids(self._now)
--- a/fuchsiacourse/target_states.py
+++ b/fuchsiacourse/target_states.py
@@ -341,12 +341,27 @@
         details.suspicions += 1.0
         details.suspected_at_s = now
 
+    def _log_suspected(self, row: target_row.TargetRow, now: float) -> None:
+        score = self._detector.score(row, now)
+        logs.event(
+            self._log,
+            "target_suspected",
+            service=self._shard.service.service,
+            target=row.id,
+            reason=score.reason,
+            kind=score.kind,
+            score=round(score.value, 2),
+            threshold=round(self._detector.threshold, 2),
+            weak_signs=target_health.of(row, now).weak_signs,
+        )
+
     def _set_suspicion(
         self, row: target_row.TargetRow, suspect: bool, now: float
     ) -> None:
         if suspect and row.state in (_State.HEALTHY, _State.COLD):
             row.state = _State.SUSPECT
             row.state_since_s = now
+            self._log_suspected(row, now)
         elif not suspect and row.state is _State.SUSPECT:
             since = target_health.of(row, now).cold_since_s
             cold = since is not None and now - since < orders.SLOW_START_S
--- a/tests/test_dispatch_service.py
+++ b/tests/test_dispatch_service.py
@@ -181,7 +181,7 @@
             request.service = "made-up"
             await world.execute(request)
             await asyncio.sleep(1.0)
-            replies = world.metrics.registry.get("dispatch_replies")
+            replies = world.metrics.registry.get("dispatch_replies_total")
             labels = {
                 (values["service"], values["outcome"])
                 for values, _ in replies.get_all()
