Keep the newest ejections and re-admissions in the status object

Cause: a target that was ejected and re-admitted left no trace outside the logs of the process that decided.

Change: ServiceStatus.history holds the newest 50 changes, written in the same conditional update as the change. Objects without a history, or with a damaged one, still parse. The agent compares the content without the history, so that it alone causes no write.

--- a/fuchsiacourse/burn_page.py
+++ b/fuchsiacourse/burn_page.py
@@ -32,15 +32,31 @@
 
 EjectionRows = list[dict[str, typing.Any]]
 
+HISTORY_COLUMNS = (
+    "time",
+    "service",
+    "target",
+    "change",
+    "reason",
+    "score",
+    "threshold",
+    "member",
+)
+
 
 def render(
-    view: burn_view.BurnView, ejections: EjectionRows, *, at: float
+    view: burn_view.BurnView,
+    ejections: EjectionRows,
+    *,
+    history: EjectionRows,
+    at: float,
 ) -> str:
     """Returns the page as HTML text.
 
     Args:
         view: Service levels of a month.
         ejections: Rows of targets that are ejected, leaving or cold.
+        history: Rows of past ejections and re-admissions, newest first.
         at: Unix time of the reading in seconds.
     """
     moment = datetime.datetime.fromtimestamp(at, tz=datetime.timezone.utc)
@@ -58,6 +74,8 @@
         _image(_timeline_figure(view), "Share served in time over time"),
         "<h2>Targets not in use</h2>",
         _ejection_table(ejections),
+        "<h2>Ejections and re-admissions</h2>",
+        _history_table(history),
     ]
     if view.problems:
         lines = "".join(f"<li>{html.escape(x)}</li>" for x in view.problems)
@@ -109,6 +127,27 @@
     return f"<table>{''.join(rows)}</table>"
 
 
+def _history_table(history: EjectionRows) -> str:
+    if not history:
+        return "<p>No ejection is recorded.</p>"
+    heads = "".join(f"<th>{name}</th>" for name in HISTORY_COLUMNS)
+    rows = [f"<tr>{heads}</tr>"]
+    for item in history:
+        cells = "".join(
+            f"<td>{html.escape(cell)}</td>" for cell in history_cells(item)
+        )
+        rows.append(f"<tr>{cells}</tr>")
+    return f"<table>{''.join(rows)}</table>"
+
+
+def history_cells(row: dict[str, typing.Any]) -> list[str]:
+    """Returns the texts of a row for HISTORY_COLUMNS."""
+    return [
+        _moment(row["at"]),
+        *(str(row[name]) for name in HISTORY_COLUMNS[1:]),
+    ]
+
+
 def _budget_figure(view: burn_view.BurnView) -> matplotlib.figure.Figure:
     items = [
         (item.name, left)
--- a/fuchsiacourse/ctl.py
+++ b/fuchsiacourse/ctl.py
@@ -74,6 +74,7 @@
     for row in content["targets"]:
         if row["state"] != "in use":
             console.print(_why(row))
+    _show(console, "Ejections and re-admissions", content["history"])
     _show_problems(console, view)
 
 
@@ -124,7 +125,9 @@
 def _text(name: str, value: typing.Any) -> str:
     if value is None:
         return ""
-    if name in ("since", "written_at") and isinstance(value, (int, float)):
+    if name in ("since", "written_at", "at") and isinstance(
+        value, (int, float)
+    ):
         return datetime.datetime.fromtimestamp(
             value, tz=datetime.timezone.utc
         ).isoformat(timespec="seconds")
--- a/fuchsiacourse/ejection_agent.py
+++ b/fuchsiacourse/ejection_agent.py
@@ -256,7 +256,8 @@
                 targets=plan.held,
                 floor_slots=service.floor_slots,
             )
-        if plan.status.encode() == self._status.encode():
+        wanted = plan.status.encode(with_history=False)
+        if wanted == self._status.encode(with_history=False):
             return None
         if not plan.is_urgent and now - self._wrote_at_s < WRITE_INTERVAL_S:
             return None
--- a/fuchsiacourse/fleet_view.py
+++ b/fuchsiacourse/fleet_view.py
@@ -185,6 +185,11 @@
             )
         return rows
 
+    def history(self, service: str) -> list[Json]:
+        """Returns ejections and re-admissions of a service, newest first."""
+        items = reversed(self._status(service).history)
+        return [item.as_dict() for item in items]
+
     def explanation(self, service: str) -> Json:
         """Returns everything that is known of one service."""
         parsed = self.services_by_name[service]
@@ -200,6 +205,7 @@
             "slots_in_use": usable,
             "targets": targets,
             "shards": self.shards(service),
+            "history": self.history(service),
         }
 
     def _status(self, service: str) -> service_status.ServiceStatus:
--- a/fuchsiacourse/report.py
+++ b/fuchsiacourse/report.py
@@ -31,20 +31,23 @@
     Args:
         view: Service levels.
         ejections: Rows of targets that are ejected, leaving or cold.
+        history: Rows of past ejections and re-admissions, newest first.
         at: Unix time of the reading in seconds.
     """
 
-    __slots__ = ("view", "ejections", "at")
+    __slots__ = ("view", "ejections", "history", "at")
 
     def __init__(
         self,
         *,
         view: burn_view.BurnView,
         ejections: burn_page.EjectionRows,
+        history: burn_page.EjectionRows,
         at: float,
     ) -> None:
         self.view = view
         self.ejections = ejections
+        self.history = history
         self.at = at
 
 
@@ -66,10 +69,15 @@
         settings_path, functools.partial(_read, month)
     )
     if html is not None:
-        page = burn_page.render(report.view, report.ejections, at=report.at)
+        page = burn_page.render(
+            report.view, report.ejections, history=report.history, at=report.at
+        )
         html.write_text(page, encoding="utf-8")
     if as_json:
-        content = report.view.as_dict() | {"not_in_use": report.ejections}
+        content = report.view.as_dict() | {
+            "not_in_use": report.ejections,
+            "history": report.history,
+        }
         print(json.dumps(content))
         return
     _show(report)
@@ -93,7 +101,13 @@
         for row in fleet.targets(name)
         if row["state"] != "in use"
     ]
-    return Report(view=view, ejections=ejections, at=now)
+    history = [
+        {"service": name} | row
+        for name in fleet.services_by_name
+        for row in fleet.history(name)
+    ]
+    history.sort(key=lambda row: -row["at"])
+    return Report(view=view, ejections=ejections, history=history, at=now)
 
 
 def _show(report: Report) -> None:
@@ -129,9 +143,21 @@
             f"{row['service']}/{row['target']} is {row['state']}:"
             f" {row.get('reason', '')}"
         )
+    _show_history(console, report.history)
     for line in report.view.problems:
         console.print(f"unreadable: {line}")
 
 
+def _show_history(
+    console: rich.console.Console, history: burn_page.EjectionRows
+) -> None:
+    table = rich.table.Table(
+        *burn_page.HISTORY_COLUMNS, title="Ejections and re-admissions"
+    )
+    for row in history:
+        table.add_row(*burn_page.history_cells(row))
+    console.print(table)
+
+
 if __name__ == "__main__":
     app()
--- a/fuchsiacourse/service_status.py
+++ b/fuchsiacourse/service_status.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import collections.abc
 import json
+import math
 import typing
 
 from fuchsiacourse import errors
 
 _PREFIX = "status/"
+# Changes that are kept for operators.
+MAX_HISTORY = 50
+EJECTED = "ejected"
+READMITTED = "readmitted"
 
 
 def key(service: str) -> str:
@@ -54,6 +60,53 @@
         self.incarnation = incarnation
 
 
+class StatusChange:
+    """An ejection or re-admission in the past, for operators only.
+
+    Args:
+        at: Unix time in seconds.
+        target: Target.
+        change: EJECTED or READMITTED.
+        reason: Short name of the reason.
+        score: Evidence against the target at its ejection.
+        threshold: Score at which a target is ejected.
+        member: Member that decided.
+    """
+
+    __slots__ = (
+        "at",
+        "target",
+        "change",
+        "reason",
+        "score",
+        "threshold",
+        "member",
+    )
+
+    def __init__(
+        self,
+        *,
+        at: float,
+        target: str,
+        change: str,
+        reason: str,
+        score: float,
+        threshold: float,
+        member: str,
+    ) -> None:
+        self.at = at
+        self.target = target
+        self.change = change
+        self.reason = reason
+        self.score = score
+        self.threshold = threshold
+        self.member = member
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Returns the fields by name."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
 class ServiceStatus:
     """Content of the object ``status/<service>``.
 
@@ -65,6 +118,7 @@
         cold: Incarnation of each target that is cold or unknown.
         released: Identifier of the release of each target that was ejected
             before and that some process may still treat as ejected.
+        history: Newest changes, oldest first; no decision depends on them.
     """
 
     __slots__ = (
@@ -74,6 +128,7 @@
         "leaving",
         "cold",
         "released",
+        "history",
     )
 
     def __init__(
@@ -85,6 +140,7 @@
         leaving: dict[str, str] | None = None,
         cold: dict[str, str] | None = None,
         released: dict[str, str] | None = None,
+        history: collections.abc.Iterable[StatusChange] = (),
     ) -> None:
         self.service = service
         self.config_number = config_number
@@ -92,6 +148,7 @@
         self.leaving = dict(leaving or {})
         self.cold = dict(cold or {})
         self.released = dict(released or {})
+        self.history = list(history)[-MAX_HISTORY:]
 
     def copy(self) -> ServiceStatus:
         """Returns a copy whose maps can be changed."""
@@ -102,10 +159,47 @@
             leaving=self.leaving,
             cold=self.cold,
             released=self.released,
+            history=self.history,
+        )
+
+    def record(
+        self,
+        target: str,
+        change: str,
+        reason: str,
+        *,
+        at: float,
+        evidence: dict[str, typing.Any],
+        member: str,
+    ) -> None:
+        """Adds a change to the history and drops the oldest if it is full.
+
+        Args:
+            target: Target that changes.
+            change: EJECTED or READMITTED.
+            reason: Short name of the reason.
+            at: Unix time in seconds.
+            evidence: Evidence of the ejection that begins or ends.
+            member: Member that decided.
+        """
+        item = StatusChange(
+            at=at,
+            target=target,
+            change=change,
+            reason=reason,
+            score=_number(evidence.get("score")),
+            threshold=_number(evidence.get("threshold")),
+            member=member,
         )
+        self.history = [*self.history, item][-MAX_HISTORY:]
+
+    def encode(self, *, with_history: bool = True) -> bytes:
+        """Returns the JSON text of the object.
 
-    def encode(self) -> bytes:
-        """Returns the JSON text of the object."""
+        Args:
+            with_history: Whether it has the history; without it, equal
+                texts need no write.
+        """
         content = {
             "service": self.service,
             "config_number": self.config_number,
@@ -117,6 +211,8 @@
             "cold": self.cold,
             "released": self.released,
         }
+        if with_history:
+            content["history"] = [item.as_dict() for item in self.history]
         return json.dumps(content, sort_keys=True).encode()
 
 
@@ -143,8 +239,36 @@
             leaving=content["leaving"],
             cold=content.get("cold", {}),
             released=content.get("released", {}),
+            history=_parse_history(content.get("history")),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise errors.StoreError(
             f"{key(service)}: not a status object: {error}"
         ) from error
+
+
+def _parse_history(content: typing.Any) -> list[StatusChange]:
+    # A damaged history must not make the ejections unreadable.
+    if not isinstance(content, list):
+        return []
+    return [
+        StatusChange(
+            at=_number(item.get("at")),
+            target=str(item.get("target", "")),
+            change=str(item.get("change", "")),
+            reason=str(item.get("reason", "")),
+            score=_number(item.get("score")),
+            threshold=_number(item.get("threshold")),
+            member=str(item.get("member", "")),
+        )
+        for item in content
+        if isinstance(item, dict)
+    ]
+
+
+def _number(value: typing.Any) -> float:
+    try:
+        number = float(value)
+    except (OverflowError, TypeError, ValueError):
+        return 0.0
+    return number if math.isfinite(number) else 0.0
--- a/fuchsiacourse/status_plan.py
+++ b/fuchsiacourse/status_plan.py
@@ -158,11 +158,19 @@
         next_release: int,
         reason: str,
     ) -> None:
-        del plan.status.ejected[target_id]
+        ended = plan.status.ejected.pop(target_id)
         number = next_release + len(plan.released)
         plan.status.released[target_id] = f"{self._self_id}/{number}"
         plan.released.append(target_id)
         plan.reasons_by_released[target_id] = reason
+        plan.status.record(
+            target_id,
+            service_status.READMITTED,
+            reason,
+            at=self._wall,
+            evidence=ended.evidence,
+            member=self._self_id,
+        )
 
     def _eject(self, plan: StatusPlan) -> None:
         unknown = self._health.unknown_ids(self._now)
@@ -177,9 +185,18 @@
                 plan.held.append(row.id)
                 continue
             plan.status.released.pop(row.id, None)
-            plan.status.ejected[row.id] = self._health.ejection(
+            entry = self._health.ejection(
                 row, by=self._self_id, now=self._now, wall=self._wall
             )
+            plan.status.ejected[row.id] = entry
+            plan.status.record(
+                row.id,
+                service_status.EJECTED,
+                entry.reason,
+                at=entry.since,
+                evidence=entry.evidence,
+                member=self._self_id,
+            )
             plan.ejected.append(row.id)
             plan.is_urgent = True
 
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -21,6 +21,7 @@
 from fuchsiacourse import members
 from fuchsiacourse import platform_model
 from fuchsiacourse import service_file
+from fuchsiacourse import service_status
 from fuchsiacourse import timers
 from fuchsiacourse import verdict
 from tests import test_service_file
@@ -289,7 +290,23 @@
         ejections = [
             {"service": "larder", "target": "larder-1", "state": "ejected"}
         ]
-        page = burn_page.render(view, ejections, at=0.0)
+        change = service_status.StatusChange(
+            at=1.8e9,
+            target="<larder-2>",
+            change=service_status.READMITTED,
+            reason="floor",
+            score=9.0,
+            threshold=8.0,
+            member="m7",
+        )
+        page = burn_page.render(
+            view,
+            ejections,
+            history=[{"service": "larder"} | change.as_dict()],
+            at=0.0,
+        )
+        self.assertIn("<td>&lt;larder-2&gt;</td><td>readmitted</td>", page)
+        self.assertIn("<td>m7</td>", page)
         self.assertIn("larder/lookup", page)
         self.assertIn("larder-1", page)
         self.assertIn("&lt;broken&gt;", page)
--- a/tests/test_ejection_agent.py
+++ b/tests/test_ejection_agent.py
@@ -88,6 +88,44 @@
 
         self.run_fleet(scenario)
 
+    def test_history_is_written_with_the_decisions(self):
+        """Guards against a history that misses a change or repeats one."""
+
+        async def scenario(fleet):
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(2.0)
+            fleet.world.restart("larder-north-0")
+            await asyncio.sleep(60.0)
+            content = fleet.content()
+            self.assertEqual({}, content["ejected"])
+            ejected, readmitted = content["history"]
+            self.assertEqual("ejected", ejected["change"])
+            self.assertEqual("latency", ejected["reason"])
+            self.assertGreaterEqual(ejected["score"], ejected["threshold"])
+            self.assertEqual("readmitted", readmitted["change"])
+            self.assertEqual("tests_passed", readmitted["reason"])
+            self.assertLess(ejected["at"], readmitted["at"])
+
+        self.run_fleet(scenario)
+
+    def test_history_alone_causes_no_write(self):
+        """Guards against writes that serve the history only."""
+
+        async def scenario(fleet):
+            fleet.world.sick.add("larder-north-0")
+            await asyncio.sleep(5.0)
+            content = fleet.content()
+            self.assertEqual(1, len(content["history"]))
+            content["history"] = []
+            value = json.dumps(content).encode()
+            fleet.platform.table.put(KEY, value, if_version=None)
+            version = fleet.platform.table.get(KEY).version
+            await asyncio.sleep(10.0)
+            self.assertEqual(version, fleet.platform.table.get(KEY).version)
+            self.assertEqual([{"larder-north-0"}] * 2, fleet.out())
+
+        self.run_fleet(scenario)
+
     def test_lost_reply_is_settled_by_reading(self):
         """Guards against acting on, or repeating, an unsure write."""
 
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -15,6 +15,7 @@
 from fuchsiacourse import platform_stub
 from fuchsiacourse import publish
 from fuchsiacourse import publisher
+from fuchsiacourse import report as report_program
 from fuchsiacourse import service_status
 from fuchsiacourse import settings
 from fuchsiacourse import store
@@ -202,6 +203,17 @@
             service="larder",
             ejected={"larder-1": ejection, "larder-2": ejection},
         )
+        for number, change in enumerate(
+            (service_status.EJECTED, service_status.READMITTED)
+        ):
+            status.record(
+                "larder-3",
+                change,
+                f"reason-{number}",
+                at=1.8e9 + number,
+                evidence={"score": 9.5, "threshold": 8.25},
+                member="m8",
+            )
         for key, content in (
             ("in_force/tay-a", report.model_dump_json().encode()),
             ("status/larder", status.encode()),
@@ -244,3 +256,22 @@
         unknown = await self.run_program(ctl.app, "explain", "ladder")
         self.assertEqual(2, unknown.exit_code)
         self.assertIn("ladder", unknown.stderr)
+
+    async def test_history_is_shown(self):
+        """Guards against past ejections that leave no trace."""
+        result = await self.run_program(ctl.app, "explain", "larder")
+        self.assertIn("2027-01-15T08:00:01+00:00", result.stdout)
+        self.assertLess(
+            result.stdout.index("reason-1"), result.stdout.index("reason-0")
+        )
+        shown = await self.run_program(report_program.app)
+        self.assertEqual(0, shown.exit_code, shown.output)
+        for text in ("reason-0", "readmitted", "8.25", "m8"):
+            self.assertIn(text, result.stdout)
+            self.assertIn(text, shown.stdout)
+        as_json = await self.run_program(report_program.app, "--json")
+        rows = json.loads(as_json.stdout)["history"]
+        self.assertEqual(
+            ["readmitted", "ejected"], [row["change"] for row in rows]
+        )
+        self.assertEqual({"larder"}, {row["service"] for row in rows})
--- a/tests/test_service_status.py
+++ b/tests/test_service_status.py
@@ -1,5 +1,6 @@
 """Tests of the status object's codec."""
 
+import json
 import unittest
 
 from fuchsiacourse import errors
@@ -27,9 +28,71 @@
             cold={"larder-3": "i3"},
             released={"larder-4": "m1/0"},
         )
+        written.record(
+            "larder-1",
+            service_status.EJECTED,
+            "latency",
+            at=1.5,
+            evidence={"score": 9.0, "threshold": 8.0},
+            member="m1",
+        )
         read = service_status.decode(written.encode(), service="larder")
         self.assertEqual(written.encode(), read.encode())
         self.assertEqual("i1", read.ejected["larder-1"].incarnation)
+        (change,) = read.history
+        self.assertEqual(
+            ("larder-1", "ejected", 9.0, 8.0, "m1"),
+            (
+                change.target,
+                change.change,
+                change.score,
+                change.threshold,
+                change.member,
+            ),
+        )
+
+    def test_history_is_bounded(self):
+        """Guards against an object that grows with each ejection."""
+        status = service_status.ServiceStatus(service="larder")
+        copy = status.copy()
+        for number in range(service_status.MAX_HISTORY + 5):
+            copy.record(
+                f"larder-{number}",
+                service_status.READMITTED,
+                "floor",
+                at=float(number),
+                evidence={},
+                member="m1",
+            )
+        read = service_status.decode(copy.encode(), service="larder")
+        self.assertEqual(service_status.MAX_HISTORY, len(read.history))
+        self.assertEqual("larder-54", read.history[-1].target)
+        self.assertEqual([], status.history)
+
+    def test_history_can_be_missing_or_damaged(self):
+        """Guards against ejections that are lost with their history."""
+        entry = service_status.Ejection(
+            since=1.5, reason="latency", evidence={}, by="m1", backoff_s=5.0
+        )
+        content = json.loads(
+            service_status.ServiceStatus(
+                service="larder", ejected={"larder-1": entry}
+            ).encode()
+        )
+        del content["history"]
+        for history in (
+            None,
+            "x",
+            [1],
+            [{"at": "x", "score": 10**400, "threshold": float("inf")}],
+        ):
+            for _ in range(2):
+                read = service_status.decode(
+                    json.dumps(content).encode(), service="larder"
+                )
+                self.assertIn("larder-1", read.ejected)
+                read.encode()
+                content["history"] = history
 
     def test_wrong_content_is_refused(self):
         """Guards against using another service's or a damaged object."""
