Bound the second limit of latency for rare kinds

Change: the limit is at most three times the first one, and the peers' share of attempts over it is counted instead of assumed.

--- a/fuchsiacourse/detector.py
+++ b/fuchsiacourse/detector.py
@@ -27,6 +27,9 @@
 # few observations is inexact and an error of the limit adds up over time.
 LATE_MARGIN = 1.15
 VERY_LATE_MARGIN = 1.15
+# Among few observations the quantile may lie among the stragglers, so the
+# second limit is at most this multiple of the first.
+VERY_LATE_FACTOR = 3.0
 
 # Attempts of the peers without which expected_ms gives the limits.
 MIN_PEER_WEIGHT = 30.0
@@ -305,6 +308,7 @@
     ) -> evidence.Expectation:
         pool = self._pool(kind.name)
         expected_s = kind.expected_ms / 1000.0
+        usual = 0.0
         if pool.weight - kept.weight < MIN_PEER_WEIGHT:
             late_s = FALLBACK_LATE * expected_s
             very_late_s = FALLBACK_VERY_LATE * expected_s
@@ -313,11 +317,15 @@
                 pool, kept, (likelihood.LATE_SHARE, likelihood.VERY_LATE_SHARE)
             )
             late_s *= LATE_MARGIN
-            very_late_s *= VERY_LATE_MARGIN
+            very_late_s = min(
+                very_late_s * VERY_LATE_MARGIN, late_s * VERY_LATE_FACTOR
+            )
+            usual = evidence.share_above(pool, kept, very_late_s)
         return evidence.Expectation(
             late_s=late_s,
             very_late_s=max(very_late_s, late_s * 1.01),
             limits_until_s=now + LIMITS_INTERVAL_S,
+            usual_very_late=usual,
         )
 
     def _update_shares(
@@ -344,15 +352,17 @@
                 recent.share(recent.errors, likelihood.ERROR_SHARE, now)
             )
             shed.append(recent.share(recent.sheds, likelihood.SHED_SHARE, now))
-        expected.late = max(likelihood.LATE_SHARE, _upper_median(late))
+        expected.late = max(likelihood.LATE_SHARE, evidence.upper_median(late))
         expected.very_late = max(
-            likelihood.VERY_LATE_SHARE, _upper_median(very_late)
+            likelihood.VERY_LATE_SHARE,
+            expected.usual_very_late,
+            evidence.upper_median(very_late),
         )
         expected.errors = max(
-            likelihood.ERROR_SHARE, PEER_MARGIN * _upper_median(failed)
+            likelihood.ERROR_SHARE, PEER_MARGIN * evidence.upper_median(failed)
         )
         expected.sheds = max(
-            likelihood.SHED_SHARE, PEER_MARGIN * _upper_median(shed)
+            likelihood.SHED_SHARE, PEER_MARGIN * evidence.upper_median(shed)
         )
 
     def _decay(self, kept: evidence.KindEvidence, now: float) -> None:
@@ -387,9 +397,3 @@
         for part in (kept, self._kept(row, ALL_KINDS)):
             self._decay(part, now)
             part.error_score = min(cap, max(0.0, part.error_score + step))
-
-
-def _upper_median(values: list[float]) -> float:
-    if not values:
-        return 0.0
-    return sorted(values)[len(values) // 2]
--- a/fuchsiacourse/evidence.py
+++ b/fuchsiacourse/evidence.py
@@ -121,12 +121,15 @@
         late_s: Latency that one in ten healthy attempts exceeds.
         very_late_s: Latency that one in fifty exceeds.
         limits_until_s: Time at which the limits are computed anew.
+        usual_very_late: Share of the peers' kept attempts over the second
+            limit.
     """
 
     __slots__ = (
         "late_s",
         "very_late_s",
         "limits_until_s",
+        "usual_very_late",
         "late",
         "very_late",
         "errors",
@@ -135,11 +138,17 @@
     )
 
     def __init__(
-        self, *, late_s: float, very_late_s: float, limits_until_s: float
+        self,
+        *,
+        late_s: float,
+        very_late_s: float,
+        limits_until_s: float,
+        usual_very_late: float = 0.0,
     ) -> None:
         self.late_s = late_s
         self.very_late_s = very_late_s
         self.limits_until_s = limits_until_s
+        self.usual_very_late = usual_very_late
         self.late = 0.0
         self.very_late = 0.0
         self.errors = 0.0
@@ -147,6 +156,22 @@
         self.shares_until_s = 0.0
 
 
+def upper_median(values: list[float]) -> float:
+    """Returns the median, the higher one of an even number of values."""
+    if not values:
+        return 0.0
+    return sorted(values)[len(values) // 2]
+
+
+def share_above(
+    pool: KindEvidence, own: KindEvidence, latency_s: float
+) -> float:
+    """Returns the share of the peers' attempts above a latency."""
+    first = bucket(latency_s)
+    above = sum(pool.buckets[first:]) - sum(own.buckets[first:])
+    return above / max(1.0, pool.weight - own.weight)
+
+
 def quantiles(
     pool: KindEvidence, own: KindEvidence, shares: tuple[float, ...]
 ) -> list[float]:
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -85,6 +85,21 @@
         self.assertGreater(once, 2.0)
         self.assertLess(once, 4.0)
 
+    def test_few_stragglers_do_not_raise_the_limits(self):
+        """Guards against a rare kind whose slow requests look usual."""
+        for index in range(60):
+            self.now += 0.1
+            for row in self.rows:
+                run_s = 1.5 if index % 20 == 0 else 0.05
+                attempt = self.attempt(self.now - run_s, kind=1)
+                self.detector.finished(row, attempt, OUTCOMES.OK, self.now)
+        self.detector.reset(self.rows[0], self.now)
+        attempt = self.attempt(self.now, kind=1)
+        self.detector.aged(self.rows[0], attempt, self.now + 0.5)
+        self.assertGreater(
+            self.detector.score(self.rows[0], self.now + 0.5).value, 2.2
+        )
+
     def test_one_kind_only(self):
         """Guards against good requests hiding a kind that fails."""
         self.feed(10.0)
