Parse the URL of a target's probe once

Cause: each probe parsed its URL and made a timeout object.

Change: probe URLs are cached by address and path, the timeout is a constant.

--- a/fuchsiacourse/aiohttp_target_client.py
+++ b/fuchsiacourse/aiohttp_target_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import typing
 
@@ -26,6 +27,8 @@
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _MAX_REPORT_BYTES = 16 * 1024
 _POOL_IDLE_S = 300.0
+# Targets are probed twice a second, so their URLs are parsed once.
+_MAX_PROBE_URLS = 4096
 _BODYLESS_STATUSES = (204, 304)
 
 # Replaced here or valid for the caller's connection only.
@@ -143,8 +146,8 @@
         pool.users += 1
         try:
             async with pool.session.get(
-                yarl.URL(f"http://{address}{path}", encoded=True),
-                timeout=_timeout(_PROBE_TIMEOUT_S),
+                _probe_url(address, path),
+                timeout=_PROBE_TIMEOUT,
                 allow_redirects=False,
             ) as response:
                 content = await _read(response, _MAX_REPORT_BYTES)
@@ -212,10 +215,18 @@
     )
 
 
+@functools.lru_cache(maxsize=_MAX_PROBE_URLS)
+def _probe_url(address: str, path: str) -> yarl.URL:
+    return yarl.URL(f"http://{address}{path}", encoded=True)
+
+
 def _timeout(total_s: float) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(total=total_s, connect=_CONNECT_TIMEOUT_S)
 
 
+_PROBE_TIMEOUT = _timeout(_PROBE_TIMEOUT_S)
+
+
 def _headers(call: target_client.TargetCall) -> list[tuple[str, str]]:
     kept = [
         (name, value)
