--- a/bench/entry_fakes.py
+++ b/bench/entry_fakes.py
@@ -7,23 +7,21 @@
 import random
 import typing
 
+from bench import entry_network
+from bench import memory_store
+from bench import recording_dispatch
 from bench import virtual_loop
-from fuchsiacourse import body_digest
 from fuchsiacourse import caller_request
 from fuchsiacourse import config_table
 from fuchsiacourse import entry_service
-from fuchsiacourse import errors
-from fuchsiacourse import fleet_pb2
 from fuchsiacourse import idempotency_key
 from fuchsiacourse import identity
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import logs
 from fuchsiacourse import member as member_rows
 from fuchsiacourse import members as member_tables
-from fuchsiacourse import peers
 from fuchsiacourse import service_file
 from fuchsiacourse import settings as setting_models
-from fuchsiacourse import store as stores
 from fuchsiacourse import timers as timer_services
 from fuchsiacourse import verdict as verdicts
 
@@ -69,247 +67,6 @@
     }
 
 
-class MemoryStore(stores.Store):
-    """Objects in memory; the next errors of each call can be set."""
-
-    def __init__(self) -> None:
-        self.objects_by_key: dict[str, stores.StoredObject] = {}
-        self.errors_by_call: dict[str, list[Exception]] = {}
-        # Whether a write whose reply is lost takes effect.
-        self.takes_effect = True
-        self._revision = 0
-
-    def _error(self, call: str) -> Exception | None:
-        pending = self.errors_by_call.get(call)
-        return pending.pop(0) if pending else None
-
-    async def get(self, key: str) -> stores.StoredObject | None:
-        """Returns an object or None."""
-        error = self._error("get")
-        if error is not None:
-            raise error
-        return self.objects_by_key.get(key)
-
-    async def put(
-        self, key: str, value: bytes, *, if_version: int | None
-    ) -> int:
-        """Writes an object."""
-        error = self._error("put")
-        if error is not None and not (
-            isinstance(error, errors.StoreUnsure) and self.takes_effect
-        ):
-            raise error
-        found = self.objects_by_key.get(key)
-        version = found.version if found is not None else 0
-        if if_version is not None and if_version != version:
-            raise errors.VersionConflict(key)
-        self._revision += 1
-        self.objects_by_key[key] = stores.StoredObject(
-            key=key, value=value, version=self._revision
-        )
-        if error is not None:
-            raise error
-        return self._revision
-
-    async def delete(self, key: str, *, if_version: int | None) -> None:
-        """Deletes an object."""
-        self.objects_by_key.pop(key, None)
-
-    async def list(self, prefix: str) -> list[stores.StoredObject]:
-        """Not used by entries."""
-        raise NotImplementedError
-
-    async def watch(
-        self, prefix: str, *, after_revision: int, timeout_s: float
-    ) -> stores.WatchBatch:
-        """Not used by entries."""
-        raise NotImplementedError
-
-    async def hosts(self) -> list[stores.HostRecord]:
-        """Not used by entries."""
-        raise NotImplementedError
-
-
-class FakeDispatch:
-    """Dispatch process that keeps its own record of what ran.
-
-    A request waits ``queue_s``, runs for ``run_s`` and is answered with
-    its own body.
-    """
-
-    def __init__(self, *, rng: random.Random) -> None:
-        self._rng = rng
-        self.queue_s = (0.0, 0.0)
-        self.run_s = (0.02, 0.02)
-        # Refusals of the next requests, then of a share of all.
-        self.refusals: list[str] = []
-        self.refusal_share = 0.0
-        self.owner = ""
-        self.status = 200
-        # Changes the next replies before they are sent.
-        self.corrupt: typing.Callable[[typing.Any], None] | None = None
-        self.runs_by_body: collections.Counter[bytes] = collections.Counter()
-        self.requests: list[fleet_pb2.ExecuteRequest] = []
-        self._state_by_id: dict[str, str] = {}
-
-    async def execute(
-        self, request: fleet_pb2.ExecuteRequest
-    ) -> fleet_pb2.ExecuteReply:
-        """Runs a request once."""
-        self.requests.append(request)
-        known = self._state_by_id.get(request.request_id)
-        if known == "withdrawn":
-            return self._refuse(request, "withdrawn")
-        if known is not None:
-            return self._refuse(request, "duplicate")
-        refusal = self._next_refusal()
-        if refusal:
-            return self._refuse(request, refusal)
-        self._state_by_id[request.request_id] = "queued"
-        await asyncio.sleep(self._rng.uniform(*self.queue_s))
-        if self._state_by_id[request.request_id] == "withdrawn":
-            return self._refuse(request, "withdrawn")
-        self._state_by_id[request.request_id] = "started"
-        self.runs_by_body[request.body] += 1
-        await asyncio.sleep(self._rng.uniform(*self.run_s))
-        reply = fleet_pb2.ExecuteReply(
-            request_id=request.request_id,
-            verdict=fleet_pb2.RAN,
-            status=self.status,
-            body=request.body,
-            body_digest=body_digest.digest(request.body),
-        )
-        if self.corrupt is not None:
-            self.corrupt(reply)
-        return reply
-
-    async def withdraw(
-        self, request: fleet_pb2.WithdrawRequest
-    ) -> fleet_pb2.WithdrawReply:
-        """Withdraws a request that has not started."""
-        outcome = self._state_by_id.get(request.request_id, "queued")
-        if outcome != "started":
-            outcome = "withdrawn"
-            self._state_by_id[request.request_id] = outcome
-        return fleet_pb2.WithdrawReply(
-            request_id=request.request_id, outcome=outcome
-        )
-
-    def _next_refusal(self) -> str:
-        if self.refusals:
-            return self.refusals.pop(0)
-        if self._rng.random() < self.refusal_share:
-            return self._rng.choice(
-                ["draining", "overload", "no_target", "not_owner"]
-            )
-        return ""
-
-    def _refuse(
-        self, request: fleet_pb2.ExecuteRequest, refusal: str
-    ) -> fleet_pb2.ExecuteReply:
-        return fleet_pb2.ExecuteReply(
-            request_id=request.request_id,
-            verdict=fleet_pb2.NOT_RUN,
-            refusal=refusal,
-            owner=self.owner,
-            retry_after_ms=100,
-        )
-
-
-class Network:
-    """Processes by address, with losses and delays."""
-
-    def __init__(self, *, rng: random.Random) -> None:
-        self._rng = rng
-        self.processes_by_address: dict[str, typing.Any] = {}
-        self.unreachable: set[str] = set()
-        self.delay_s = (0.001, 0.001)
-        self.unreachable_share = 0.0
-        self.request_loss_share = 0.0
-        self.reply_loss_share = 0.0
-        self.reset_share = 0.0
-        # Losses of the next calls by name: "unreachable", "request",
-        # "reply" or "reset"; an empty text loses nothing.
-        self.losses_by_call: dict[str, list[str]] = {}
-        self.calls: list[tuple[str, str]] = []
-
-    async def call(
-        self, address: str, name: str, request: typing.Any, timeout_s: float
-    ) -> typing.Any:
-        """Calls a process; what it does goes on if the call ends."""
-        self.calls.append((name, address))
-        loss = self._loss(name)
-        if loss == "unreachable" or address in self.unreachable:
-            raise errors.PeerUnreachable(address)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._leg(loss == "request")
-                copy = type(request).FromString(request.SerializeToString())
-                process = self.processes_by_address[address]
-                call = asyncio.ensure_future(getattr(process, name)(copy))
-                if loss == "reset":
-                    # The request has arrived; its connection breaks soon.
-                    await self._leg(False)
-                    raise errors.PeerUnsure(address)
-                reply = await asyncio.shield(call)
-                await self._leg(loss == "reply")
-                return type(reply).FromString(reply.SerializeToString())
-        except TimeoutError:
-            raise errors.PeerUnsure(address) from None
-
-    async def _leg(self, is_lost: bool) -> None:
-        await asyncio.sleep(self._rng.uniform(*self.delay_s))
-        if is_lost:
-            await asyncio.sleep(3600)
-
-    def _loss(self, name: str) -> str:
-        pending = self.losses_by_call.get(name)
-        if pending:
-            return pending.pop(0)
-        draw = self._rng.random()
-        for loss, share in (
-            ("unreachable", self.unreachable_share),
-            ("request", self.request_loss_share),
-            ("reply", self.reply_loss_share),
-            ("reset", self.reset_share),
-        ):
-            if draw < share:
-                return loss
-            draw -= share
-        return ""
-
-
-class NetworkPeers(peers.Peers):
-    """One process's calls over the network."""
-
-    def __init__(self, *, network: Network) -> None:
-        self._network = network
-
-    async def execute(self, address, request, *, timeout_s):
-        """Calls a dispatch process."""
-        return await self._network.call(address, "execute", request, timeout_s)
-
-    async def withdraw(self, address, request, *, timeout_s):
-        """Calls a dispatch process."""
-        return await self._network.call(
-            address, "withdraw", request, timeout_s
-        )
-
-    async def relay(self, address, request, *, timeout_s):
-        """Calls an entry."""
-        return await self._network.call(address, "relay", request, timeout_s)
-
-    async def hand_over(self, address, request, *, timeout_s):
-        """Calls an entry."""
-        return await self._network.call(
-            address, "hand_over", request, timeout_s
-        )
-
-    async def fetch_config(self, address, request, *, timeout_s):
-        """Not used by entries."""
-        raise NotImplementedError
-
-
 class EntryFleet:
     """Entries and dispatch processes on one virtual loop.
 
@@ -332,8 +89,8 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = virtual_loop.VirtualClock()
-        self.network = Network(rng=self.rng)
-        self.store = MemoryStore()
+        self.network = entry_network.Network(rng=self.rng)
+        self.store = memory_store.MemoryStore()
         self.broken: list[typing.Any] = []
         self.failures: list[Exception] = []
         self.invariants = invariant_checks.Invariants(
@@ -352,7 +109,8 @@
             for i in range(dispatchers)
         ]
         self.dispatchers = [
-            FakeDispatch(rng=self.rng) for _ in self.dispatch_rows
+            recording_dispatch.FakeDispatch(rng=self.rng)
+            for _ in self.dispatch_rows
         ]
         self.tables = [self._table(row) for row in self.entry_rows]
         self.entries = [
@@ -462,7 +220,7 @@
             rng=self.rng,
             members=table,
             config=self.config,
-            peers=NetworkPeers(network=self.network),
+            peers=entry_network.NetworkPeers(network=self.network),
             store=self.store,
             invariants=self.invariants,
             log=logs.silent(),
--- a/fuchsiacourse/health.py
+++ b/fuchsiacourse/health.py
@@ -41,7 +41,7 @@
         shard: Tables of the shard.
         rng: Source of randomness for ties.
         false_ejections_per_target_s: Bound on wrong ejections.
-        invariants: Checks of the leaving promise.
+        invariants: Checks of the leaving guarantee.
         log: Logger.
         detector: Evidence on the targets, by default a new one.
     """
--- a/fuchsiacourse/invariants.py
+++ b/fuchsiacourse/invariants.py
@@ -10,7 +10,7 @@
 
 
 class InvariantId(enum.Enum):
-    """One identifier for each promise of the system."""
+    """One identifier for each guarantee of the system."""
 
     FLOOR = "floor"
     WHOLE_ANSWER = "whole_answer"
@@ -53,8 +53,8 @@
         """Records a check and returns its condition.
 
         Args:
-            invariant_id: The promise that the check belongs to.
-            condition: Whether the promise holds here.
+            invariant_id: The guarantee that the check belongs to.
+            condition: Whether the guarantee holds here.
             **evidence: Values for the log line of a failed check.
         """
         self.checked_by_id[invariant_id] += 1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -103,7 +103,7 @@
 
         virtual_loop.run(main())
 
-    def test_answered_request_is_innocent(self):
+    def test_answered_request_is_cleared(self):
         """Guards against refusing a popular request by chance."""
 
         async def main():
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -42,7 +42,7 @@
     def order(self):
         return [queue.kind.name for queue in self.admission.ordered(SLOTS)]
 
-    def test_short_and_dear_kinds_go_first(self):
+    def test_short_and_costly_kinds_go_first(self):
         """Guards against short work behind long work."""
         search = dataclasses.replace(SEARCH, worth=100.0)
         for number, kind in enumerate((search, LOOKUP, BOOKING)):
@@ -50,7 +50,7 @@
         self.assertEqual(["booking", "lookup", "search"], self.order())
 
     def test_worth_per_slot_second_counts_at_peak(self):
-        """Guards against cheap short work displacing dear long work."""
+        """Guards against cheap short work displacing costly long work."""
         search = dataclasses.replace(SEARCH, worth=100.0)
         for number in range(50):
             self.queue.push(row((search, LOOKUP)[number % 2], 3.0, number))
--- a/tests/test_shard_runner.py
+++ b/tests/test_shard_runner.py
@@ -248,8 +248,10 @@
         async def main(world):
             cheap = [world.execute(world.request()) for _ in range(120)]
             await asyncio.sleep(0.001)
-            dear = [world.execute(world.request(BOOKING)) for _ in range(60)]
-            replies = await asyncio.gather(*dear)
+            bookings = [
+                world.execute(world.request(BOOKING)) for _ in range(60)
+            ]
+            replies = await asyncio.gather(*bookings)
             self.assertEqual([""] * 60, [reply.refusal for reply in replies])
             refusals = [
                 reply.refusal for reply in await asyncio.gather(*cheap)
