Serve metrics to scrapers without an Accept header

Cause: /metrics answered 500 to a request without Accept, because the renderer takes a sequence and got None.

Change: an empty sequence; the test sends no Accept; a process test runs the example of the callers' guide through two hosts.

Result: the test fails before and passes after.

--- a/fuchsiacourse/status_app.py
+++ b/fuchsiacourse/status_app.py
@@ -27,7 +27,7 @@
         self._refresh()
         accepted = request.get_header("Accept")
         content, headers = aioprometheus.render(
-            self._metrics.registry, [accepted] if accepted else None
+            self._metrics.registry, [accepted] if accepted else []
         )
         for name, value in headers.items():
             response.set_header(name, value)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -41,7 +41,10 @@
             answers = {}
             for path in ("metrics", "healthz", "readyz"):
                 url = f"http://{self.address}/{path}"
-                async with session.get(url) as response:
+                # Some scrapers send no Accept header.
+                async with session.get(
+                    url, skip_auto_headers=["Accept"]
+                ) as response:
                     answers[path] = response.status, await response.text()
         await self.server.stop()
         self.assertIn('refreshes{program="entry"} 1', answers["metrics"][1])
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,9 +1,11 @@
 """Tests of real processes on loopback under kills, pauses and stops."""
 
 import asyncio
+import json
 import pathlib
 import random
 import signal
+import sys
 import tempfile
 import unittest
 
@@ -117,6 +119,32 @@
             process.signal(signal.SIGTERM)
             self.assertEqual(0, await process.wait(STOP_LIMIT_S))
 
+    async def example(self, address: str, body: str) -> tuple[int, str]:
+        """Runs the example caller of the callers' guide."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "samples/caller_example.py",
+            address,
+            "POST",
+            "/larder/pallet-moves",
+            body,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
+    async def test_example_caller_through_two_hosts(self):
+        """Guards against a guide whose example does not work."""
+        for number in (0, 1):
+            address = f"{self.places[number].ip}:{local_fleet.HTTP_PORT}"
+            code, output = await self.example(
+                address, json.dumps({"item": number})
+            )
+            self.assertEqual(0, code, output)
+            self.assertIn("200 ran", output)
+        bodies = await run_check.read_bodies(self.services)
+        self.assertEqual([1, 1], sorted(bodies.values()))
+
     async def test_kill_runs_nothing_twice(self):
         """Guards against bookings that run again after a host is lost."""
         load = self.make_load(8.0)
