Call targets with faults unhealthy throughout

Cause: code said sick where the field says unhealthy.

Change: names and comments of detection, benches and tests.

--- a/bench/floor_decider.py
+++ b/bench/floor_decider.py
@@ -35,7 +35,7 @@
         self._rng = rng
         self.services: list[service_file.ServiceFile] = []
         self.incarnation_by_target: dict[str, str] = {}
-        self.sick: set[str] = set()
+        self.unhealthy: set[str] = set()
         self.leaving: set[str] = set()
 
     def publish(self, service: service_file.ServiceFile) -> int:
@@ -50,36 +50,36 @@
         """Begins another process of a target."""
         self.incarnation_by_target[target_id] = f"{self._rng.random():.9f}"
         self.leaving.discard(target_id)
-        self.sick.discard(target_id)
+        self.unhealthy.discard(target_id)
 
 
 class ScriptedDetector(detectors.Detector):
-    """Holds targets to be sick as the schedule says.
+    """Holds targets to be unhealthy as the schedule says.
 
     Args:
         shard: Tables of the shard.
-        is_sick: Opinion on a target.
+        is_unhealthy: Opinion on a target.
     """
 
     def __init__(
         self,
         *,
         shard: shards.Shard,
-        is_sick: typing.Callable[[str], bool],
+        is_unhealthy: typing.Callable[[str], bool],
     ) -> None:
         super().__init__(shard=shard, false_ejections_per_target_s=1e-6)
-        self._is_sick = is_sick
+        self._is_unhealthy = is_unhealthy
 
     def score(self, row: target_row.TargetRow, now: float) -> detectors.Score:
         """Returns a score far over the threshold, or none."""
-        value = 100.0 if self._is_sick(row.id) else 0.0
+        value = 100.0 if self._is_unhealthy(row.id) else 0.0
         return detectors.Score(value=value, reason="latency", kind="")
 
     def finished(
         self, row, attempt, outcome, now, *, shifts_limits=True
     ) -> bool:
         """Judges a canary by the opinion on its target."""
-        return not self._is_sick(row.id)
+        return not self._is_unhealthy(row.id)
 
 
 class DelayedStore(stores.Store):
@@ -180,7 +180,9 @@
         self._shard = shards.Shard(service=world.services[-1], region=region)
         self._adopt(len(world.services))
         self._adoptions: list[tuple[float, int]] = []
-        detector = ScriptedDetector(shard=self._shard, is_sick=self._is_sick)
+        detector = ScriptedDetector(
+            shard=self._shard, is_unhealthy=self._is_unhealthy
+        )
         self._health = healths.Health(
             shard=self._shard,
             rng=rng,
@@ -252,8 +254,10 @@
         if self._config.adopt(number, {service.service: service}):
             self._shard.replace(service)
 
-    def _is_sick(self, target_id: str) -> bool:
-        return (target_id in self._world.sick) != (target_id in self.doubted)
+    def _is_unhealthy(self, target_id: str) -> bool:
+        return (target_id in self._world.unhealthy) != (
+            target_id in self.doubted
+        )
 
     def _step(self) -> None:
         now = self._clock.now()
--- a/bench/floor_run.py
+++ b/bench/floor_run.py
@@ -85,7 +85,7 @@
 
     def _act(self) -> None:
         actions: list[tuple[int, typing.Callable[[], None]]] = [
-            (8, self._sicken),
+            (8, self._make_unhealthy),
             (3, self._recover),
             (2, self._differ),
             (2, self._leave),
@@ -109,11 +109,11 @@
     def _decider(self) -> floor_decider.Decider:
         return self._rng.choice(self._deciders)
 
-    def _sicken(self) -> None:
-        self._world.sick.add(self._target())
+    def _make_unhealthy(self) -> None:
+        self._world.unhealthy.add(self._target())
 
     def _recover(self) -> None:
-        self._world.sick.discard(self._target())
+        self._world.unhealthy.discard(self._target())
 
     def _differ(self) -> None:
         self._decider().doubted ^= {self._target()}
--- a/bench/measure_health.py
+++ b/bench/measure_health.py
@@ -76,7 +76,7 @@
 
 
 def detect(job: DetectionJob) -> float:
-    """Returns the time to the last new work of a sick target in seconds.
+    """Returns the time to the last new work of an unhealthy target in seconds.
 
     Only work that meets the fault counts, and no canaries. A target that
     is never without such work for QUIET_S counts with WATCH_S.
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -15,7 +15,7 @@
 
 # Faults that start more often than the others, because few of the runs
 # would otherwise have several of them.
-WEIGHTS_BY_NAME = {"rolling_restart": 4, "kill": 2, "targets_sick": 2}
+WEIGHTS_BY_NAME = {"rolling_restart": 4, "kill": 2, "targets_unhealthy": 2}
 
 # Mean time between the beginnings of faults, in seconds.
 INTERVAL_S = 1.2
--- a/bench/soak_target_faults.py
+++ b/bench/soak_target_faults.py
@@ -43,7 +43,7 @@
             "target_flapping": self._flapping,
             "target_crash": self._crash,
             "target_leaving": self._leaving,
-            "targets_sick": self._many_sick,
+            "targets_unhealthy": self._many_unhealthy,
         }
 
     def _take(self) -> fake_targets.FakeTarget | None:
@@ -111,24 +111,24 @@
         await asyncio.sleep(target.restart_s + 0.5)
         self._busy.discard(target.address)
 
-    async def _many_sick(self) -> None:
-        """Makes half of a service sick, one target in each zone.
+    async def _many_unhealthy(self) -> None:
+        """Makes half of a service unhealthy, one target in each zone.
 
         That is more than the floor allows to eject, but not so many that
         the fault is taken for the observer's own.
         """
         targets = soak_services.targets(self._rng.choice(SERVICES))
         by_zone = {item["availability_zone"]: item for item in targets}
-        sick = [
+        unhealthy = [
             self._fleet.targets.targets_by_address[item["address"]]
             for item in by_zone.values()
             if item["address"] not in self._busy
         ]
-        for target in sick:
+        for target in unhealthy:
             self._busy.add(target.address)
             target.error_share = 1.0
         await asyncio.sleep(self._rng.uniform(8, 15))
-        for target in sick:
+        for target in unhealthy:
             target.error_share = 0.0
             self._busy.discard(target.address)
 
--- a/fuchsiacourse/candidates.py
+++ b/fuchsiacourse/candidates.py
@@ -18,8 +18,8 @@
 # Time between the starts of two tests of an ejected and a suspect target.
 CANARY_INTERVAL_S = 0.2
 SUSPECT_TEST_INTERVAL_S = 0.05
-# The same for a target that is found sick and that the floor, the platform
-# or a common fault keeps from being ejected.
+# The same for an unhealthy target that the floor, the platform or a common
+# fault keeps from being ejected.
 HELD_TEST_INTERVAL_S = 5.0
 # Time for which all other targets must have been full before a suspect takes
 # ordinary work. Slots free up within milliseconds at ordinary load.
@@ -85,10 +85,10 @@
         for item in row.attempts_by_id.values()
     ):
         return False
-    sick = service.kinds_by_name.get(details.sick_kind)
-    if sick is not None and sick.idempotent:
-        return sick.name == kind.name
-    # Short requests tell sooner whether the target is sick.
+    unhealthy = service.kinds_by_name.get(details.unhealthy_kind)
+    if unhealthy is not None and unhealthy.idempotent:
+        return unhealthy.name == kind.name
+    # Short requests tell sooner whether the target is unhealthy.
     return kind.is_short or not any(
         item.is_short and item.idempotent for item in service.kinds
     )
--- a/fuchsiacourse/likelihood.py
+++ b/fuchsiacourse/likelihood.py
@@ -1,6 +1,6 @@
 """Log-likelihood ratios of single observations of a target.
 
-Positive ratios speak for an unhealthy target. What a healthy target does is
+Positive ratios indicate an unhealthy target. What a healthy target does is
 expected from its peers; what an unhealthy one does is set here.
 """
 
@@ -13,12 +13,12 @@
 # Shares of attempts over the limits at a healthy and at an unhealthy target.
 LATE_SHARE = 0.1
 VERY_LATE_SHARE = 0.02
-SICK_PROMPT_SHARE = 0.25
-SICK_VERY_LATE_SHARE = 0.6
+UNHEALTHY_PROMPT_SHARE = 0.25
+UNHEALTHY_VERY_LATE_SHARE = 0.6
 
 # Shares of failed attempts at a healthy and at an unhealthy target.
 ERROR_SHARE = 0.003
-SICK_ERROR_SHARE = 0.3
+UNHEALTHY_ERROR_SHARE = 0.3
 SHED_SHARE = 0.05
 
 
@@ -29,13 +29,15 @@
         expected: Share of attempts that fail at a healthy target. If it is
             as high as at an unhealthy one, the failure tells nothing.
     """
-    return math.log(SICK_ERROR_SHARE / min(expected, SICK_ERROR_SHARE))
+    return math.log(
+        UNHEALTHY_ERROR_SHARE / min(expected, UNHEALTHY_ERROR_SHARE)
+    )
 
 
 def succeeded(expected: float) -> float:
     """Returns the ratio of an attempt that has not failed."""
-    share = min(expected, SICK_ERROR_SHARE)
-    return math.log((1.0 - SICK_ERROR_SHARE) / (1.0 - share))
+    share = min(expected, UNHEALTHY_ERROR_SHARE)
+    return math.log((1.0 - UNHEALTHY_ERROR_SHARE) / (1.0 - share))
 
 
 def unfinished(expected: evidence.Expectation, level: int) -> float:
@@ -45,12 +47,12 @@
         expected: What a healthy target does.
         level: Number of limits of latency that its age has passed.
     """
-    if level == 0 or expected.very_late >= SICK_VERY_LATE_SHARE:
+    if level == 0 or expected.very_late >= UNHEALTHY_VERY_LATE_SHARE:
         return 0.0
     if level == 2:
-        return math.log(SICK_VERY_LATE_SHARE / expected.very_late)
-    sick = 1.0 - SICK_PROMPT_SHARE
-    return math.log(sick / min(sick, expected.late))
+        return math.log(UNHEALTHY_VERY_LATE_SHARE / expected.very_late)
+    unhealthy = 1.0 - UNHEALTHY_PROMPT_SHARE
+    return math.log(unhealthy / min(unhealthy, expected.late))
 
 
 def finished(expected: evidence.Expectation, level: int) -> float:
@@ -60,12 +62,12 @@
         expected: What a healthy target does.
         level: Number of limits of latency that it has passed.
     """
-    if level == 2 or expected.very_late >= SICK_VERY_LATE_SHARE:
+    if level == 2 or expected.very_late >= UNHEALTHY_VERY_LATE_SHARE:
         return unfinished(expected, level)
     if level == 0:
-        prompt = max(SICK_PROMPT_SHARE, 1.0 - expected.late)
-        return math.log(SICK_PROMPT_SHARE / prompt)
-    sick = 1.0 - SICK_PROMPT_SHARE - SICK_VERY_LATE_SHARE
-    # A healthy share well above the sick one must not count as good.
+        prompt = max(UNHEALTHY_PROMPT_SHARE, 1.0 - expected.late)
+        return math.log(UNHEALTHY_PROMPT_SHARE / prompt)
+    unhealthy = 1.0 - UNHEALTHY_PROMPT_SHARE - UNHEALTHY_VERY_LATE_SHARE
+    # A healthy share well above the unhealthy one must not count as good.
     healthy = max(0.01, expected.late - expected.very_late)
-    return math.log(sick / max(sick / 4.0, healthy))
+    return math.log(unhealthy / max(unhealthy / 4.0, healthy))
--- a/fuchsiacourse/target_health.py
+++ b/fuchsiacourse/target_health.py
@@ -28,7 +28,7 @@
         "ejected_at_s",
         "backoff_s",
         "retry_at_s",
-        "sick_kind",
+        "unhealthy_kind",
         "reason",
         "good_canaries",
         "next_canary_s",
@@ -64,7 +64,7 @@
         # Time of the next canary request of an ejected target.
         self.retry_at_s = 0.0
         # Kind that led to the ejection; empty if all kinds did.
-        self.sick_kind = ""
+        self.unhealthy_kind = ""
         self.reason = ""
         self.good_canaries = 0
         self.next_canary_s = 0.0
--- a/fuchsiacourse/target_states.py
+++ b/fuchsiacourse/target_states.py
@@ -19,7 +19,7 @@
 SUSPECT_SHARE = 0.3
 CLEAR_SHARE = 0.15
 # Share that is left of a score that most targets share. Well above
-# SUSPECT_SHARE, so that the targets still count as sick together.
+# SUSPECT_SHARE, so that the targets still count as unhealthy together.
 DISCOUNTED_SHARE = 0.55
 # Failed probes or bad reports in a row that make a target suspect.
 WEAK_SIGNS = 3
@@ -141,7 +141,7 @@
         details.retry_at_s = details.ejected_at_s + listed.backoff_s
         details.backoff_s = listed.backoff_s
         details.reason = listed.reason
-        details.sick_kind = str(listed.evidence.get("kind", ""))
+        details.unhealthy_kind = str(listed.evidence.get("kind", ""))
         details.condemned_since_s = None
         self._detector.reset(row, now)
         self.enter(row, _State.EJECTED, now)
@@ -218,7 +218,7 @@
             and not details.is_listed
             and details.weak_signs < WEAK_SIGNS
         ):
-            # Nothing speaks against the target, as at most ticks.
+            # There is no evidence against the target, as at most ticks.
             details.condemned_since_s = None
             return
         threshold = self._detector.threshold
@@ -249,7 +249,7 @@
         details.is_suspect = suspect
         if suspect:
             strong = score.value >= SUSPECT_SHARE * threshold
-            details.sick_kind = score.kind if strong else ""
+            details.unhealthy_kind = score.kind if strong else ""
             self._remember_suspicion(details, now)
         self.update_suspects(now)
 
@@ -297,7 +297,7 @@
     def shifts_limits(self, row: target_row.TargetRow) -> bool:
         """Tells whether a target's latencies count for its peers.
 
-        A sick target must not raise the limits, but if most targets are
+        An unhealthy target must not raise the limits, but if most targets are
         suspect the latencies have changed for all of them.
         """
         if row.state in OUT:
@@ -316,7 +316,7 @@
         """
         zone = row.target.availability_zone
         counts = [0, 0]
-        sick = [0, 0]
+        unhealthy_counts = [0, 0]
         for other in self._shard.targets_by_id.values():
             details = target_health.of(other, now)
             out = other.state in OUT
@@ -331,10 +331,10 @@
             )
             for index, counted in enumerate((True, in_zone)):
                 counts[index] += counted
-                sick[index] += counted and unhealthy
-        if 2 * sick[0] > counts[0]:
+                unhealthy_counts[index] += counted and unhealthy
+        if 2 * unhealthy_counts[0] > counts[0]:
             return True
-        return counts[1] > 1 and 2 * sick[1] > counts[1]
+        return counts[1] > 1 and 2 * unhealthy_counts[1] > counts[1]
 
     def next_backoff_s(self, row: target_row.TargetRow, now: float) -> float:
         """Returns the backoff of a new ejection in seconds.
@@ -364,7 +364,7 @@
         weight = math.exp(-max(0.0, elapsed_s) / SUSPICION_MEMORY_S)
         details.suspicions = details.suspicions * weight
         first_s = FIRST_SUSPICION_S
-        if not orders.is_testable(self._shard.service, details.sick_kind):
+        if not orders.is_testable(self._shard.service, details.unhealthy_kind):
             first_s = UNTESTABLE_SUSPICION_S
         hold_s = first_s * SUSPICION_FACTOR**details.suspicions
         details.suspect_until_s = now + min(MAX_SUSPICION_S, hold_s)
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -53,7 +53,7 @@
         self.assertEqual([four, two], self.listed(self.booking, 0.0))
 
     def test_suspect_waits_while_others_are_full_for_a_moment(self):
-        """Guards against overflow to a sick target at ordinary load."""
+        """Guards against overflow to an unhealthy target at ordinary load."""
         suspect = self.rows[0]
         suspect.state = STATES.SUSPECT
         self.assertIs(suspect, self.listed(self.booking, 0.0)[-1])
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -36,13 +36,13 @@
             started_s=started_s,
         )
 
-    def feed(self, seconds, *, factor=1.0, sick_factor=None, per_s=20):
+    def feed(self, seconds, *, factor=1.0, unhealthy_factor=None, per_s=20):
         for _ in range(int(seconds * per_s)):
             self.now += 1.0 / per_s
             for row in self.rows:
                 own = factor
-                if sick_factor and row is self.rows[0]:
-                    own = sick_factor
+                if unhealthy_factor and row is self.rows[0]:
+                    own = unhealthy_factor
                 attempt = self.attempt(self.now)
                 run_s = own * workload.run_s(attempt.kind, self.rng)
                 attempt.started_s -= run_s
@@ -68,7 +68,7 @@
     def test_slow_target_is_found(self):
         """Guards against missing a target slower than its peers."""
         self.feed(60.0)
-        self.feed(2.0, sick_factor=10.0)
+        self.feed(2.0, unhealthy_factor=10.0)
         self.assertGreaterEqual(self.score().value, self.detector.threshold)
         self.assertEqual("latency", self.score().reason)
         self.assertLess(self.score(1).value, self.detector.threshold)
@@ -135,7 +135,7 @@
     """Histograms and ratios must be right at their edges."""
 
     def test_quantiles_leave_the_target_out(self):
-        """Guards against a sick target raising its own limits."""
+        """Guards against an unhealthy target raising its own limits."""
         pool, own = evidence.KindEvidence(), evidence.KindEvidence()
         for latency_s, parts in ((0.05, (pool,)), (5.0, (pool, own))):
             for kept in parts:
--- a/tests/test_ejection_agent.py
+++ b/tests/test_ejection_agent.py
@@ -80,7 +80,7 @@
         """Guards against an ejection that stays in one process."""
 
         async def scenario(fleet):
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(2.0)
             self.assertEqual([{"larder-north-0"}] * 2, fleet.out())
             entry = fleet.content()["ejected"]["larder-north-0"]
@@ -92,7 +92,7 @@
         """Guards against a history that misses a change or repeats one."""
 
         async def scenario(fleet):
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(2.0)
             fleet.world.restart("larder-north-0")
             await asyncio.sleep(60.0)
@@ -112,7 +112,7 @@
         """Guards against writes that serve the history only."""
 
         async def scenario(fleet):
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(5.0)
             content = fleet.content()
             self.assertEqual(1, len(content["history"]))
@@ -132,7 +132,7 @@
         async def scenario(fleet):
             await asyncio.sleep(1.0)
             fleet.platform.faults.lose_write_replies = 1
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(1.5)
             self.assertIn("larder-north-0", fleet.content()["ejected"])
             self.assertEqual([set()], fleet.out())
@@ -147,7 +147,7 @@
         async def scenario(fleet):
             await asyncio.sleep(1.0)
             # These targets have three slots each.
-            fleet.world.sick.update(("larder-north-2", "larder-south-1"))
+            fleet.world.unhealthy.update(("larder-north-2", "larder-south-1"))
             await asyncio.sleep(3.0)
             self.assertEqual(1, len(fleet.content()["ejected"]))
             self.assertEqual(1, sum(len(out) for out in fleet.out()))
@@ -159,7 +159,7 @@
 
         async def scenario(fleet):
             fleet.platform.faults.outage = True
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(30.0)
             self.assertEqual([set(), set()], fleet.out())
 
@@ -169,7 +169,7 @@
         """Guards against an old ejection in effect after its release."""
 
         async def scenario(fleet):
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(2.0)
             first, second = fleet.deciders
             first.connection.loses_requests = True
@@ -193,7 +193,7 @@
         """Guards against an owner that has missed a higher floor."""
 
         async def scenario(fleet):
-            fleet.world.sick.add("larder-north-0")
+            fleet.world.unhealthy.add("larder-north-0")
             await asyncio.sleep(2.0)
             raised = fleet.service.model_copy(
                 update={"floor_slots": fleet.service.floor_slots + 1}
@@ -202,7 +202,7 @@
             fleet.deciders[0].adopt_later(number, 0.0)
             await asyncio.sleep(3.0)
             self.assertEqual(2, fleet.content()["config_number"])
-            fleet.world.sick.add("larder-south-0")
+            fleet.world.unhealthy.add("larder-south-0")
             await asyncio.sleep(3.0)
             self.assertNotIn("larder-south-0", fleet.content()["ejected"])
             fleet.deciders[1].adopt_later(number, 0.0)
@@ -226,7 +226,7 @@
             fleet.world.leaving.add("larder-north-5")
 
         async def scenario(fleet):
-            fleet.world.sick.add("larder-north-2")
+            fleet.world.unhealthy.add("larder-north-2")
             await asyncio.sleep(2.0)
             self.assertEqual([{"larder-north-2"}] * 2, fleet.out())
             await change(fleet)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -19,7 +19,7 @@
 
 
 class RunTest(unittest.TestCase):
-    """A sick target must lose its work, the others must keep theirs."""
+    """An unhealthy target must lose its work, the others must keep theirs."""
 
     def run_with(self, kind, *, targets=1, seconds=13.0):
         service = workload.service(workload.USERS[1], "couloirs")
@@ -46,7 +46,7 @@
         kind = run.service.kinds_by_name["lookup"]
         self.assertNotIn(row, run.health.candidates(kind, run.now))
 
-    def test_most_targets_sick_ejects_none(self):
+    def test_most_targets_unhealthy_ejects_none(self):
         """Guards against ejections for a fault of the network."""
         for kind in (
             target_fault.FaultKind.ERRORS,
@@ -168,7 +168,7 @@
         self.assertNotIn(self.row, self.candidates(5.1))
 
     def test_canaries_readmit_with_a_slow_start(self):
-        """Guards against full load on a target that was just sick."""
+        """Guards against full load on a target that was just unhealthy."""
         self.eject(0.0)
         self.health.tick(5.0)
         for step in range(5):
@@ -179,7 +179,7 @@
         self.assertIn(self.row, self.candidates(18.0))
 
     def test_failed_canary_doubles_the_backoff(self):
-        """Guards against frequent tests of a target that stays sick."""
+        """Guards against frequent tests of a target that stays unhealthy."""
         self.eject(0.0)
         self.health.tick(5.0)
         self.attempt(OUTCOMES.BAD_ANSWER, 5.0, canary=True)
