Keep the longest deadline in the configuration table

Change: ConfigTable computes it once an adoption.

Result: the tests of dispatch and the configuration agent pass.

--- a/fuchsiacourse/config_table.py
+++ b/fuchsiacourse/config_table.py
@@ -39,12 +39,18 @@
         self._routes_by_prefix: dict[tuple[str, str], Route] = {}
         self._subscribers: list[Subscriber] = []
         self._shard_count = 0
+        self._longest_deadline_s = 0.0
 
     @property
     def shard_count(self) -> int:
         """Number of shards of all services."""
         return self._shard_count
 
+    @property
+    def longest_deadline_s(self) -> float:
+        """Longest deadline of all request kinds in seconds."""
+        return self._longest_deadline_s
+
     def subscribe(self, subscriber: Subscriber) -> None:
         """Calls a function after each adoption."""
         self._subscribers.append(subscriber)
@@ -73,6 +79,10 @@
         self._shard_count = sum(
             len(service.regions) for service in services_by_name.values()
         )
+        self._longest_deadline_s = max(
+            (route.kind.deadline_ms / 1000.0 for route in routes.values()),
+            default=0.0,
+        )
         self._invariants.check(
             invariant_checks.InvariantId.CONFIG_RISES,
             self.number > previous,
--- a/fuchsiacourse/dispatch_service.py
+++ b/fuchsiacourse/dispatch_service.py
@@ -269,16 +269,8 @@
         After a restart, a withdrawal can arrive for a request that the
         previous process at the same address had sent to a target.
         """
-        longest_ms = max(
-            (
-                kind.deadline_ms
-                for service in self._config.services_by_name.values()
-                for kind in service.kinds
-            ),
-            default=0,
-        )
         age_s = now - self._started_s
-        return age_s < longest_ms / 1000.0 + _PREDECESSOR_MARGIN_S
+        return age_s < self._config.longest_deadline_s + _PREDECESSOR_MARGIN_S
 
     async def drain(self) -> None:
         """Refuses what is queued and waits for what is at targets."""
