--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -112,6 +112,15 @@
         with self.assertRaises(errors.StoreError):
             burn_object.decode(b'{"month": 1}')
 
+    def test_samples_of_a_writer_with_a_late_clock(self):
+        """Guards against samples out of order after a change of writer."""
+        self.object.merge("a", counts(5, 4))
+        for now in (10_000.0, 9_000.0, 10_200.0, 10_400.0):
+            self.object.sample(now)
+        self.assertEqual(
+            [10_000.0, 10_400.0], [item.at for item in self.object.samples]
+        )
+
     def test_samples_are_bounded(self):
         """Guards against an object that grows without end."""
         self.object.merge("a", counts(5, 4))
@@ -179,6 +188,25 @@
 
         self.run_collector(script)
 
+    def test_months_turn_during_an_outage(self):
+        """Guards against counts that end up in the wrong month."""
+
+        async def script(clock, store, collector):
+            store.platform.faults.outage = True
+            await collector.report(report(row(9).id, 5, 4))
+            later = report(row(9).id, 3, 3)
+            later.rows[0].month = "2027-02"
+            await collector.report(later)
+            await clock.sleep(7200)
+            store.platform.faults.outage = False
+            await clock.sleep(60)
+            self.assertEqual(5, await self.stored_total(store))
+            found = await store.get(burn_object.key("tay-a", "2027-02"))
+            totals = burn_object.decode(found.value).totals()
+            self.assertEqual(3, totals[KEY].total)
+
+        self.run_collector(script)
+
     def test_lost_reply_counts_once(self):
         """Guards against doubling counts after an unsure write."""
 
