--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -3,10 +3,10 @@
 import asyncio
 import unittest
 
+from bench import config_bench
 from bench import virtual_loop
 from fuchsiacourse import in_force
 from fuchsiacourse import member
-from tests import test_config_agent
 
 
 class InForceTest(unittest.TestCase):
@@ -14,11 +14,12 @@
 
     def run_fleet(self, scenario) -> None:
         async def main():
-            bench = test_config_agent.FleetBench(nodes=16)
+            bench = config_bench.FleetBench(nodes=16)
             for node in bench.nodes:
                 node.reporter.start()
             await asyncio.sleep(10)
             await scenario(bench)
+            self.assertEqual([], bench.background_errors)
 
         virtual_loop.run(main())
 
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -1,72 +1,12 @@
 """Tests of publishing, on virtual time."""
 
 import asyncio
-import json
-import random
 import unittest
 
-from bench import fake_store
+from bench import config_bench
 from bench import virtual_loop
 from fuchsiacourse import errors
 from fuchsiacourse import manifest
-from fuchsiacourse import platform_model
-from fuchsiacourse import publish_files
-from fuchsiacourse import publisher
-from fuchsiacourse import service_file
-from fuchsiacourse import timers
-from tests import test_service_file
-
-
-def candidate(name: str, **changes) -> publish_files.Candidate:
-    """Returns a service file with a route of its own."""
-    content = test_service_file.valid() | {"service": name}
-    content["kinds"][0]["path_prefix"] = changes.pop("path", f"/{name}")
-    body = json.dumps(content | changes).encode()
-    return publish_files.Candidate(
-        parsed=service_file.parse(body, source=name),
-        body=body,
-        source=f"{name}.json",
-    )
-
-
-class PublishBench:
-    """A platform and operators on the running virtual loop."""
-
-    def __init__(self, *, seed: int = 1) -> None:
-        self.clock = virtual_loop.VirtualClock()
-        self.rng = random.Random(seed)
-        self.platform = platform_model.PlatformModel(clock=self.clock)
-        self.timers = timers.Timers(
-            clock=self.clock, rng=self.rng, on_error=self.fail
-        )
-
-    def fail(self, error: Exception) -> None:
-        """Reports an error of a background task."""
-        raise AssertionError from error
-
-    def store(self, **options) -> fake_store.FakeStore:
-        """Returns one process's connection to the platform."""
-        return fake_store.FakeStore(
-            platform=self.platform,
-            clock=self.clock,
-            timers=self.timers,
-            rng=self.rng,
-            **options,
-        )
-
-    def publisher(self, operator: str = "ann") -> publisher.Publisher:
-        """Returns the publisher of one operator."""
-        return publisher.Publisher(
-            store=self.store(),
-            clock=self.clock,
-            rng=self.rng,
-            operator=operator,
-        )
-
-    def manifest(self) -> manifest.Manifest:
-        """Returns the manifest that the platform holds."""
-        found = self.platform.table.get(manifest.KEY)
-        return manifest.decode(found.value, source="test")
 
 
 class PublisherTest(unittest.TestCase):
@@ -74,7 +14,9 @@
 
     def run_with_bench(self, scenario) -> None:
         async def main():
-            await scenario(PublishBench())
+            bench = config_bench.PublishBench()
+            await scenario(bench)
+            self.assertEqual([], bench.background_errors)
 
         virtual_loop.run(main())
 
@@ -83,11 +25,14 @@
 
         async def scenario(bench):
             first = await bench.publisher().publish(
-                [candidate("larder"), candidate("dispatch")]
+                [
+                    config_bench.candidate("larder"),
+                    config_bench.candidate("dispatch"),
+                ]
             )
             self.assertEqual(["dispatch", "larder"], first.added)
             second = await bench.publisher().publish(
-                [candidate("larder", floor_slots=1)]
+                [config_bench.candidate("larder", floor_slots=1)]
             )
             self.assertEqual((2, ["larder"]), (second.number, second.changed))
             third = await bench.publisher().publish([], removed=["larder"])
@@ -100,11 +45,13 @@
         """Guards against a number that rises without a change."""
 
         async def scenario(bench):
-            await bench.publisher().publish([candidate("larder")])
+            await bench.publisher().publish([config_bench.candidate("larder")])
             revision = bench.platform.table.revision
-            result = await bench.publisher().publish([candidate("larder")])
+            result = await bench.publisher().publish(
+                [config_bench.candidate("larder")]
+            )
             dry = await bench.publisher().publish(
-                [candidate("larder", floor_slots=0)], dry_run=True
+                [config_bench.candidate("larder", floor_slots=0)], dry_run=True
             )
             self.assertTrue(result.is_empty)
             self.assertEqual(["larder"], dry.changed)
@@ -119,7 +66,7 @@
             for lost in range(1, 5):
                 bench.platform.faults.lose_write_replies = lost
                 result = await bench.publisher().publish(
-                    [candidate("larder", floor_slots=lost % 3)]
+                    [config_bench.candidate("larder", floor_slots=lost % 3)]
                 )
                 self.assertEqual(lost, result.number)
                 self.assertEqual(lost, bench.manifest().number)
@@ -133,13 +80,15 @@
         async def scenario(bench):
             bench.platform.faults.delay_s = 2.5
             task = asyncio.create_task(
-                bench.publisher().publish([candidate("larder")])
+                bench.publisher().publish([config_bench.candidate("larder")])
             )
             await asyncio.sleep(30)
             bench.platform.faults.delay_s = 0
             with self.assertRaises(errors.StoreUnavailable):
                 await task
-            result = await bench.publisher().publish([candidate("larder")])
+            result = await bench.publisher().publish(
+                [config_bench.candidate("larder")]
+            )
             self.assertEqual(1, result.number)
             await asyncio.sleep(10)
             self.assertEqual(1, bench.manifest().number)
@@ -151,7 +100,7 @@
 
         async def scenario(bench):
             ann = bench.publisher()
-            await ann.publish([candidate("larder")])
+            await ann.publish([config_bench.candidate("larder")])
             put = bench.platform.table.put
 
             def put_then_outage(key, value, *, if_version):
@@ -162,7 +111,9 @@
 
             bench.platform.table.put = put_then_outage
             with self.assertRaises(errors.StoreUnsure):
-                await ann.publish([candidate("larder", floor_slots=1)])
+                await ann.publish(
+                    [config_bench.candidate("larder", floor_slots=1)]
+                )
             self.assertEqual(2, bench.manifest().number)
 
         self.run_with_bench(scenario)
@@ -171,21 +122,27 @@
         """Guards against an operator's change that undoes another's."""
 
         async def scenario(bench):
-            both = [candidate("larder"), candidate("dispatch")]
+            both = [
+                config_bench.candidate("larder"),
+                config_bench.candidate("dispatch"),
+            ]
             await bench.publisher().publish(both)
             results = await asyncio.gather(
                 bench.publisher("ann").publish(
-                    [candidate("larder", floor_slots=1), both[1]]
+                    [config_bench.candidate("larder", floor_slots=1), both[1]]
                 ),
                 bench.publisher("bob").publish(
-                    [both[0], candidate("dispatch", floor_slots=1)]
+                    [
+                        both[0],
+                        config_bench.candidate("dispatch", floor_slots=1),
+                    ]
                 ),
             )
             self.assertEqual({2, 3}, {item.number for item in results})
             later = max(results, key=lambda item: item.number)
             self.assertEqual(1, len(later.merged))
             for name, item in bench.manifest().services.items():
-                wanted = candidate(name, floor_slots=1)
+                wanted = config_bench.candidate(name, floor_slots=1)
                 self.assertEqual(manifest.version_of(wanted.body), item)
 
         self.run_with_bench(scenario)
@@ -194,10 +151,13 @@
         """Guards against a conflict that is overwritten in silence."""
 
         async def scenario(bench):
-            await bench.publisher().publish([candidate("larder")])
+            await bench.publisher().publish([config_bench.candidate("larder")])
             base = bench.manifest()
-            mine = [candidate("larder", floor_slots=1), candidate("extra")]
-            theirs = [candidate("larder", floor_slots=0)]
+            mine = [
+                config_bench.candidate("larder", floor_slots=1),
+                config_bench.candidate("extra"),
+            ]
+            theirs = [config_bench.candidate("larder", floor_slots=0)]
             results = await asyncio.gather(
                 bench.publisher("ann").publish(mine),
                 bench.publisher("bob").publish(theirs),
@@ -228,8 +188,12 @@
 
         async def scenario(bench):
             results = await asyncio.gather(
-                bench.publisher("ann").publish([candidate("a", path="/x")]),
-                bench.publisher("bob").publish([candidate("b", path="/x")]),
+                bench.publisher("ann").publish(
+                    [config_bench.candidate("a", path="/x")]
+                ),
+                bench.publisher("bob").publish(
+                    [config_bench.candidate("b", path="/x")]
+                ),
                 return_exceptions=True,
             )
             refused = [
