--- a/fuchsiacourse/errors.py
+++ b/fuchsiacourse/errors.py
@@ -47,6 +47,10 @@
     """The call was sent, no reply came, and it may have taken effect."""
 
 
+class StoreHistoryGone(StoreUnavailable):
+    """The revision to watch from is older than the platform's history."""
+
+
 class StoreRateLimited(StoreUnavailable):
     """The platform refused the call for its rate limit."""
 
@@ -83,6 +87,27 @@
     """The answer is truncated or fails the service's answer checks."""
 
 
+class ConfigRejected(FuchsiacourseError):
+    """A configuration can't be used; the one in force stays."""
+
+
+class RecordRejected(FuchsiacourseError):
+    """A registration of a target can't be read; it names no target."""
+
+
+class RequestRejected(FuchsiacourseError):
+    """The bytes of a caller are not an acceptable request.
+
+    Args:
+        status: HTTP status code.
+        detail: Explanation for the caller.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
 class RefusedError(FuchsiacourseError):
     """A request ends without an answer of a target.
 
--- /dev/null
+++ b/fuchsiacourse/front/__init__.py
@@ -0,0 +1,1 @@
+"""One-hop front: serves callers and sends their requests to targets."""
--- /dev/null
+++ b/fuchsiacourse/front/__main__.py
@@ -0,0 +1,47 @@
+"""Program of a front on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import sys
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import front_program
+from fuchsiacourse import logs
+from fuchsiacourse.platform import platform_adapter
+from fuchsiacourse.platform import settings_file
+
+EXIT_BAD_INPUT = 2
+
+
+async def _run(path: pathlib.Path) -> None:
+    settings = settings_file.load(path)
+    log = logs.configure(
+        program="front", host=settings.name, stream=sys.stdout
+    )
+    program = front_program.FrontProgram(
+        settings=settings,
+        adapter=platform_adapter.PlatformAdapter(),
+        log=log,
+    )
+    await program.run()
+
+
+def main() -> int:
+    """Runs a front until it is told to stop; returns the exit code."""
+    path = os.environ.get(settings_file.PATH_VARIABLE)
+    if not path:
+        print(f"{settings_file.PATH_VARIABLE} is not set", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    try:
+        asyncio.run(_run(pathlib.Path(path)))
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_INPUT
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fuchsiacourse/front/answer_parser.py
@@ -0,0 +1,127 @@
+"""Incremental parser of the answers on one connection."""
+
+from __future__ import annotations
+
+import collections
+
+import httptools
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+
+_FIRST_FINAL = 200
+_BODILESS = frozenset((204, 304))
+
+
+class AnswerParser:
+    """Parses answers; informational ones are dropped.
+
+    Args:
+        max_bytes: Longest body.
+    """
+
+    __slots__ = (
+        "answers",
+        "closes",
+        "has_begun",
+        "_max_bytes",
+        "_parser",
+        "_headers",
+        "_body",
+        "_body_bytes",
+        "_is_head_complete",
+        "_is_framed",
+    )
+
+    def __init__(self, *, max_bytes: int) -> None:
+        # Complete answers, oldest first.
+        self.answers: collections.deque[http_answer.HttpAnswer] = (
+            collections.deque()
+        )
+        # Whether the peer ends the connection after the last answer.
+        self.closes = False
+        # Whether part of an answer has been read.
+        self.has_begun = False
+        self._max_bytes = max_bytes
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset()
+
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; complete answers are added to ``answers``.
+
+        Raises:
+            TargetBadAnswer: The bytes are not an answer.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            # Answers before the malformed bytes are whole.
+            self.closes = True
+            if not self.answers:
+                raise errors.TargetBadAnswer(str(error)) from error
+
+    def end(self) -> None:
+        """Ends an answer whose length is given by an orderly close."""
+        if self._is_head_complete and not self._is_framed:
+            self._complete()
+
+    def end_head(self) -> None:
+        """Ends an answer that has no body because the method was HEAD."""
+        if self._is_head_complete:
+            self._complete()
+            self.closes = True
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of an answer."""
+        self._reset()
+        self.has_begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser with a header."""
+        self._headers.append((name.lower(), value.strip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of a head."""
+        self._is_head_complete = True
+        status = self._parser.get_status_code()
+        self._is_framed = status in _BODILESS or any(
+            name == b"content-length"
+            or (name == b"transfer-encoding" and value.lower() == b"chunked")
+            for name, value in self._headers
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._max_bytes:
+            raise errors.TargetBadAnswer("answer too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of an answer."""
+        if self._parser.get_status_code() < _FIRST_FINAL:
+            self._reset()
+            return
+        self._complete()
+
+    def _complete(self) -> None:
+        self.closes = not self._is_framed or not (
+            self._parser.should_keep_alive()
+        )
+        self.answers.append(
+            http_answer.HttpAnswer(
+                status=self._parser.get_status_code(),
+                headers=self._headers,
+                body=b"".join(self._body),
+            )
+        )
+        self._reset()
+
+    def _reset(self) -> None:
+        self.has_begun = False
+        self._headers: http_request.Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_head_complete = False
+        self._is_framed = False
--- /dev/null
+++ b/fuchsiacourse/front/caller_server.py
@@ -0,0 +1,103 @@
+"""Listens for callers on one address."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import caller_connection
+from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import route_table
+
+_BACKLOG = 1024
+# Interval at which slow and idle connections are looked for, in seconds.
+SWEEP_S = 0.5
+
+Limits = typing.Callable[[], route_table.CallerLimits]
+OnError = typing.Callable[[Exception], None]
+
+
+class CallerServer:
+    """HTTP server on one address.
+
+    Args:
+        clock: Source of time.
+        address: Where to listen.
+        handler: Answers a request.
+        limits: Returns the limits on callers.
+        on_error: Receives the failure of a handler.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        address: front_settings.Address,
+        handler: caller_connection.Handler,
+        limits: Limits,
+        on_error: OnError,
+    ) -> None:
+        self.clock = clock
+        self.address = address
+        self.handler = handler
+        self.is_stopping = False
+        self._limits = limits
+        self._on_error = on_error
+        self._connections: set[caller_connection.CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def limits(self) -> route_table.CallerLimits:
+        """Limits on callers."""
+        return self._limits()
+
+    @property
+    def busy(self) -> int:
+        """Connections on which a request is being answered."""
+        return sum(item.is_busy for item in self._connections)
+
+    async def start(self) -> None:
+        """Starts to listen.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: caller_connection.CallerConnection(server=self),
+            *self.address,
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+        name = self._server.sockets[0].getsockname()
+        self.address = name[0], name[1]
+
+    def stop_listening(self) -> None:
+        """Takes no more connections; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def sweep(self) -> None:
+        """Closes slow and long idle connections."""
+        now_s = self.clock.now()
+        for connection in list(self._connections):
+            connection.close_if_overdue(now_s)
+
+    def opened(self, connection: caller_connection.CallerConnection) -> None:
+        """Notes a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: caller_connection.CallerConnection) -> None:
+        """Notes the end of a connection."""
+        self._connections.discard(connection)
+
+    def failed(self, error: Exception) -> None:
+        """Notes a failure of the handler."""
+        self._on_error(error)
--- /dev/null
+++ b/fuchsiacourse/front/config_follower.py
@@ -0,0 +1,79 @@
+"""Follows the operator's configuration."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import store_follower
+from fuchsiacourse import logs
+from fuchsiacourse import store as stores
+
+Decode = typing.Callable[[bytes], route_table.RouteTable]
+Adopt = typing.Callable[[route_table.RouteTable], None]
+
+
+class ConfigFollower(store_follower.StoreFollower):
+    """Puts each newer configuration in force.
+
+    Args:
+        key: Key of the configuration.
+        decode: Decodes the object.
+        adopt: Puts a configuration in force.
+        **options: Arguments of the follower.
+    """
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        decode: Decode,
+        adopt: Adopt,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(**options)
+        self._key = key
+        self._decode = decode
+        self._adopt = adopt
+        self.version = 0
+        # Object that the configuration in force came from.
+        self.content = b""
+
+    def listed(self, objects: list[stores.StoredObject]) -> None:
+        """Takes over all objects."""
+        for item in objects:
+            self.changed(item)
+
+    def changed(self, item: stores.StoredObject) -> None:
+        """Takes over one change."""
+        if item.key == self._key and not item.deleted:
+            self.offer(item.value, source=f"revision {item.version}")
+
+    def offer(self, content: bytes, *, source: str) -> None:
+        """Puts a configuration in force if it is newer.
+
+        Args:
+            content: The object.
+            source: Where it comes from, for the logs.
+        """
+        try:
+            table = self._decode(content)
+        except errors.ConfigRejected as error:
+            logs.warning(
+                self.log, "config_refused", source=source, error=str(error)
+            )
+            return
+        if table.version <= self.version:
+            return
+        logs.event(
+            self.log,
+            "config_adopted",
+            version=table.version,
+            before=self.version,
+            routes=table.route_count,
+            source=source,
+        )
+        self.version = table.version
+        self.content = content
+        self._adopt(table)
--- /dev/null
+++ b/fuchsiacourse/front/directory.py
@@ -0,0 +1,95 @@
+"""Addresses that callers should use."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse.front import fleet as fleets
+from fuchsiacourse.front import front_settings
+
+# Callers leave a front that is stopping or down within this time, in
+# seconds; some keep an answer three times as long.
+ADDRESS_TTL_S = 1.0
+MAX_ADDRESSES = 64
+# With fewer addresses than this in the caller's zone others are added.
+MIN_ADDRESSES = 2
+
+
+class AddressAnswer:
+    """Answer to a caller.
+
+    Args:
+        addresses: Addresses of fronts.
+        ttl_s: Time for which the caller may keep them, in seconds.
+    """
+
+    __slots__ = ("addresses", "ttl_s")
+
+    def __init__(
+        self, *, addresses: list[front_settings.Address], ttl_s: float
+    ) -> None:
+        self.addresses = addresses
+        self.ttl_s = ttl_s
+
+
+class Directory:
+    """Answers callers from what this front knows of the fleet.
+
+    Args:
+        settings: Place of this front.
+        fleet: The other fronts.
+        is_serving: Whether this front takes callers.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: front_settings.FrontSettings,
+        fleet: fleets.Fleet,
+        is_serving: typing.Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._is_serving = is_serving
+
+    def resolve(self, *, availability_zone: str, region: str) -> AddressAnswer:
+        """Returns the nearest fronts that serve callers.
+
+        Args:
+            availability_zone: Zone of the caller.
+            region: Region of the caller.
+        """
+        found: list[str] = []
+        for zone in self._zones_by_distance(availability_zone, region):
+            found.extend(self._in_zone(zone))
+            if len(found) >= MIN_ADDRESSES:
+                break
+        port = self._settings.front_address[1]
+        return AddressAnswer(
+            addresses=[(ip, port) for ip in found[:MAX_ADDRESSES]],
+            ttl_s=min(ADDRESS_TTL_S, self._settings.bounds.max_address_ttl_s),
+        )
+
+    def _zones_by_distance(
+        self, availability_zone: str, region: str
+    ) -> list[str]:
+        own = self._settings
+        regions = own.regions_by_zone
+        return sorted(
+            regions,
+            key=lambda zone: (
+                zone != availability_zone,
+                regions[zone] != region,
+                zone != own.availability_zone,
+                regions[zone] != own.region,
+                zone,
+            ),
+        )
+
+    def _in_zone(self, zone: str) -> list[str]:
+        index = self._fleet.zone_index(zone)
+        found = self._fleet.serving(index) if index is not None else []
+        is_own = zone == self._settings.availability_zone
+        if is_own and self._is_serving():
+            found.append(self._settings.ip)
+        return found
--- /dev/null
+++ b/fuchsiacourse/front/fleet_member.py
@@ -0,0 +1,34 @@
+"""Another front as this one knows it."""
+
+from __future__ import annotations
+
+
+class FleetMember:
+    """State of another front.
+
+    Args:
+        ip: IP number of its host.
+        zone: Index of its availability zone.
+    """
+
+    __slots__ = (
+        "ip",
+        "zone",
+        "incarnation",
+        "config_version",
+        "is_ready",
+        "is_leaving",
+        "heard_s",
+        "known_s",
+    )
+
+    def __init__(self, *, ip: str, zone: int, known_s: float) -> None:
+        self.ip = ip
+        self.zone = zone
+        self.incarnation = 0
+        self.config_version = 0
+        self.is_ready = False
+        self.is_leaving = False
+        # Monotonic time of its last packet and of the first word of it.
+        self.heard_s = float("-inf")
+        self.known_s = known_s
--- /dev/null
+++ b/fuchsiacourse/front/fleet_packet.py
@@ -0,0 +1,178 @@
+"""Packets between fronts.
+
+A packet tells the state of its origin and carries any number of pieces of
+evidence, or a list of members.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import outcome as outcomes
+
+_MARK = b"F1"
+# Mark, flags, zone, origin, incarnation, configuration, counts.
+_HEAD = struct.Struct("<2sBB4sIIBB")
+# Target, outcome, kind, in flight, reported load, milliseconds,
+# fingerprint.
+_EVIDENCE = struct.Struct("<QBBBBHQ")
+_MEMBER = struct.Struct("<4sB")
+_READY = 1
+_LEAVING = 2
+_RELAY = 4
+_ASKS_MEMBERS = 8
+_NO_REPORT = 255
+_MAX_BYTE = 254
+_MAX_MS = 65_535
+# Keeps a packet within one frame of Ethernet.
+MAX_EVIDENCE = 60
+MAX_MEMBERS = 200
+
+
+class FleetPacket:
+    """Packet of one front.
+
+    Args:
+        ip: IP number of the front that it tells of.
+        zone: Index of that front's availability zone.
+        incarnation: Number that rises with each start of the front.
+        config_version: Version of the configuration in force there.
+        is_ready: Whether the front serves callers.
+        is_leaving: Whether the front is stopping.
+        is_relayed: Whether the receiver passes the packet on in its zone.
+        asks_members: Whether the receiver answers with its members.
+        evidence: What the front has seen.
+        members: IP number and zone of fronts.
+    """
+
+    __slots__ = (
+        "ip",
+        "zone",
+        "incarnation",
+        "config_version",
+        "is_ready",
+        "is_leaving",
+        "is_relayed",
+        "asks_members",
+        "evidence",
+        "members",
+    )
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        zone: int,
+        incarnation: int,
+        config_version: int,
+        is_ready: bool,
+        is_leaving: bool,
+        is_relayed: bool = False,
+        asks_members: bool = False,
+        evidence: list[evidences.Evidence] | None = None,
+        members: list[tuple[str, int]] | None = None,
+    ) -> None:
+        self.ip = ip
+        self.zone = zone
+        self.incarnation = incarnation
+        self.config_version = config_version
+        self.is_ready = is_ready
+        self.is_leaving = is_leaving
+        self.is_relayed = is_relayed
+        self.asks_members = asks_members
+        self.evidence = evidence or []
+        self.members = members or []
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the packet."""
+        flags = _READY * self.is_ready | _LEAVING * self.is_leaving
+        flags |= _RELAY * self.is_relayed | _ASKS_MEMBERS * self.asks_members
+        head = _HEAD.pack(
+            _MARK,
+            flags,
+            self.zone,
+            ipaddress.IPv4Address(self.ip).packed,
+            self.incarnation,
+            self.config_version,
+            len(self.evidence),
+            len(self.members),
+        )
+        parts = [head]
+        parts.extend(_encoded(item) for item in self.evidence)
+        parts.extend(
+            _MEMBER.pack(ipaddress.IPv4Address(ip).packed, zone)
+            for ip, zone in self.members
+        )
+        return b"".join(parts)
+
+
+def decode(data: bytes) -> FleetPacket:
+    """Returns the packet in some bytes.
+
+    Raises:
+        PeerError: The bytes are not a packet.
+    """
+    try:
+        return _decoded(data)
+    except (struct.error, ValueError) as error:
+        raise errors.PeerError(f"not a packet: {error!r}") from error
+
+
+def _decoded(data: bytes) -> FleetPacket:
+    mark, flags, zone, origin, incarnation, version, pieces, members = (
+        _HEAD.unpack_from(data)
+    )
+    if mark != _MARK:
+        raise ValueError("unknown mark")
+    offset = _HEAD.size
+    found = []
+    for _ in range(pieces):
+        found.append(_evidence(data, offset))
+        offset += _EVIDENCE.size
+    listed = []
+    for _ in range(members):
+        ip, member_zone = _MEMBER.unpack_from(data, offset)
+        listed.append((str(ipaddress.IPv4Address(ip)), member_zone))
+        offset += _MEMBER.size
+    return FleetPacket(
+        ip=str(ipaddress.IPv4Address(origin)),
+        zone=zone,
+        incarnation=incarnation,
+        config_version=version,
+        is_ready=bool(flags & _READY),
+        is_leaving=bool(flags & _LEAVING),
+        is_relayed=bool(flags & _RELAY),
+        asks_members=bool(flags & _ASKS_MEMBERS),
+        evidence=found,
+        members=listed,
+    )
+
+
+def _encoded(item: evidences.Evidence) -> bytes:
+    return _EVIDENCE.pack(
+        item.target_key,
+        item.outcome or 0,
+        item.kind,
+        min(_MAX_BYTE, item.in_flight),
+        _NO_REPORT if item.reported is None else min(_MAX_BYTE, item.reported),
+        min(_MAX_MS, int(item.took_s * 1000.0)),
+        item.fingerprint,
+    )
+
+
+def _evidence(data: bytes, offset: int) -> evidences.Evidence:
+    key, outcome, kind, in_flight, reported, took_ms, fingerprint = (
+        _EVIDENCE.unpack_from(data, offset)
+    )
+    return evidences.Evidence(
+        target_key=key,
+        outcome=outcomes.Outcome(outcome) if outcome else None,
+        kind=evidences.SendKind(kind),
+        in_flight=in_flight,
+        took_s=took_ms / 1000.0,
+        reported=None if reported == _NO_REPORT else reported,
+        fingerprint=fingerprint,
+    )
--- /dev/null
+++ b/fuchsiacourse/front/forwarder.py
@@ -0,0 +1,158 @@
+"""Takes a request from its arrival to its answer."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import crash_suspects
+from fuchsiacourse.front import evidence_book
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import placement
+from fuchsiacourse.front import repeat_budget
+from fuchsiacourse.front import request_run
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import sending
+from fuchsiacourse.front import service_times
+from fuchsiacourse.front import target_table
+from fuchsiacourse.front import wire_protocol
+from fuchsiacourse import logs
+
+# A caller comes back after this time if there is nothing to serve it now.
+RETRY_AFTER_S = 1.0
+# Requests that a front works on at the same time; above it the host has no
+# memory and processor time to serve them before their deadlines.
+MAX_IN_FLIGHT = 1000
+
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+
+
+class Forwarder:
+    """Routes requests and starts their runs.
+
+    Args:
+        clock: Source of time.
+        rng: Source of randomness.
+        protocol: Headers of requests and answers.
+        table: Targets.
+        place: Chooses targets.
+        book: Collects evidence.
+        budget: Budget for repeats.
+        times: Usual times of the services.
+        suspects: Requests that crash targets.
+        sender: Sends requests to targets.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        rng: random.Random,
+        protocol: wire_protocol.WireProtocol,
+        table: target_table.TargetTable,
+        place: placement.Placement,
+        book: evidence_book.EvidenceBook,
+        budget: repeat_budget.RepeatBudget,
+        times: service_times.ServiceTimes,
+        suspects: crash_suspects.CrashSuspects,
+        sender: sending.TargetSender,
+        log: typing.Any,
+    ) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.protocol = protocol
+        self.table = table
+        self.place = place
+        self.book = book
+        self.budget = budget
+        self.times = times
+        self.suspects = suspects
+        self.sender = sender
+        self.log = log
+        self.in_flight = 0
+        # Whether the configuration is known to be the newest.
+        self.is_config_current: typing.Callable[[], bool] = lambda: True
+        self.config: route_table.RouteTable | None = None
+
+    async def handle(
+        self,
+        request: http_request.HttpRequest,
+        presence: caller_presence.CallerPresence,
+    ) -> http_answer.HttpAnswer:
+        """Returns the answer to a request.
+
+        Args:
+            request: Request of a caller.
+            presence: Tells when the caller leaves.
+        """
+        terms = self.protocol.caller_terms(request)
+        if self.config is None:
+            return self._refuse(terms, request, "no configuration yet")
+        if not terms.request_id:
+            return self.own_answer(terms, _BAD_REQUEST, "no request id")
+        route = self.config.find(request.host, request.path)
+        if route is None:
+            if not self.is_config_current():
+                return self._refuse(terms, request, "configuration is old")
+            return self.own_answer(terms, _NOT_FOUND, "no such route")
+        if self.in_flight >= MAX_IN_FLIGHT:
+            return self._refuse(terms, request, "too many requests in flight")
+        fingerprint = crash_suspects.fingerprint_of(request)
+        if self.suspects.is_blocked(fingerprint):
+            return self._refuse(terms, request, "the request crashes targets")
+        run = request_run.RequestRun(
+            front=self,
+            request=request,
+            terms=terms,
+            route=route,
+            service=route.choose_service(self.rng.random()),
+            fingerprint=fingerprint,
+            presence=presence,
+        )
+        self.in_flight += 1
+        try:
+            return await run.answer()
+        finally:
+            self.in_flight -= 1
+
+    def own_answer(
+        self,
+        terms: wire_protocol.CallerTerms,
+        status: int,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+    ) -> http_answer.HttpAnswer:
+        """Returns an answer of the front itself."""
+        return http_answer.HttpAnswer(
+            status=status,
+            headers=self.protocol.refusal_headers(
+                request_id=terms.request_id, retry_after_s=retry_after_s
+            ),
+            body=detail.encode() + b"\n",
+        )
+
+    def _refuse(
+        self,
+        terms: wire_protocol.CallerTerms,
+        request: http_request.HttpRequest,
+        reason: str,
+    ) -> http_answer.HttpAnswer:
+        version = self.config.version if self.config is not None else None
+        logs.event(
+            self.log,
+            "request_refused",
+            request_id=terms.request_id,
+            host=request.host,
+            reason=reason,
+            config_version=version,
+        )
+        return self.own_answer(
+            terms, _UNAVAILABLE, reason, retry_after_s=RETRY_AFTER_S
+        )
--- /dev/null
+++ b/fuchsiacourse/front/front_program.py
@@ -0,0 +1,283 @@
+"""A front as a process: its parts, its start and its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import typing
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import caller_server
+from fuchsiacourse.front import config_follower
+from fuchsiacourse.front import crash_suspects
+from fuchsiacourse.front import directory as directories
+from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import evidence_book
+from fuchsiacourse.front import fleet as fleets
+from fuchsiacourse.front import forwarder as forwarders
+from fuchsiacourse.front import front_adapter
+from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import placement
+from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import repeat_budget
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import service_times
+from fuchsiacourse.front import target_follower
+from fuchsiacourse.front import target_table
+from fuchsiacourse import logs
+from fuchsiacourse import store as stores
+from fuchsiacourse import system_clock
+from fuchsiacourse import timers as timer_services
+from fuchsiacourse import udp_datagram
+
+# Callers keep an address list up to three times its lifetime, so a stopping
+# front serves new requests for this time, in seconds.
+SERVE_ON_S = 3.4
+# Time kept at the end of a stop for the last answers, in seconds.
+STOP_MARGIN_S = 0.35
+_STOP_POLL_S = 0.05
+# Limits until a configuration is known.
+FIRST_LIMITS = route_table.CallerLimits(
+    max_head_bytes=16_384,
+    max_body_bytes=67_108_864,
+    head_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+
+
+class FrontProgram:
+    """One front.
+
+    Args:
+        settings: Place, addresses and bounds.
+        adapter: Translates between the platform and the front.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: front_settings.FrontSettings,
+        adapter: front_adapter.FrontAdapter,
+        log: typing.Any,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._log = log
+        self._clock = system_clock.SystemClock()
+        self._rng = random.Random()
+        self._timers = timer_services.Timers(
+            clock=self._clock, rng=self._rng, on_error=self._on_error
+        )
+        self._datagram = udp_datagram.UdpDatagram(
+            address=f"{settings.ip}:{settings.peer_port}"
+        )
+        self._fleet = fleets.Fleet(
+            clock=self._clock,
+            timers=self._timers,
+            rng=self._rng,
+            datagram=self._datagram,
+            settings=settings,
+            incarnation=int(self._clock.wall()),
+            status=self._status,
+            log=log,
+        )
+        self._directory = directories.Directory(
+            settings=settings,
+            fleet=self._fleet,
+            is_serving=lambda: self.is_ready,
+        )
+        self._table = target_table.TargetTable(clock=self._clock, log=log)
+        self._sender = pooled_sender.PooledSender(
+            clock=self._clock, protocol=adapter.protocol
+        )
+        self._forwarder = self._make_forwarder()
+        store = adapter.store(settings)
+        self._configs = self._make_config_follower(store)
+        self._targets = self._make_target_follower(store)
+        self._servers = self._make_servers()
+        self._stopping = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the front takes callers."""
+        return (
+            self._forwarder.config is not None
+            and self._targets.has_listed
+            and not self._stopping.is_set()
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then stops gracefully.
+
+        Raises:
+            SettingsError: An address can't be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        await self._start()
+        await self._stopping.wait()
+        await self._stop()
+
+    async def _start(self) -> None:
+        try:
+            await self._datagram.open()
+            for server in self._servers:
+                await server.start()
+        except OSError as error:
+            raise errors.SettingsError(f"can't listen: {error}") from error
+        self._fleet.start(self._hear)
+        self._timers.spawn(self._configs.run())
+        self._timers.spawn(self._targets.run())
+        self._timers.every(caller_server.SWEEP_S, self._sweep)
+        logs.event(
+            self._log,
+            "started",
+            availability_zone=self._settings.availability_zone,
+            cores=self._settings.cores,
+        )
+
+    async def _stop(self) -> None:
+        stop_at_s = self._clock.now() + self._settings.bounds.stop_s
+        front = self._servers[0]
+        front.is_stopping = True
+        logs.event(self._log, "stop_started", busy=front.busy)
+        self._fleet.announce()
+        await self._clock.sleep(SERVE_ON_S)
+        front.stop_listening()
+        front.close_idle()
+        last_s = stop_at_s - STOP_MARGIN_S
+        while front.busy and self._clock.now() < last_s:
+            await self._clock.sleep(_STOP_POLL_S)
+            front.close_idle()
+        logs.event(self._log, "stopped", cut_off=front.busy)
+
+    def _make_forwarder(self) -> forwarders.Forwarder:
+        settings = self._settings
+        times = service_times.ServiceTimes()
+        budget = repeat_budget.RepeatBudget(
+            clock=self._clock,
+            bounds=settings.bounds,
+            regions=len(set(settings.regions_by_zone.values())),
+        )
+        suspects = crash_suspects.CrashSuspects(clock=self._clock)
+        return forwarders.Forwarder(
+            clock=self._clock,
+            rng=self._rng,
+            protocol=self._adapter.protocol,
+            table=self._table,
+            place=placement.Placement(
+                clock=self._clock,
+                rng=self._rng,
+                availability_zone=settings.availability_zone,
+                regions_by_zone=settings.regions_by_zone,
+                times=times,
+            ),
+            book=evidence_book.EvidenceBook(
+                clock=self._clock,
+                table=self._table,
+                budget=budget,
+                times=times,
+                suspects=suspects,
+                tell=self._fleet.tell,
+                log=self._log,
+            ),
+            budget=budget,
+            times=times,
+            suspects=suspects,
+            sender=self._sender,
+            log=self._log,
+        )
+
+    def _make_config_follower(
+        self, store: stores.Store
+    ) -> config_follower.ConfigFollower:
+        follower = config_follower.ConfigFollower(
+            key=self._adapter.config_key,
+            decode=self._adapter.decode_config,
+            adopt=self._adopt,
+            clock=self._clock,
+            rng=self._rng,
+            store=store,
+            prefix=self._adapter.config_prefix,
+            log=self._log,
+        )
+        self._forwarder.is_config_current = lambda: follower.is_current
+        return follower
+
+    def _make_target_follower(
+        self, store: stores.Store
+    ) -> target_follower.TargetFollower:
+        return target_follower.TargetFollower(
+            table=self._table,
+            timers=self._timers,
+            decode=self._adapter.decode_target,
+            clock=self._clock,
+            rng=self._rng,
+            store=store,
+            prefix=self._adapter.target_prefix,
+            log=self._log,
+        )
+
+    def _make_servers(self) -> list[caller_server.CallerServer]:
+        settings = self._settings
+        handlers = [
+            (settings.front_address, self._forwarder.handle),
+            (settings.ready_address, self._answer_ready),
+            (settings.directory_address, self._answer_resolve),
+        ]
+        return [
+            caller_server.CallerServer(
+                clock=self._clock,
+                address=address,
+                handler=handler,
+                limits=self._limits,
+                on_error=self._on_error,
+            )
+            for address, handler in handlers
+            if address is not None
+        ]
+
+    async def _answer_ready(
+        self,
+        request: http_request.HttpRequest,
+        presence: caller_presence.CallerPresence,
+    ) -> http_answer.HttpAnswer:
+        return self._adapter.answer_ready(request, self.is_ready)
+
+    async def _answer_resolve(
+        self,
+        request: http_request.HttpRequest,
+        presence: caller_presence.CallerPresence,
+    ) -> http_answer.HttpAnswer:
+        return self._adapter.answer_resolve(request, self._directory)
+
+    def _status(self) -> tuple[bool, bool, int]:
+        return self.is_ready, self._stopping.is_set(), self._configs.version
+
+    def _hear(
+        self, evidence: evidences.Evidence, front: str, is_same_zone: bool
+    ) -> None:
+        self._forwarder.book.heard(
+            evidence, front=front, is_same_zone=is_same_zone
+        )
+
+    def _adopt(self, table: route_table.RouteTable) -> None:
+        self._forwarder.config = table
+
+    def _limits(self) -> route_table.CallerLimits:
+        config = self._forwarder.config
+        return FIRST_LIMITS if config is None else config.limits
+
+    def _sweep(self) -> None:
+        self._sender.sweep()
+        for server in self._servers:
+            server.sweep()
+
+    def _on_error(self, error: Exception) -> None:
+        self._log.error("callback_failed", exc_info=error)
--- /dev/null
+++ b/fuchsiacourse/front/front_settings.py
@@ -0,0 +1,123 @@
+"""Settings of a front, independent of the format that they come in."""
+
+from __future__ import annotations
+
+Address = tuple[str, int]
+
+
+class Bounds:
+    """Promises to the operator that decisions depend on.
+
+    Args:
+        stop_s: Time from SIGTERM until the process is killed.
+        drain_s: Time in which work for a leaving target must end.
+        repeat_share: Sendings beyond the first, as a share of requests.
+        repeat_extra: Further sendings beyond the first in a window.
+        repeat_window_s: Length of the window.
+        max_address_ttl_s: Longest time that callers keep an address list.
+        floor_share: Share of a service's healthy targets kept in use.
+    """
+
+    __slots__ = (
+        "stop_s",
+        "drain_s",
+        "repeat_share",
+        "repeat_extra",
+        "repeat_window_s",
+        "max_address_ttl_s",
+        "floor_share",
+    )
+
+    def __init__(
+        self,
+        *,
+        stop_s: float,
+        drain_s: float,
+        repeat_share: float,
+        repeat_extra: float,
+        repeat_window_s: float,
+        max_address_ttl_s: float,
+        floor_share: float,
+    ) -> None:
+        self.stop_s = stop_s
+        self.drain_s = drain_s
+        self.repeat_share = repeat_share
+        self.repeat_extra = repeat_extra
+        self.repeat_window_s = repeat_window_s
+        self.max_address_ttl_s = max_address_ttl_s
+        self.floor_share = floor_share
+
+
+class FrontSettings:
+    """Place, addresses and bounds of a front.
+
+    Args:
+        name: Name of the host.
+        ip: IP number of the host.
+        availability_zone: Zone of the host.
+        region: Region of the zone.
+        regions_by_zone: Region of each availability zone.
+        front_address: Where callers connect.
+        ready_address: Where the platform asks whether the front is ready.
+        directory_address: Where callers ask for addresses.
+        control_address: Where other fronts ask for state.
+        peer_port: UDP port for the other fronts, the same on each host.
+        metrics_address: Where metrics are served, None for nowhere.
+        seeds: Control addresses of some hosts; they may be stale.
+        store_address: Address of the platform's object API.
+        cores: Processor cores of the host, a fraction for a share of one.
+        bounds: Promises to the operator.
+    """
+
+    __slots__ = (
+        "name",
+        "ip",
+        "availability_zone",
+        "region",
+        "regions_by_zone",
+        "front_address",
+        "ready_address",
+        "directory_address",
+        "control_address",
+        "peer_port",
+        "metrics_address",
+        "seeds",
+        "store_address",
+        "cores",
+        "bounds",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        ip: str,
+        availability_zone: str,
+        region: str,
+        regions_by_zone: dict[str, str],
+        front_address: Address,
+        ready_address: Address,
+        directory_address: Address | None,
+        control_address: Address | None,
+        peer_port: int,
+        metrics_address: Address | None,
+        seeds: tuple[Address, ...],
+        store_address: Address,
+        cores: float,
+        bounds: Bounds,
+    ) -> None:
+        self.name = name
+        self.ip = ip
+        self.availability_zone = availability_zone
+        self.region = region
+        self.regions_by_zone = regions_by_zone
+        self.front_address = front_address
+        self.ready_address = ready_address
+        self.directory_address = directory_address
+        self.control_address = control_address
+        self.peer_port = peer_port
+        self.metrics_address = metrics_address
+        self.seeds = seeds
+        self.store_address = store_address
+        self.cores = cores
+        self.bounds = bounds
--- /dev/null
+++ b/fuchsiacourse/front/health_estimate.py
@@ -0,0 +1,79 @@
+"""Probability that a target is sick, from the outcomes of its requests.
+
+A target alternates between two hidden states, well and sick. Each outcome
+multiplies the odds of "sick" by its likelihood ratio. Between outcomes the
+probability returns to the share of time that targets are sick, because the
+state may have changed unseen.
+"""
+
+from __future__ import annotations
+
+import math
+
+from fuchsiacourse.front import outcome as outcomes
+
+# Share of time in which a target without news is taken to be sick.
+SICK_SHARE = 0.15
+# Time in which old evidence loses all but 1/e of its weight, in seconds;
+# gray failures last for some seconds.
+MEMORY_S = 3.0
+# Probability that a newly registered target starts with.
+NEW_SHARE = 0.05
+# Bounds that keep single outcomes able to change the estimate.
+_MIN = 0.002
+_MAX = 0.99
+
+# Likelihood of each outcome at a sick target over that at a well one. A sick
+# target fails most of its work; a well one fails about one request in fifty
+# and is late with about three.
+RATIOS_BY_OUTCOME = {
+    outcomes.Outcome.ANSWERED: 0.25,
+    outcomes.Outcome.FAILED: 35.0,
+    outcomes.Outcome.LOST: 50.0,
+    outcomes.Outcome.BAD_ANSWER: 15.0,
+    outcomes.Outcome.DECLINED: 6.0,
+    outcomes.Outcome.UNREACHED: 60.0,
+    outcomes.Outcome.TIMED_OUT: 4.0,
+    outcomes.Outcome.LATE: 8.0,
+}
+
+
+class HealthEstimate:
+    """Estimate for one target.
+
+    Args:
+        now_s: Monotonic time in seconds.
+        probability: Probability to start with.
+    """
+
+    __slots__ = ("_probability", "_at_s")
+
+    def __init__(
+        self, *, now_s: float, probability: float = NEW_SHARE
+    ) -> None:
+        self._probability = probability
+        self._at_s = now_s
+
+    def probability(self, now_s: float) -> float:
+        """Returns the probability that the target is sick, 0 to 1."""
+        kept = math.exp(min(0.0, self._at_s - now_s) / MEMORY_S)
+        return SICK_SHARE + (self._probability - SICK_SHARE) * kept
+
+    def observe(
+        self, outcome: outcomes.Outcome, now_s: float, *, weight: float = 1.0
+    ) -> None:
+        """Adds an outcome.
+
+        Args:
+            outcome: How a sending ended.
+            now_s: Monotonic time in seconds.
+            weight: Exponent of the likelihood ratio, below 1 for evidence
+                that may not hold here.
+        """
+        ratio = RATIOS_BY_OUTCOME.get(outcome)
+        if ratio is None:
+            return
+        before = self.probability(now_s)
+        odds = before / (1.0 - before) * ratio**weight
+        self._probability = min(_MAX, max(_MIN, odds / (1.0 + odds)))
+        self._at_s = now_s
--- /dev/null
+++ b/fuchsiacourse/front/http_answer.py
@@ -0,0 +1,104 @@
+"""Answer to a request, of a target or of the front itself."""
+
+from __future__ import annotations
+
+import http
+
+from fuchsiacourse.front import http_request
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+FIRST_SUCCESS = 200
+FIRST_REDIRECTION = 300
+FIRST_SERVER_ERROR = 500
+_NO_BODY = frozenset((204, 304))
+
+
+class HttpAnswer:
+    """Complete answer.
+
+    Args:
+        status: Status code.
+        headers: Names in lower case with values, in order.
+        body: Body without transfer coding.
+    """
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: http_request.Headers,
+        body: bytes = b"",
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is one of the 2xx."""
+        return FIRST_SUCCESS <= self.status < FIRST_REDIRECTION
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header, None if there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    def encode(self, *, keeps_alive: bool, has_body: bool = True) -> bytes:
+        """Returns the bytes of the answer.
+
+        Args:
+            keeps_alive: Whether the connection stays open.
+            has_body: Whether the body is sent; it is not for HEAD.
+        """
+        lines = [b"HTTP/1.1 %d %s\r\n" % (self.status, _phrase(self.status))]
+        for name, value in self.headers:
+            if name != b"content-length":
+                lines.append(b"%s: %s\r\n" % (name, value))
+        if self.status not in _NO_BODY:
+            length = self.header(b"content-length")
+            if has_body or length is None:
+                length = b"%d" % len(self.body)
+            lines.append(b"content-length: %s\r\n" % length)
+        if not keeps_alive:
+            lines.append(b"connection: close\r\n")
+        lines.append(b"\r\n")
+        if has_body and self.status not in _NO_BODY:
+            lines.append(self.body)
+        return b"".join(lines)
+
+
+def end_to_end(headers: http_request.Headers) -> http_request.Headers:
+    """Returns the headers that are not bound to one connection."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and name not in named
+    ]
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
--- /dev/null
+++ b/fuchsiacourse/front/http_request.py
@@ -0,0 +1,62 @@
+"""Request of a caller as the front has read it."""
+
+from __future__ import annotations
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class HttpRequest:
+    """Complete request of a caller.
+
+    Args:
+        method: Method in upper case.
+        target: Request target as sent, path and query.
+        headers: Names in lower case with values, in order.
+        body: Body without transfer coding.
+        received_s: Monotonic time of the first byte, in seconds.
+        keeps_alive: Whether the caller may use the connection again.
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "received_s",
+        "keeps_alive",
+    )
+
+    def __init__(
+        self,
+        *,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        received_s: float,
+        keeps_alive: bool,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.received_s = received_s
+        self.keeps_alive = keeps_alive
+
+    @property
+    def path(self) -> str:
+        """Path of the request target, without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header, None if there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    @property
+    def host(self) -> str:
+        """Host of the request in lower case, without a port."""
+        value = (self.header(b"host") or b"").decode("latin-1")
+        return value.partition(":")[0].strip().lower()
--- /dev/null
+++ b/fuchsiacourse/front/placement.py
@@ -0,0 +1,116 @@
+"""Chooses the target of a request.
+
+Load answered here: ordinary load with some targets sick, and peaks at which
+some are full. The target with the lowest expected loss wins, in parts of
+the worth of the request.
+"""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import service_times
+from fuchsiacourse.front import target as targets
+
+# Loss of sending a request and its answer out of the own zone or region,
+# from the price of the traffic relative to the worth of a request.
+OTHER_ZONE_LOSS = 0.04
+OTHER_REGION_LOSS = 0.3
+# Loss at a target whose slots are nearly all taken; some slow down there.
+BUSY_LOSS = 0.05
+# A request that can be repeated loses only time at a sick target, and shows
+# whether the target is well again.
+REPEATABLE_SICK_LOSS = 0.5
+# Part of the slots that a target offers while it is cold.
+COLD_SLOT_SHARE = 0.5
+# Spreads requests over targets that are equally good.
+_TIE_LOSS = 0.01
+
+
+class Placement:
+    """Placement of requests for one front.
+
+    Args:
+        clock: Source of time.
+        rng: Source of randomness.
+        availability_zone: Zone of the front.
+        regions_by_zone: Region of each availability zone.
+        times: Usual times of the services.
+    """
+
+    __slots__ = ("_clock", "_rng", "_zone", "_regions", "_times")
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        rng: random.Random,
+        availability_zone: str,
+        regions_by_zone: dict[str, str],
+        times: service_times.ServiceTimes,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._zone = availability_zone
+        self._regions = regions_by_zone
+        self._times = times
+
+    def choose(
+        self,
+        candidates: typing.Iterable[targets.Target],
+        *,
+        objective_s: float,
+        is_repeatable: bool,
+        avoid: typing.Collection[targets.Target] = (),
+    ) -> targets.Target | None:
+        """Returns the best target, None if there is none to use.
+
+        Args:
+            candidates: Targets of the service.
+            objective_s: Time within which an answer is worth most.
+            is_repeatable: Whether a failure can be made good.
+            avoid: Targets that are used only if there are no others.
+        """
+        usable = [item for item in candidates if item.is_usable]
+        others = [item for item in usable if item not in avoid]
+        best, lowest = None, 0.0
+        for item in others or usable:
+            loss = self.loss(
+                item, objective_s=objective_s, is_repeatable=is_repeatable
+            )
+            loss += _TIE_LOSS * self._rng.random()
+            if best is None or loss < lowest:
+                best, lowest = item, loss
+        return best
+
+    def loss(
+        self,
+        target: targets.Target,
+        *,
+        objective_s: float,
+        is_repeatable: bool,
+    ) -> float:
+        """Returns the expected loss of sending a request to a target."""
+        now_s = self._clock.now()
+        sick_loss = REPEATABLE_SICK_LOSS if is_repeatable else 1.0
+        loss = target.sickness(now_s) * sick_loss
+        loss += self._distance_loss(target.record.availability_zone)
+        slots = float(target.record.slots)
+        if target.is_cold(now_s):
+            slots = max(1.0, slots * COLD_SLOT_SHARE)
+        load = target.load.in_flight(now_s)
+        loss += BUSY_LOSS * min(1.0, load / slots)
+        if load >= slots:
+            usual_s = self._times.usual_s(target.record.service)
+            wait_s = (load - slots + 1.0) / slots * usual_s
+            loss += wait_s / objective_s
+        return loss
+
+    def _distance_loss(self, zone: str) -> float:
+        if zone == self._zone:
+            return 0.0
+        if self._regions.get(zone) == self._regions.get(self._zone):
+            return OTHER_ZONE_LOSS
+        return OTHER_REGION_LOSS
--- /dev/null
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -0,0 +1,253 @@
+"""Sends requests to targets over connections that are kept open."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse.front import client_connection
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import sending
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.front import wire_protocol
+
+# A connection takes two crossings, at most some 20 ms; a lost packet is
+# repeated after a second, when another target is the better choice.
+CONNECT_TIMEOUT_S = 0.4
+# Time for which a connection stays usable without a word of the target.
+DEFAULT_IDLE_S = 4.0
+# Closed this long before the time that the target states, in seconds.
+IDLE_MARGIN_S = 1.5
+# Targets drop idle connections without notice at times, and a request that
+# meets such a drop may have run; those that must not run twice go only over
+# connections that were in use a moment ago.
+UNSAFE_IDLE_S = 0.15
+# Idle connections kept for a target.
+MAX_IDLE = 2
+MAX_ANSWER_BYTES = 64_000_000
+# These statuses promise that a request has not run, so the front passes them
+# on only if the target states it.
+PROMISES = frozenset((408, 421, 429, 503))
+_HEAD = b"HEAD"
+
+
+class _IdleList:
+    """Idle connections of one target.
+
+    ``idle_s`` is the time for which the target keeps them.
+    """
+
+    __slots__ = ("connections", "idle_s")
+
+    def __init__(self) -> None:
+        self.connections: list[client_connection.ClientConnection] = []
+        self.idle_s = DEFAULT_IDLE_S
+
+
+class PooledSender(sending.TargetSender):
+    """Sender over HTTP/1.1.
+
+    Args:
+        clock: Source of time.
+        protocol: Headers of requests and answers.
+    """
+
+    def __init__(
+        self, *, clock: clocks.Clock, protocol: wire_protocol.WireProtocol
+    ) -> None:
+        self._clock = clock
+        self._protocol = protocol
+        self._idle_by_key: dict[int, _IdleList] = {}
+        self.opened = 0
+
+    async def send(
+        self,
+        target: targets.Target,
+        request: http_request.HttpRequest,
+        *,
+        request_id: str,
+        deadline_s: float,
+        is_idempotent: bool,
+    ) -> sending.SendResult:
+        """Sends a request and waits for the answer."""
+        max_idle_s = DEFAULT_IDLE_S * 10 if is_idempotent else UNSAFE_IDLE_S
+        connection = self._take(target.key, max_idle_s)
+        is_reused = connection is not None
+        if connection is None:
+            try:
+                connection = await self._open(target)
+            except (OSError, TimeoutError) as error:
+                return _ended(outcomes.Outcome.UNREACHED, error)
+        result = await self._exchange(
+            connection, target, request, request_id, deadline_s
+        )
+        is_stale = is_reused and result.outcome is outcomes.Outcome.LOST
+        if is_stale and is_idempotent:
+            # The target has dropped the idle connection.
+            self._forget(target.key)
+            return await self.send(
+                target,
+                request,
+                request_id=request_id,
+                deadline_s=deadline_s,
+                is_idempotent=is_idempotent,
+            )
+        return result
+
+    def sweep(self) -> None:
+        """Closes connections that have been idle for too long."""
+        now_s = self._clock.now()
+        for key, idle in list(self._idle_by_key.items()):
+            kept = []
+            for connection in idle.connections:
+                if now_s - connection.idle_since_s > idle.idle_s:
+                    connection.close()
+                elif connection.is_usable:
+                    kept.append(connection)
+            idle.connections = kept
+            if not kept:
+                del self._idle_by_key[key]
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for key in list(self._idle_by_key):
+            self._forget(key)
+
+    async def _open(
+        self, target: targets.Target
+    ) -> client_connection.ClientConnection:
+        self.opened += 1
+        return await asyncio.wait_for(
+            client_connection.ClientConnection.open(
+                target.record.address, max_answer_bytes=MAX_ANSWER_BYTES
+            ),
+            CONNECT_TIMEOUT_S,
+        )
+
+    async def _exchange(
+        self,
+        connection: client_connection.ClientConnection,
+        target: targets.Target,
+        request: http_request.HttpRequest,
+        request_id: str,
+        deadline_s: float,
+    ) -> sending.SendResult:
+        left_s = deadline_s - self._clock.now()
+
+        def accepts(answer: http_answer.HttpAnswer) -> bool:
+            return self._is_ours(answer, request_id)
+
+        try:
+            answer = await asyncio.wait_for(
+                connection.exchange(
+                    self._encode(request, target, left_s),
+                    accepts=accepts,
+                    is_head=request.method == _HEAD,
+                ),
+                left_s,
+            )
+        except TimeoutError as error:
+            return _ended(outcomes.Outcome.TIMED_OUT, error)
+        except errors.TargetUnreachable as error:
+            return _ended(outcomes.Outcome.UNREACHED, error)
+        except errors.TargetBadAnswer as error:
+            return _ended(outcomes.Outcome.BAD_ANSWER, error)
+        except errors.TargetUnsure as error:
+            return _ended(outcomes.Outcome.LOST, error)
+        terms = self._protocol.target_terms(answer)
+        if connection.is_usable:
+            self._keep(target.key, connection, terms.idle_s)
+        return _judged(answer, terms)
+
+    def _is_ours(
+        self, answer: http_answer.HttpAnswer, request_id: str
+    ) -> bool:
+        terms = self._protocol.target_terms(answer)
+        if terms.request_id:
+            return terms.request_id == request_id
+        return not answer.is_success
+
+    def _encode(
+        self,
+        request: http_request.HttpRequest,
+        target: targets.Target,
+        left_s: float,
+    ) -> bytes:
+        lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+        for name, value in self._protocol.target_headers(
+            request, target_id=target.record.id, left_s=left_s
+        ):
+            lines.append(b"%s: %s\r\n" % (name, value))
+        if request.body or request.header(b"content-length") is not None:
+            lines.append(b"content-length: %d\r\n" % len(request.body))
+        lines.append(b"\r\n")
+        lines.append(request.body)
+        return b"".join(lines)
+
+    def _take(
+        self, key: int, max_idle_s: float
+    ) -> client_connection.ClientConnection | None:
+        idle = self._idle_by_key.get(key)
+        if idle is None:
+            return None
+        now_s = self._clock.now()
+        while idle.connections:
+            connection = idle.connections.pop()
+            age_s = now_s - connection.idle_since_s
+            if connection.is_usable and age_s < min(max_idle_s, idle.idle_s):
+                return connection
+            if connection.is_usable and age_s < idle.idle_s:
+                # Too old for this request, not for others.
+                idle.connections.append(connection)
+                return None
+            connection.close()
+        return None
+
+    def _keep(
+        self,
+        key: int,
+        connection: client_connection.ClientConnection,
+        idle_s: float | None,
+    ) -> None:
+        idle = self._idle_by_key.setdefault(key, _IdleList())
+        if idle_s is not None:
+            idle.idle_s = max(0.0, idle_s - IDLE_MARGIN_S)
+        idle.connections.append(connection)
+        if len(idle.connections) > MAX_IDLE:
+            idle.connections.pop(0).close()
+
+    def _forget(self, key: int) -> None:
+        idle = self._idle_by_key.pop(key, None)
+        if idle is not None:
+            for connection in idle.connections:
+                connection.close()
+
+
+def _ended(
+    outcome: outcomes.Outcome, error: BaseException
+) -> sending.SendResult:
+    return sending.SendResult(outcome=outcome, detail=repr(error))
+
+
+def _judged(
+    answer: http_answer.HttpAnswer, terms: wire_protocol.TargetTerms
+) -> sending.SendResult:
+    outcome, detail = outcomes.Outcome.ANSWERED, ""
+    if terms.is_misdirected:
+        outcome = outcomes.Outcome.MISDIRECTED
+    elif terms.is_not_run:
+        outcome = outcomes.Outcome.DECLINED
+    elif answer.header(b"content-encoding") is not None:
+        outcome, detail = outcomes.Outcome.BAD_ANSWER, "encoded body"
+    elif answer.is_success and not terms.is_signed:
+        outcome, detail = outcomes.Outcome.BAD_ANSWER, "no signature"
+    elif answer.status in PROMISES:
+        outcome, detail = outcomes.Outcome.FAILED, "not a sure refusal"
+    elif answer.status >= http_answer.FIRST_SERVER_ERROR:
+        outcome = outcomes.Outcome.FAILED
+    return sending.SendResult(
+        outcome=outcome, answer=answer, terms=terms, detail=detail
+    )
--- /dev/null
+++ b/fuchsiacourse/front/request_parser.py
@@ -0,0 +1,188 @@
+"""Incremental parser of callers' requests."""
+
+from __future__ import annotations
+
+import collections
+
+import httptools
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse.front import http_request
+
+_BAD_REQUEST = 400
+_TOO_LARGE = 413
+_HEADERS_TOO_LARGE = 431
+# The parser hands over a field only at its end, so the head is also counted
+# by the bytes fed while no head is complete.
+_FEED_SLACK_BYTES = 65_536
+
+
+class RequestParser:
+    """Parses requests strictly; pipelined ones are queued.
+
+    A request whose length is ambiguous is an error, because a target could
+    read another request in its body.
+
+    Args:
+        clock: Source of time.
+        max_head_bytes: Longest head.
+        max_body_bytes: Longest body.
+    """
+
+    __slots__ = (
+        "requests",
+        "wants_continue",
+        "head_started_s",
+        "_clock",
+        "_max_head_bytes",
+        "_max_body_bytes",
+        "_parser",
+        "_target",
+        "_headers",
+        "_head_bytes",
+        "_fed_bytes",
+        "_body",
+        "_body_bytes",
+        "_reads_body",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        max_head_bytes: int,
+        max_body_bytes: int,
+    ) -> None:
+        self.requests: collections.deque[http_request.HttpRequest] = (
+            collections.deque()
+        )
+        # Whether a caller waits for "100 Continue" before its body.
+        self.wants_continue = False
+        # Time of the first byte of a request that is not yet complete.
+        self.head_started_s: float | None = None
+        self._clock = clock
+        self._max_head_bytes = max_head_bytes
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether part of a request has been read."""
+        return self.head_started_s is not None
+
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; complete requests are added to ``requests``.
+
+        Raises:
+            RequestRejected: The bytes are not an acceptable request.
+        """
+        if self.head_started_s is None:
+            self.head_started_s = self._clock.now()
+        if not self._reads_body:
+            self._fed_bytes += len(data)
+            limit = self._max_head_bytes + _FEED_SLACK_BYTES
+            if self._fed_bytes > limit + self._max_body_bytes:
+                raise errors.RequestRejected(
+                    _HEADERS_TOO_LARGE, "head too large"
+                )
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise errors.RequestRejected(
+                _BAD_REQUEST, "protocol switch refused"
+            ) from error
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, errors.RequestRejected):
+                raise cause from error
+            raise errors.RequestRejected(_BAD_REQUEST, str(error)) from error
+        except httptools.HttpParserError as error:
+            raise errors.RequestRejected(_BAD_REQUEST, str(error)) from error
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of a request."""
+        self._reset()
+        self.head_started_s = self._clock.now()
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser with a part of the request target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser with a header."""
+        self._count_head(len(name) + len(value) + 4)
+        self._headers.append((name.lower(), value.strip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of a head."""
+        _check_head(self._target, self._headers)
+        self._reads_body = True
+        for name, value in self._headers:
+            if name == b"content-length":
+                if int(value) > self._max_body_bytes:
+                    raise errors.RequestRejected(_TOO_LARGE, "body too large")
+            elif name == b"expect" and value.lower() == b"100-continue":
+                self.wants_continue = True
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._max_body_bytes:
+            raise errors.RequestRejected(_TOO_LARGE, "body too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a request."""
+        started_s = self.head_started_s
+        self.requests.append(
+            http_request.HttpRequest(
+                method=self._parser.get_method(),
+                target=self._target,
+                headers=self._headers,
+                body=b"".join(self._body),
+                received_s=(
+                    self._clock.now() if started_s is None else started_s
+                ),
+                keeps_alive=self._parser.should_keep_alive(),
+            )
+        )
+        self._reset()
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._max_head_bytes:
+            raise errors.RequestRejected(_HEADERS_TOO_LARGE, "head too large")
+
+    def _reset(self) -> None:
+        self.head_started_s = None
+        self.wants_continue = False
+        self._target = b""
+        self._headers: http_request.Headers = []
+        self._head_bytes = 0
+        self._fed_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._reads_body = False
+
+
+def _check_head(target: bytes, headers: http_request.Headers) -> None:
+    if not target.startswith(b"/"):
+        raise errors.RequestRejected(_BAD_REQUEST, "not a path")
+    counts = {b"host": 0, b"content-length": 0, b"transfer-encoding": 0}
+    for name, value in headers:
+        if name in counts:
+            counts[name] += 1
+        if name == b"transfer-encoding" and value.lower() != b"chunked":
+            raise errors.RequestRejected(
+                _BAD_REQUEST, "unknown transfer coding"
+            )
+        if name == b"content-length" and not value.isdigit():
+            raise errors.RequestRejected(_BAD_REQUEST, "malformed length")
+    if counts[b"host"] != 1:
+        raise errors.RequestRejected(_BAD_REQUEST, "needs one host header")
+    framing = counts[b"content-length"] + counts[b"transfer-encoding"]
+    if framing > 1:
+        raise errors.RequestRejected(_BAD_REQUEST, "ambiguous length")
--- /dev/null
+++ b/fuchsiacourse/front/request_run.py
@@ -0,0 +1,375 @@
+"""Run of one request: its sendings, repeats and final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import retry_policy
+from fuchsiacourse.front import route as routes
+from fuchsiacourse.front import sending
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.front import wire_protocol
+from fuchsiacourse import logs
+
+if typing.TYPE_CHECKING:
+    from fuchsiacourse.front import forwarder
+
+# Multiple of the usual time after which a sending is late. Few healthy
+# answers take longer.
+LATE_FACTOR = 2.2
+MIN_LATE_S = 0.05
+# A refusal whose cause is a lack of room asks the caller to wait this long.
+RETRY_AFTER_S = 0.5
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_TIMEOUT = 504
+
+
+class _Sending:
+    """A sending under way."""
+
+    __slots__ = ("target", "task", "started_s", "kind", "is_late")
+
+    def __init__(
+        self,
+        *,
+        target: targets.Target,
+        task: asyncio.Task[sending.SendResult],
+        started_s: float,
+        kind: evidences.SendKind,
+    ) -> None:
+        self.target = target
+        self.task = task
+        self.started_s = started_s
+        self.kind = kind
+        self.is_late = False
+
+
+class RequestRun:
+    """One request of a caller.
+
+    Args:
+        front: Parts of the front that the run uses.
+        request: The request.
+        terms: What the caller says of it.
+        route: Route of the request.
+        service: Service that serves it.
+        fingerprint: Number of the request's content.
+        presence: Tells when the caller leaves.
+    """
+
+    def __init__(
+        self,
+        *,
+        front: forwarder.Forwarder,
+        request: http_request.HttpRequest,
+        terms: wire_protocol.CallerTerms,
+        route: routes.Route,
+        service: str,
+        fingerprint: int,
+        presence: caller_presence.CallerPresence,
+    ) -> None:
+        self._front = front
+        self._request = request
+        self._terms = terms
+        self._route = route
+        self._service = service
+        self._fingerprint = fingerprint
+        self._presence = presence
+        wait_s = route.timeout_s
+        if terms.deadline_s is not None:
+            wait_s = min(wait_s, terms.deadline_s)
+        self._deadline_s = request.received_s + wait_s
+        self._running: dict[asyncio.Task, _Sending] = {}
+        self._sendings = 0
+        self._arrived: list[targets.Target] = []
+        self._tried: list[targets.Target] = []
+        # Whether a target may have run the request.
+        self._may_have_run = False
+        self._last_failure: sending.SendResult | None = None
+
+    async def answer(self) -> http_answer.HttpAnswer:
+        """Returns the final answer."""
+        try:
+            return await self._answer()
+        finally:
+            for item in list(self._running.values()):
+                self._break_off(item)
+
+    async def _answer(self) -> http_answer.HttpAnswer:
+        if not self._send(evidences.SendKind.FIRST):
+            return self._refused("no target is known")
+        while self._running:
+            now_s = self._front.clock.now()
+            if now_s >= self._deadline_s:
+                return self._timed_out()
+            await self._wait(now_s)
+            if self._presence.has_left and self._ends_with_caller:
+                return self._log_answer(
+                    self._front.own_answer(
+                        self._terms, _TIMEOUT, "the caller has left"
+                    ),
+                    "caller left",
+                )
+            final = self._take_finished()
+            if final is not None:
+                return final
+            self._note_late()
+        return self._given_up()
+
+    @property
+    def _ends_with_caller(self) -> bool:
+        """Whether the run ends when the caller leaves.
+
+        A request that must not run twice is finished, because the target
+        may be in the middle of its work.
+        """
+        return self._route.is_idempotent
+
+    async def _wait(self, now_s: float) -> None:
+        due_s = self._deadline_s
+        for item in self._running.values():
+            if not item.is_late:
+                due_s = min(due_s, item.started_s + self._late_s)
+        waited: list[asyncio.Future] = list(self._running)
+        if self._ends_with_caller:
+            waited.append(self._presence.left)
+        await asyncio.wait(
+            waited,
+            timeout=max(0.0, due_s - now_s),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    @property
+    def _late_s(self) -> float:
+        usual_s = self._front.times.usual_s(self._service)
+        return max(MIN_LATE_S, LATE_FACTOR * usual_s)
+
+    def _take_finished(self) -> http_answer.HttpAnswer | None:
+        for task, item in list(self._running.items()):
+            if not task.done():
+                continue
+            del self._running[task]
+            result = task.result()
+            self._note_end(item, result)
+            final = self._after(item, result)
+            if final is not None:
+                return final
+        return None
+
+    def _after(
+        self, item: _Sending, result: sending.SendResult
+    ) -> http_answer.HttpAnswer | None:
+        if not result.outcome.is_not_run:
+            self._may_have_run = True
+        step = retry_policy.next_step(result.outcome, self._state())
+        if step is retry_policy.Step.DELIVER:
+            assert result.answer is not None
+            return self._log_answer(
+                _passed_on(result.answer), "answered", item.target
+            )
+        if (
+            self._last_failure is None
+            or result.answer is not None
+            or not result.outcome.is_not_run
+        ):
+            self._last_failure = result
+        if step is retry_policy.Step.GIVE_UP or self._presence.has_left:
+            return None
+        kind = evidences.SendKind.REPLACEMENT
+        if step is retry_policy.Step.REPEAT:
+            kind = evidences.SendKind.REPEAT
+        elif self._running:
+            return None
+        self._send(kind, reason=result.outcome.name)
+        return None
+
+    def _state(self) -> retry_policy.RunState:
+        return retry_policy.RunState(
+            is_idempotent=self._route.is_idempotent,
+            sendings=self._sendings,
+            targets=len(self._arrived),
+            max_targets=self._route.max_targets,
+            left_s=self._deadline_s - self._front.clock.now(),
+            usual_s=self._front.times.usual_s(self._service),
+            budget=self._front.budget.left(self._service),
+        )
+
+    def _send(self, kind: evidences.SendKind, *, reason: str = "") -> bool:
+        front = self._front
+        target = front.place.choose(
+            front.table.of_service(self._service),
+            objective_s=self._route.objective_s,
+            is_repeatable=self._route.is_idempotent
+            and self._route.max_targets > 1,
+            avoid=self._tried,
+        )
+        if target is None:
+            return False
+        now_s = front.clock.now()
+        sickness = round(target.sickness(now_s), 3)
+        load = round(target.load.in_flight(now_s), 1)
+        task = asyncio.get_running_loop().create_task(
+            front.sender.send(
+                target,
+                self._request,
+                request_id=self._terms.request_id,
+                deadline_s=self._deadline_s,
+                is_idempotent=self._route.is_idempotent,
+            )
+        )
+        self._running[task] = _Sending(
+            target=target, task=task, started_s=now_s, kind=kind
+        )
+        self._sendings += 1
+        self._tried.append(target)
+        front.book.started(target, kind)
+        logs.event(
+            front.log,
+            "request_sent",
+            request_id=self._terms.request_id,
+            route=self._route.name,
+            config_version=front.config.version if front.config else None,
+            service=self._service,
+            target=target.record.id,
+            sickness=sickness,
+            load=load,
+            left_ms=int((self._deadline_s - now_s) * 1000.0),
+            repeat_of=reason,
+        )
+        return True
+
+    def _note_end(self, item: _Sending, result: sending.SendResult) -> None:
+        if result.outcome.has_arrived and item.target not in self._arrived:
+            self._arrived.append(item.target)
+        load = result.terms.load if result.terms is not None else None
+        took_s = self._front.clock.now() - item.started_s
+        self._front.book.ended(
+            item.target,
+            result.outcome,
+            kind=item.kind,
+            took_s=took_s,
+            reported=None if load is None else load.running + load.waiting,
+            fingerprint=self._fingerprint,
+        )
+        logs.event(
+            self._front.log,
+            "sending_ended",
+            request_id=self._terms.request_id,
+            target=item.target.record.id,
+            outcome=result.outcome.name,
+            status=None if result.answer is None else result.answer.status,
+            took_ms=int(took_s * 1000.0),
+            detail=result.detail,
+        )
+
+    def _note_late(self) -> None:
+        now_s = self._front.clock.now()
+        for item in list(self._running.values()):
+            if item.is_late or now_s - item.started_s < self._late_s:
+                continue
+            item.is_late = True
+            if item.target not in self._arrived:
+                self._arrived.append(item.target)
+            self._front.book.late(item.target, item.kind)
+            if len(self._running) == 1 and retry_policy.may_hedge(
+                self._state()
+            ):
+                self._send(
+                    evidences.SendKind.REPEAT,
+                    reason=outcomes.Outcome.LATE.name,
+                )
+
+    def _break_off(self, item: _Sending) -> None:
+        del self._running[item.task]
+        item.task.cancel()
+        self._front.book.ended(
+            item.target,
+            outcomes.Outcome.CANCELLED,
+            kind=item.kind,
+            took_s=self._front.clock.now() - item.started_s,
+            reported=None,
+            fingerprint=self._fingerprint,
+        )
+
+    def _timed_out(self) -> http_answer.HttpAnswer:
+        return self._log_answer(
+            self._front.own_answer(
+                self._terms, _TIMEOUT, "no answer in time; it may have run"
+            ),
+            "deadline passed",
+        )
+
+    def _given_up(self) -> http_answer.HttpAnswer:
+        failure = self._last_failure
+        if not self._may_have_run:
+            return self._refused("no target has taken the request")
+        if (
+            failure is not None
+            and failure.outcome is outcomes.Outcome.FAILED
+            and failure.answer is not None
+            and failure.answer.status not in pooled_sender.PROMISES
+        ):
+            return self._log_answer(
+                _passed_on(failure.answer), "failed at the target"
+            )
+        if (
+            failure is not None
+            and failure.outcome is outcomes.Outcome.TIMED_OUT
+        ):
+            return self._timed_out()
+        return self._log_answer(
+            self._front.own_answer(
+                self._terms, _BAD_GATEWAY, "no whole answer; it may have run"
+            ),
+            "no whole answer",
+        )
+
+    def _refused(self, reason: str) -> http_answer.HttpAnswer:
+        return self._log_answer(
+            self._front.own_answer(
+                self._terms,
+                _UNAVAILABLE,
+                reason,
+                retry_after_s=RETRY_AFTER_S,
+            ),
+            reason,
+        )
+
+    def _log_answer(
+        self,
+        answer: http_answer.HttpAnswer,
+        cause: str,
+        target: targets.Target | None = None,
+    ) -> http_answer.HttpAnswer:
+        now_s = self._front.clock.now()
+        logs.event(
+            self._front.log,
+            "request_answered",
+            request_id=self._terms.request_id,
+            route=self._route.name,
+            service=self._service,
+            status=answer.status,
+            cause=cause,
+            target=None if target is None else target.record.id,
+            sendings=self._sendings,
+            took_ms=int((now_s - self._request.received_s) * 1000.0),
+            repeats_left=round(self._front.budget.left(self._service), 1),
+        )
+        return answer
+
+
+def _passed_on(answer: http_answer.HttpAnswer) -> http_answer.HttpAnswer:
+    return http_answer.HttpAnswer(
+        status=answer.status,
+        headers=http_answer.end_to_end(answer.headers),
+        body=answer.body,
+    )
--- /dev/null
+++ b/fuchsiacourse/front/target.py
@@ -0,0 +1,74 @@
+"""A target as this front knows it."""
+
+from __future__ import annotations
+
+import hashlib
+
+from fuchsiacourse.front import health_estimate
+from fuchsiacourse.front import target_load
+from fuchsiacourse.front import target_record
+
+_KEY_BYTES = 8
+
+
+class Target:
+    """Registration, health and load of one incarnation of a target.
+
+    ``health`` follows the outcomes at all fronts that are heard, ``reach``
+    only those of this front, because a path may be cut for one front alone.
+
+    Args:
+        record: Registration.
+        now_s: Monotonic time in seconds.
+    """
+
+    __slots__ = (
+        "record",
+        "key",
+        "health",
+        "reach",
+        "load",
+        "cold_until_s",
+        "is_misplaced",
+    )
+
+    def __init__(
+        self, *, record: target_record.TargetRecord, now_s: float
+    ) -> None:
+        self.record = record
+        self.key = key_of(record.id, record.started_ms)
+        self.health = health_estimate.HealthEstimate(now_s=now_s)
+        self.reach = health_estimate.HealthEstimate(now_s=now_s)
+        self.load = target_load.TargetLoad()
+        self.cold_until_s = now_s + record.cold_s
+        # Whether another target has answered at the address.
+        self.is_misplaced = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new requests may be sent to the target."""
+        return not (self.record.is_draining or self.is_misplaced)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Whether the target is still slow after its start."""
+        return now_s < self.cold_until_s
+
+    def sickness(self, now_s: float) -> float:
+        """Returns the probability that a request fails here, 0 to 1."""
+        return max(
+            self.health.probability(now_s), self.reach.probability(now_s)
+        )
+
+    def update(self, record: target_record.TargetRecord, now_s: float) -> None:
+        """Takes over a newer registration of the same incarnation."""
+        if record.address != self.record.address:
+            self.is_misplaced = False
+        self.record = record
+        self.cold_until_s = now_s + record.cold_s
+
+
+def key_of(id: str, started_ms: int) -> int:
+    """Returns the number that names an incarnation between fronts."""
+    text = f"{id}/{started_ms}".encode()
+    digest = hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
+    return int.from_bytes(digest, "little")
--- /dev/null
+++ b/fuchsiacourse/front/target_record.py
@@ -0,0 +1,51 @@
+"""What a target says of itself through the platform."""
+
+from __future__ import annotations
+
+
+class TargetRecord:
+    """Registration of a target.
+
+    Args:
+        id: Name of the target.
+        service: Service that it belongs to.
+        address: IP number and port.
+        availability_zone: Zone of the target.
+        slots: Requests that it runs at the same time.
+        is_draining: Whether it is leaving.
+        cold_s: Time for which it stays slow after its start.
+        started_ms: Unix time of its start in milliseconds; together with
+            the id it names the incarnation.
+    """
+
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "availability_zone",
+        "slots",
+        "is_draining",
+        "cold_s",
+        "started_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        id: str,
+        service: str,
+        address: tuple[str, int],
+        availability_zone: str,
+        slots: int,
+        is_draining: bool,
+        cold_s: float,
+        started_ms: int,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.address = address
+        self.availability_zone = availability_zone
+        self.slots = slots
+        self.is_draining = is_draining
+        self.cold_s = cold_s
+        self.started_ms = started_ms
--- /dev/null
+++ b/fuchsiacourse/front/target_table.py
@@ -0,0 +1,88 @@
+"""All targets that this front knows."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.front import target_record
+from fuchsiacourse import logs
+
+
+class TargetTable:
+    """Targets by id, by service and by incarnation.
+
+    Args:
+        clock: Source of time.
+        log: Logger.
+    """
+
+    def __init__(self, *, clock: clocks.Clock, log: typing.Any) -> None:
+        self._clock = clock
+        self._log = log
+        self.by_id: dict[str, targets.Target] = {}
+        self.by_key: dict[int, targets.Target] = {}
+        self._by_service: dict[str, list[targets.Target]] = {}
+
+    def of_service(self, service: str) -> list[targets.Target]:
+        """Returns the targets of a service."""
+        return self._by_service.get(service, [])
+
+    def put(self, record: target_record.TargetRecord) -> None:
+        """Adds a target or takes over its newer registration."""
+        now_s = self._clock.now()
+        known = self.by_id.get(record.id)
+        if known is not None and not _is_same(known.record, record):
+            self.remove(record.id, reason="started again")
+            known = None
+        if known is None:
+            self._add(targets.Target(record=record, now_s=now_s))
+            return
+        if record.is_draining and not known.record.is_draining:
+            logs.event(
+                self._log,
+                "target_leaving",
+                target=record.id,
+                service=record.service,
+            )
+        known.update(record, now_s)
+
+    def remove(self, id: str, *, reason: str) -> None:
+        """Forgets a target."""
+        known = self.by_id.pop(id, None)
+        if known is None:
+            return
+        self.by_key.pop(known.key, None)
+        self._by_service[known.record.service].remove(known)
+        logs.event(
+            self._log,
+            "target_removed",
+            target=id,
+            service=known.record.service,
+            reason=reason,
+        )
+
+    def _add(self, target: targets.Target) -> None:
+        record = target.record
+        self.by_id[record.id] = target
+        self.by_key[target.key] = target
+        self._by_service.setdefault(record.service, []).append(target)
+        logs.event(
+            self._log,
+            "target_added",
+            target=record.id,
+            service=record.service,
+            availability_zone=record.availability_zone,
+            draining=record.is_draining,
+            cold_s=record.cold_s,
+        )
+
+
+def _is_same(
+    known: target_record.TargetRecord, record: target_record.TargetRecord
+) -> bool:
+    return (known.started_ms, known.service) == (
+        record.started_ms,
+        record.service,
+    )
--- a/fuchsiacourse/logs.py
+++ b/fuchsiacourse/logs.py
@@ -23,6 +23,7 @@
     program: str,
     host: str = "",
     processor: typing.Any = None,
+    stream: typing.Any = None,
 ) -> typing.Any:
     """Sets up the logs of a process and returns its logger.
 
@@ -31,11 +32,12 @@
         host: Host of the process, on each line.
         processor: structlog processor that sees each event first, by default
             none.
+        stream: Where the lines go, by default standard error.
     """
     first = [] if processor is None else [processor]
     structlog.configure(
         processors=[*first, *_SHARED_PROCESSORS, _RENDERER],
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
     _configure_libraries()
--- /dev/null
+++ b/fuchsiacourse/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates, and decides nothing."""
--- /dev/null
+++ b/fuchsiacourse/platform/object_store.py
@@ -0,0 +1,245 @@
+"""Client of the platform's object store."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import typing
+import urllib.parse
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import client_connection
+from fuchsiacourse.front import http_answer
+from fuchsiacourse import store
+
+# Longest wait for a connection and for the answer to a call, in seconds.
+# The store answers within milliseconds; a slow one within some hundred.
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+# Longest answer; a page holds about a megabyte, an object at most one.
+MAX_ANSWER_BYTES = 8_000_000
+
+_BASE = "/fuchsiacourse/objects/"
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_RATE_LIMITED = 429
+_UNAVAILABLE = 503
+_FIRST_CLIENT_ERROR = 400
+_FIRST_SERVER_ERROR = 500
+
+Json = dict[str, typing.Any]
+
+
+class ObjectStore(store.Store):
+    """Objects by kind and name behind the product's port.
+
+    A key is ``kind/name``; a prefix is ``kind/``. A value is the JSON of an
+    object's ``spec`` and ``status``. A watch from revision 0 lists.
+
+    Args:
+        address: IP number and port of the store.
+    """
+
+    def __init__(self, *, address: tuple[str, int]) -> None:
+        self._address = address
+        self._host = f"{address[0]}:{address[1]}"
+        self._idle: list[client_connection.ClientConnection] = []
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def get(self, key: str) -> store.StoredObject | None:
+        """Returns an object, or None if there is none."""
+        answer = await self._call("GET", _path(key))
+        if answer.status == _NOT_FOUND:
+            return None
+        kind = key.partition("/")[0]
+        return _decoded(lambda: _stored(kind, _content(answer)))
+
+    async def list(self, prefix: str) -> list[store.StoredObject]:
+        """Returns all objects of a kind."""
+        return (await self._list(prefix)).objects
+
+    async def put(
+        self, key: str, value: bytes, *, if_version: int | None
+    ) -> int:
+        """Writes an object's ``spec``; returns the new revision."""
+        kind, _, name = key.partition("/")
+        metadata: Json = {"name": name, "finalizers": []}
+        method, path = "PUT", _path(key)
+        if if_version == store.CREATE_ONLY:
+            method, path = "POST", _path(kind)
+        elif if_version is not None:
+            metadata["revision"] = if_version
+        body = {"metadata": metadata, "spec": json.loads(value)["spec"]}
+        answer = await self._call(method, path, body=body)
+        if answer.status == _NOT_FOUND:
+            raise errors.VersionConflict(f"{key}: there is no such object")
+        return _decoded(
+            lambda: _stored(kind, _content(answer)).version, unsure=True
+        )
+
+    async def delete(self, key: str, *, if_version: int | None) -> None:
+        """Deletes an object; has no effect if there is none."""
+        query = "" if if_version is None else f"?revision={if_version}"
+        await self._call("DELETE", _path(key) + query)
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> store.WatchBatch:
+        """Waits for changes of a kind after a revision.
+
+        Raises:
+            StoreHistoryGone: The changes since then are no longer known.
+        """
+        if after_revision <= 0:
+            return await self._list(prefix)
+        wait_ms = int(timeout_s * 1000.0)
+        query = f"?watch={after_revision}&wait_ms={wait_ms}"
+        answer = await self._call(
+            "GET", _path(prefix.rstrip("/")) + query, wait_s=timeout_s
+        )
+        kind = prefix.rstrip("/")
+
+        def decode() -> store.WatchBatch:
+            content = _content(answer)
+            return store.WatchBatch(
+                revision=int(content["as_of"]),
+                objects=[
+                    _stored(kind, event["object"], bool(event["deleted"]))
+                    for event in content["events"]
+                ],
+            )
+
+        return _decoded(decode)
+
+    async def hosts(self) -> list[store.HostRecord]:
+        """Not offered: the platform lists no hosts of the fleet."""
+        raise errors.StoreError("the platform lists no hosts")
+
+    async def _list(self, prefix: str) -> store.WatchBatch:
+        kind = prefix.rstrip("/")
+        objects: list[store.StoredObject] = []
+        revision = 0
+        query = ""
+        while True:
+            answer = await self._call("GET", _path(kind) + query)
+            content = _decoded(lambda: _content(answer))
+            # Later pages may be newer; the watch repeats those changes.
+            revision = revision or int(content.get("as_of", 0))
+            page = [
+                _decoded(lambda: _stored(kind, item))
+                for item in content.get("items", [])
+            ]
+            objects.extend(page)
+            if not content.get("has_more") or not page:
+                return store.WatchBatch(revision=revision, objects=objects)
+            last = page[-1].key.partition("/")[2]
+            query = "?after=" + urllib.parse.quote(last, safe="")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Json | None = None,
+        wait_s: float = 0.0,
+    ) -> http_answer.HttpAnswer:
+        data = b"" if body is None else json.dumps(body).encode()
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self._host}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        ).encode()
+        is_write = method != "GET"
+        connection = await self._connection(fresh=is_write)
+        try:
+            answer = await asyncio.wait_for(
+                connection.exchange(head + data, accepts=lambda _: True),
+                CALL_TIMEOUT_S + wait_s,
+            )
+        except (errors.TargetError, TimeoutError) as error:
+            connection.close()
+            detail = f"{method} {path}: {error!r}"
+            if is_write:
+                raise errors.StoreUnsure(detail) from error
+            raise errors.StoreUnavailable(detail) from error
+        if connection.is_usable:
+            self._idle.append(connection)
+        _check(method, path, answer)
+        return answer
+
+    async def _connection(
+        self, *, fresh: bool
+    ) -> client_connection.ClientConnection:
+        while self._idle and not fresh:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                return connection
+        try:
+            return await asyncio.wait_for(
+                client_connection.ClientConnection.open(
+                    self._address, max_answer_bytes=MAX_ANSWER_BYTES
+                ),
+                CONNECT_TIMEOUT_S,
+            )
+        except (OSError, TimeoutError) as error:
+            raise errors.StoreUnavailable(f"connect: {error!r}") from error
+
+
+def _path(key: str) -> str:
+    return _BASE + urllib.parse.quote(key)
+
+
+def _check(method: str, path: str, answer: http_answer.HttpAnswer) -> None:
+    status = answer.status
+    detail = f"{method} {path}: the store answers {status}"
+    if status in (_OK, _CREATED, _NOT_FOUND):
+        return
+    if status == _CONFLICT:
+        raise errors.VersionConflict(detail)
+    if status == _GONE:
+        raise errors.StoreHistoryGone(detail)
+    if status == _RATE_LIMITED:
+        raise errors.StoreRateLimited(detail)
+    if status == _UNAVAILABLE:
+        raise errors.StoreUnavailable(detail)
+    if status >= _FIRST_SERVER_ERROR and method != "GET":
+        raise errors.StoreUnsure(detail)
+    if status >= _FIRST_SERVER_ERROR:
+        raise errors.StoreUnavailable(detail)
+    raise errors.StoreError(detail)
+
+
+def _content(answer: http_answer.HttpAnswer) -> Json:
+    return json.loads(answer.body)
+
+
+def _stored(
+    kind: str, item: Json, is_deleted: bool = False
+) -> store.StoredObject:
+    metadata = item["metadata"]
+    value = {"spec": item.get("spec"), "status": item.get("status")}
+    return store.StoredObject(
+        key=f"{kind}/{metadata['name']}",
+        value=json.dumps(value).encode(),
+        version=int(metadata["revision"]),
+        deleted=is_deleted,
+    )
+
+
+_T = typing.TypeVar("_T")
+
+
+def _decoded(decode: typing.Callable[[], _T], *, unsure: bool = False) -> _T:
+    try:
+        return decode()
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        kind = errors.StoreUnsure if unsure else errors.StoreUnavailable
+        raise kind(f"malformed answer: {error!r}") from error
--- /dev/null
+++ b/fuchsiacourse/platform/platform_adapter.py
@@ -0,0 +1,75 @@
+"""The users' platform behind the front's port."""
+
+from __future__ import annotations
+
+from fuchsiacourse.front import directory
+from fuchsiacourse.front import front_adapter
+from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import target_record
+from fuchsiacourse.front import wire_protocol
+from fuchsiacourse.platform import config_codec
+from fuchsiacourse.platform import directory_calls
+from fuchsiacourse.platform import object_store
+from fuchsiacourse.platform import target_codec
+from fuchsiacourse.platform import wire_headers
+from fuchsiacourse import store as stores
+
+
+class PlatformAdapter(front_adapter.FrontAdapter):
+    """Adapter to the users' platform."""
+
+    __slots__ = ("_protocol",)
+
+    def __init__(self) -> None:
+        self._protocol = wire_headers.WireHeaders()
+
+    @property
+    def protocol(self) -> wire_protocol.WireProtocol:
+        """Headers between callers, fronts and targets."""
+        return self._protocol
+
+    @property
+    def config_key(self) -> str:
+        """Key of the configuration in the store."""
+        return config_codec.KEY
+
+    @property
+    def config_prefix(self) -> str:
+        """Prefix of the configuration's key."""
+        return config_codec.PREFIX
+
+    @property
+    def target_prefix(self) -> str:
+        """Prefix of the keys of targets' registrations."""
+        return target_codec.PREFIX
+
+    def store(self, settings: front_settings.FrontSettings) -> stores.Store:
+        """Returns a client of the platform's store."""
+        return object_store.ObjectStore(address=settings.store_address)
+
+    def decode_config(self, value: bytes) -> route_table.RouteTable:
+        """Returns the configuration in an object."""
+        return config_codec.decode(value)
+
+    def decode_target(
+        self, key: str, value: bytes
+    ) -> target_record.TargetRecord:
+        """Returns the registration in an object."""
+        return target_codec.decode(key, value)
+
+    def answer_ready(
+        self, request: http_request.HttpRequest, is_ready: bool
+    ) -> http_answer.HttpAnswer:
+        """Answers whether the front takes callers."""
+        return directory_calls.ready(request, is_ready)
+
+    def answer_resolve(
+        self,
+        request: http_request.HttpRequest,
+        addresses: directory.Directory,
+    ) -> http_answer.HttpAnswer:
+        """Answers which addresses a caller should use."""
+        return directory_calls.resolve(request, addresses)
--- /dev/null
+++ b/fuchsiacourse/platform/settings_file.py
@@ -0,0 +1,115 @@
+"""Reads the settings file that the platform lays on a host."""
+
+from __future__ import annotations
+
+import pathlib
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import front_settings
+
+PATH_VARIABLE = "FUCHSIACOURSE_CONFIG"
+# Port of the metrics, as in the deploy file.
+METRICS_PORT = 9464
+
+Fields = dict[str, str]
+
+
+def load(path: pathlib.Path) -> front_settings.FrontSettings:
+    """Reads a settings file.
+
+    Args:
+        path: File with a line ``name=value`` for each field.
+
+    Raises:
+        SettingsError: Names the file and the field.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(f"{path}: {error}") from error
+    return parse(text, source=str(path))
+
+
+def parse(text: str, *, source: str) -> front_settings.FrontSettings:
+    """Returns the settings in a text.
+
+    Args:
+        text: Lines ``name=value``; unknown names are ignored.
+        source: Name of the text in errors.
+
+    Raises:
+        SettingsError: Names the source and the field.
+    """
+    fields: Fields = {}
+    for line in text.splitlines():
+        name, mark, value = line.partition("=")
+        if mark:
+            fields[name.strip()] = value.strip()
+    try:
+        return _settings(fields)
+    except KeyError as error:
+        raise errors.SettingsError(
+            f"{source}: {error.args[0]} is missing"
+        ) from error
+    except ValueError as error:
+        raise errors.SettingsError(f"{source}: {error}") from error
+
+
+def _settings(fields: Fields) -> front_settings.FrontSettings:
+    ip = fields["self.ip"]
+    zones = "network.zones."
+    return front_settings.FrontSettings(
+        name=fields["self.node"],
+        ip=ip,
+        availability_zone=fields["self.zone"],
+        region=fields["self.region"],
+        regions_by_zone={
+            name.removeprefix(zones): value
+            for name, value in fields.items()
+            if name.startswith(zones)
+        },
+        front_address=_address(fields["network.listen.front"]),
+        ready_address=_address(fields["network.listen.ready"]),
+        directory_address=_optional(fields, "network.listen.directory"),
+        control_address=_optional(fields, "network.listen.control"),
+        # The first of the ports that are free for traffic between hosts.
+        peer_port=int(fields["network.internal_ports"].partition(",")[0]),
+        metrics_address=(ip, METRICS_PORT),
+        seeds=tuple(
+            _address(item)
+            for item in fields.get("network.seeds", "").split(",")
+            if item
+        ),
+        store_address=_address(fields["platform.platform.address"]),
+        cores=float(fields.get("self.limits.cpu_share", "1"))
+        * float(fields.get("self.limits.cores", "1")),
+        bounds=_bounds(fields),
+    )
+
+
+def _bounds(fields: Fields) -> front_settings.Bounds:
+    def number(name: str, default: float) -> float:
+        return float(fields.get(f"terms.bounds.{name}", default))
+
+    return front_settings.Bounds(
+        # Seconds; the names that end in _ms hold milliseconds.
+        stop_s=number("grace_s", 6.0),
+        drain_s=number("drain_ms", 2000.0) / 1000.0,
+        repeat_share=number("retry_budget_ratio", 0.2),
+        repeat_extra=number("retry_budget_extra", 50.0),
+        repeat_window_s=number("budget_window_s", 10.0),
+        max_address_ttl_s=number("ttl_max_s", 5.0),
+        floor_share=number("floor_share", 0.7),
+    )
+
+
+def _optional(fields: Fields, name: str) -> front_settings.Address | None:
+    value = fields.get(name)
+    return _address(value) if value else None
+
+
+def _address(value: str) -> front_settings.Address:
+    ip, _, port = value.rpartition(":")
+    if not ip:
+        raise ValueError(f"{value!r} is not an address ip:port")
+    return ip, int(port)
--- /dev/null
+++ b/fuchsiacourse/platform/target_codec.py
@@ -0,0 +1,65 @@
+"""Decodes the registrations of targets in the platform's store."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import target_record
+
+PREFIX = "servers/"
+_READY = "ready"
+_DRAINING = "draining"
+
+
+def decode(key: str, value: bytes) -> target_record.TargetRecord:
+    """Returns the registration in a stored object.
+
+    Args:
+        key: Key of the object.
+        value: JSON of the object's ``spec`` and ``status``.
+
+    Raises:
+        RecordRejected: Another writer's entry; it names no target.
+    """
+    try:
+        return _record(key.removeprefix(PREFIX), json.loads(value))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise errors.RecordRejected(f"{key}: {error!r}") from error
+
+
+def _record(
+    id: str, content: dict[str, typing.Any]
+) -> target_record.TargetRecord:
+    said = content["spec"]
+    info = said["info"]
+    # Liveness data; the store's own status field of the object may hold it.
+    status = said.get("status") or content["status"]
+    state = _typed(status["state"], str)
+    if state not in (_READY, _DRAINING):
+        raise ValueError(f"unknown state {state}")
+    ip, _, port = _typed(said["address"], str).rpartition(":")
+    return target_record.TargetRecord(
+        id=id,
+        service=_typed(info["service"], str),
+        address=(ip, int(port)),
+        availability_zone=_typed(info["zone"], str),
+        slots=_typed(info["slots"], int),
+        is_draining=state == _DRAINING,
+        # Time left, not the point in time at which it is warm.
+        cold_s=_number(status.get("cold_remaining_ms", 0)) / 1000.0,
+        started_ms=_typed(said.get("born", 0), int),
+    )
+
+
+def _typed(value: typing.Any, kind: type) -> typing.Any:
+    if type(value) is not kind:
+        raise TypeError(f"{value!r} is not {kind.__name__}")
+    return value
+
+
+def _number(value: typing.Any) -> float:
+    if type(value) not in (int, float):
+        raise TypeError(f"{value!r} is not a number")
+    return float(value)
--- /dev/null
+++ b/fuchsiacourse/platform/wire_headers.py
@@ -0,0 +1,113 @@
+"""Headers that callers and targets use on the platform."""
+
+from __future__ import annotations
+
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import wire_protocol
+
+_REQUEST_ID = b"x-fuchsiacourse-request-id"
+# Milliseconds for which the sender waits, not a point in time.
+_DEADLINE = b"x-fuchsiacourse-request-deadline"
+_SIGNATURE = b"x-fuchsiacourse-response-signature"
+_EXPECTED_TARGET = b"x-fuchsiacourse-expected-instance"
+_LOAD = b"x-fuchsiacourse-server-load"
+_NOT_RUN = b"x-fuchsiacourse-not-executed"
+_RETRY_AFTER = b"retry-after"
+_KEEP_ALIVE = b"keep-alive"
+_MISDIRECTED = 421
+_MIN_DEADLINE_MS = 1
+# Names that only the front may set on the way to a target.
+_OWN = frozenset((_DEADLINE, _EXPECTED_TARGET, b"content-length", b"expect"))
+
+
+class WireHeaders(wire_protocol.WireProtocol):
+    """Headers of the platform's protocol."""
+
+    __slots__ = ()
+
+    def caller_terms(
+        self, request: http_request.HttpRequest
+    ) -> wire_protocol.CallerTerms:
+        """Returns what a caller says of its request."""
+        request_id = request.header(_REQUEST_ID) or b""
+        return wire_protocol.CallerTerms(
+            request_id=request_id.decode("latin-1"),
+            deadline_s=_seconds(request.header(_DEADLINE)),
+        )
+
+    def target_headers(
+        self,
+        request: http_request.HttpRequest,
+        *,
+        target_id: str,
+        left_s: float,
+    ) -> http_request.Headers:
+        """Returns the end-to-end headers of a request to a target."""
+        headers = [
+            item
+            for item in http_answer.end_to_end(request.headers)
+            if item[0] not in _OWN
+        ]
+        left_ms = max(_MIN_DEADLINE_MS, int(left_s * 1000.0))
+        headers.append((_DEADLINE, b"%d" % left_ms))
+        headers.append((_EXPECTED_TARGET, target_id.encode("latin-1")))
+        return headers
+
+    def target_terms(
+        self, answer: http_answer.HttpAnswer
+    ) -> wire_protocol.TargetTerms:
+        """Returns what a target says with its answer."""
+        is_misdirected = answer.status == _MISDIRECTED
+        request_id = answer.header(_REQUEST_ID) or b""
+        return wire_protocol.TargetTerms(
+            request_id=request_id.decode("latin-1"),
+            is_signed=answer.header(_SIGNATURE) is not None,
+            is_not_run=is_misdirected or answer.header(_NOT_RUN) is not None,
+            is_misdirected=is_misdirected,
+            load=_load(answer.header(_LOAD)),
+            idle_s=_idle(answer.header(_KEEP_ALIVE)),
+        )
+
+    def refusal_headers(
+        self, *, request_id: str, retry_after_s: float | None
+    ) -> http_request.Headers:
+        """Returns the headers of an answer of the front's own."""
+        headers: http_request.Headers = [(b"content-type", b"text/plain")]
+        if request_id:
+            headers.append((_REQUEST_ID, request_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((_RETRY_AFTER, b"%.2f" % retry_after_s))
+        return headers
+
+
+def _seconds(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value) / 1000.0)
+    except ValueError:
+        return None
+
+
+def _load(value: bytes | None) -> wire_protocol.LoadReport | None:
+    # Requests that run, requests that wait, slots.
+    if value is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in value.split(b","))
+    except ValueError:
+        return None
+    return wire_protocol.LoadReport(
+        running=running, waiting=waiting, slots=slots
+    )
+
+
+def _idle(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
