Count targets in use, keep lapsed targets only after an outage, reload settings

Change: running sendings count as targets; the grace for lapsed registrations ends when other fronts have reached the store for as long; SIGHUP and a changed file reload the settings; gray states are remembered for 9 s.

--- a/fuchsiacourse/errors.py
+++ b/fuchsiacourse/errors.py
@@ -51,7 +51,11 @@
     """The revision to watch from is older than the platform's history."""
 
 
-class StoreRateLimited(StoreUnavailable):
+class StoreRefused(StoreUnavailable):
+    """The platform answered that it does not serve the call now."""
+
+
+class StoreRateLimited(StoreRefused):
     """The platform refused the call for its rate limit."""
 
 
--- a/fuchsiacourse/front/__main__.py
+++ b/fuchsiacourse/front/__main__.py
@@ -9,6 +9,7 @@
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import front_program
+from fuchsiacourse.front import settings_watch
 from fuchsiacourse import logs
 from fuchsiacourse.platform import platform_adapter
 from fuchsiacourse.platform import settings_file
@@ -24,6 +25,9 @@
     program = front_program.FrontProgram(
         settings=settings,
         adapter=platform_adapter.PlatformAdapter(),
+        watch=settings_watch.SettingsWatch(
+            path=path, load=settings_file.load, settings=settings, log=log
+        ),
         log=log,
     )
     await program.run()
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -17,6 +17,7 @@
 from fuchsiacourse.front import fleet_member
 from fuchsiacourse.front import fleet_packet
 from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import front_status
 from fuchsiacourse import logs
 from fuchsiacourse import timers as timer_services
 
@@ -37,7 +38,7 @@
 ASK_INTERVAL_S = 20.0
 
 Hear = typing.Callable[[evidences.Evidence, str, bool], None]
-Status = typing.Callable[[], tuple[bool, bool, int]]
+Status = typing.Callable[[], front_status.FrontStatus]
 
 
 class Fleet:
@@ -50,8 +51,7 @@
         datagram: Network of the fronts.
         settings: Place of this front.
         incarnation: Number that rises with each start of the front.
-        status: Returns whether this front is ready, whether it is leaving
-            and the version of its configuration.
+        status: Returns the state of this front.
         log: Logger.
     """
 
@@ -137,6 +137,18 @@
             and now_s - member.heard_s <= limit_s
         ]
 
+    def store_s(self) -> float:
+        """Returns for how long some front has reached the store, seconds."""
+        now_s = self._clock.now()
+        return max(
+            (
+                member.store_s
+                for member in self.by_ip.values()
+                if now_s - member.heard_s <= self._limit_s(member)
+            ),
+            default=0.0,
+        )
+
     def alive(self) -> int:
         """Returns the number of other fronts that are heard."""
         now_s = self._clock.now()
@@ -218,6 +230,7 @@
         # A stop is final for an incarnation; packets may be out of order.
         member.is_leaving = member.is_leaving or packet.is_leaving
         member.config_version = packet.config_version
+        member.store_s = packet.store_s
         member.heard_s = self._clock.now()
         if was != (member.is_ready, member.is_leaving):
             logs.event(
@@ -264,14 +277,15 @@
         evidence: list[evidences.Evidence] | None = None,
         members: list[tuple[str, int]] | None = None,
     ) -> fleet_packet.FleetPacket:
-        is_ready, is_leaving, version = self._status()
+        status = self._status()
         return fleet_packet.FleetPacket(
             ip=self._settings.ip,
             zone=self._zone,
             incarnation=self._incarnation,
-            config_version=version,
-            is_ready=is_ready,
-            is_leaving=is_leaving,
+            config_version=status.config_version,
+            store_s=status.store_s,
+            is_ready=status.is_ready,
+            is_leaving=status.is_leaving,
             is_relayed=is_relayed,
             asks_members=asks_members,
             evidence=evidence,
--- a/fuchsiacourse/front/fleet_member.py
+++ b/fuchsiacourse/front/fleet_member.py
@@ -16,6 +16,7 @@
         "zone",
         "incarnation",
         "config_version",
+        "store_s",
         "is_ready",
         "is_leaving",
         "heard_s",
@@ -27,6 +28,8 @@
         self.zone = zone
         self.incarnation = 0
         self.config_version = 0
+        # Time since which it reached the store at its last packet.
+        self.store_s = 0.0
         self.is_ready = False
         self.is_leaving = False
         # Monotonic time of its last packet and of the first word of it.
--- a/fuchsiacourse/front/fleet_packet.py
+++ b/fuchsiacourse/front/fleet_packet.py
@@ -14,8 +14,9 @@
 from fuchsiacourse.front import outcome as outcomes
 
 _MARK = b"F1"
-# Mark, flags, zone, origin, incarnation, configuration, counts.
-_HEAD = struct.Struct("<2sBB4sIIBB")
+# Mark, flags, zone, origin, incarnation, configuration, time since the store
+# is reached in tenths of a second, counts.
+_HEAD = struct.Struct("<2sBB4sIIBBB")
 # Target, outcome, kind, in flight, reported load, milliseconds,
 # fingerprint.
 _EVIDENCE = struct.Struct("<QBBBBHQ")
@@ -40,6 +41,8 @@
         zone: Index of that front's availability zone.
         incarnation: Number that rises with each start of the front.
         config_version: Version of the configuration in force there.
+        store_s: Time since which that front reaches the store, in seconds
+            and at most 25; 0 while it does not.
         is_ready: Whether the front serves callers.
         is_leaving: Whether the front is stopping.
         is_relayed: Whether the receiver passes the packet on in its zone.
@@ -53,6 +56,7 @@
         "zone",
         "incarnation",
         "config_version",
+        "store_s",
         "is_ready",
         "is_leaving",
         "is_relayed",
@@ -68,6 +72,7 @@
         zone: int,
         incarnation: int,
         config_version: int,
+        store_s: float,
         is_ready: bool,
         is_leaving: bool,
         is_relayed: bool = False,
@@ -79,6 +84,7 @@
         self.zone = zone
         self.incarnation = incarnation
         self.config_version = config_version
+        self.store_s = store_s
         self.is_ready = is_ready
         self.is_leaving = is_leaving
         self.is_relayed = is_relayed
@@ -97,6 +103,7 @@
             ipaddress.IPv4Address(self.ip).packed,
             self.incarnation,
             self.config_version,
+            min(_MAX_BYTE, int(self.store_s * 10.0)),
             len(self.evidence),
             len(self.members),
         )
@@ -122,9 +129,17 @@
 
 
 def _decoded(data: bytes) -> FleetPacket:
-    mark, flags, zone, origin, incarnation, version, pieces, members = (
-        _HEAD.unpack_from(data)
-    )
+    (
+        mark,
+        flags,
+        zone,
+        origin,
+        incarnation,
+        version,
+        store_tenths,
+        pieces,
+        members,
+    ) = _HEAD.unpack_from(data)
     if mark != _MARK:
         raise ValueError("unknown mark")
     offset = _HEAD.size
@@ -142,6 +157,7 @@
         zone=zone,
         incarnation=incarnation,
         config_version=version,
+        store_s=store_tenths / 10.0,
         is_ready=bool(flags & _READY),
         is_leaving=bool(flags & _LEAVING),
         is_relayed=bool(flags & _RELAY),
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -19,6 +19,7 @@
 from fuchsiacourse.front import forwarder as forwarders
 from fuchsiacourse.front import front_adapter
 from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import front_status
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import placement
@@ -26,6 +27,7 @@
 from fuchsiacourse.front import repeat_budget
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
+from fuchsiacourse.front import settings_watch
 from fuchsiacourse.front import target_follower
 from fuchsiacourse.front import target_table
 from fuchsiacourse import logs
@@ -55,6 +57,7 @@
     Args:
         settings: Place, addresses and bounds.
         adapter: Translates between the platform and the front.
+        watch: Takes over changes of the settings.
         log: Logger.
     """
 
@@ -63,9 +66,11 @@
         *,
         settings: front_settings.FrontSettings,
         adapter: front_adapter.FrontAdapter,
+        watch: settings_watch.SettingsWatch,
         log: typing.Any,
     ) -> None:
         self._settings = settings
+        self._watch = watch
         self._adapter = adapter
         self._log = log
         self._clock = system_clock.SystemClock()
@@ -120,6 +125,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         await self._start()
         await self._stopping.wait()
         await self._stop()
@@ -135,6 +141,7 @@
         self._timers.spawn(self._configs.run())
         self._timers.spawn(self._targets.run())
         self._timers.every(caller_server.SWEEP_S, self._sweep)
+        self._timers.every(settings_watch.CHECK_S, self._watch.check)
         logs.event(
             self._log,
             "started",
@@ -217,6 +224,7 @@
             table=self._table,
             timers=self._timers,
             decode=self._adapter.decode_target,
+            store_back_s=self._fleet.store_s,
             clock=self._clock,
             rng=self._rng,
             store=store,
@@ -257,8 +265,17 @@
     ) -> http_answer.HttpAnswer:
         return self._adapter.answer_resolve(request, self._directory)
 
-    def _status(self) -> tuple[bool, bool, int]:
-        return self.is_ready, self._stopping.is_set(), self._configs.version
+    def _status(self) -> front_status.FrontStatus:
+        targets = self._targets
+        store_s = 0.0
+        if targets.is_current:
+            store_s = self._clock.now() - targets.reached_since_s
+        return front_status.FrontStatus(
+            is_ready=self.is_ready,
+            is_leaving=self._stopping.is_set(),
+            config_version=self._configs.version,
+            store_s=store_s,
+        )
 
     def _hear(
         self, evidence: evidences.Evidence, front: str, is_same_zone: bool
--- a/fuchsiacourse/front/front_settings.py
+++ b/fuchsiacourse/front/front_settings.py
@@ -4,6 +4,8 @@
 
 Address = tuple[str, int]
 
+_RELOADED = frozenset(("seeds", "bounds"))
+
 
 class Bounds:
     """Promises to the operator that decisions depend on.
@@ -47,6 +49,11 @@
         self.max_address_ttl_s = max_address_ttl_s
         self.floor_share = floor_share
 
+    def take_over(self, newer: Bounds) -> None:
+        """Takes over changed bounds."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(newer, name))
+
 
 class FrontSettings:
     """Place, addresses and bounds of a front.
@@ -121,3 +128,21 @@
         self.store_address = store_address
         self.cores = cores
         self.bounds = bounds
+
+    def take_over(self, newer: FrontSettings) -> list[str]:
+        """Takes over what may change while the process runs.
+
+        Args:
+            newer: Settings that have been read again.
+
+        Returns:
+            Names of the changed settings that need a new start.
+        """
+        self.seeds = newer.seeds
+        self.bounds.take_over(newer.bounds)
+        return [
+            name
+            for name in self.__slots__
+            if name not in _RELOADED
+            and getattr(self, name) != getattr(newer, name)
+        ]
--- /dev/null
+++ b/fuchsiacourse/front/front_status.py
@@ -0,0 +1,30 @@
+"""What a front tells the others of itself."""
+
+from __future__ import annotations
+
+
+class FrontStatus:
+    """State of a front.
+
+    Args:
+        is_ready: Whether it serves callers.
+        is_leaving: Whether it is stopping.
+        config_version: Version of the configuration in force.
+        store_s: Time since which it reaches the store, in seconds; 0 while
+            it does not.
+    """
+
+    __slots__ = ("is_ready", "is_leaving", "config_version", "store_s")
+
+    def __init__(
+        self,
+        *,
+        is_ready: bool,
+        is_leaving: bool,
+        config_version: int,
+        store_s: float,
+    ) -> None:
+        self.is_ready = is_ready
+        self.is_leaving = is_leaving
+        self.config_version = config_version
+        self.store_s = store_s
--- a/fuchsiacourse/front/health_estimate.py
+++ b/fuchsiacourse/front/health_estimate.py
@@ -12,11 +12,12 @@
 
 from fuchsiacourse.front import outcome as outcomes
 
-# Share of time in which a target without news is taken to be sick.
-SICK_SHARE = 0.15
-# Time in which old evidence loses all but 1/e of its weight, in seconds;
-# gray failures last for some seconds.
-MEMORY_S = 3.0
+# Share of time in which a target without news is taken to be sick; the
+# users' targets spend up to a third of their time in gray failures.
+SICK_SHARE = 0.25
+# Time in which old evidence loses all but 1/e of its weight, in seconds, as
+# long as the users' gray failures last.
+MEMORY_S = 9.0
 # Probability that a newly registered target starts with.
 NEW_SHARE = 0.05
 # Bounds that keep single outcomes able to change the estimate.
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -196,13 +196,19 @@
         return retry_policy.RunState(
             is_idempotent=self._route.is_idempotent,
             sendings=self._sendings,
-            targets=len(self._arrived),
+            targets=self._targets_in_use(),
             max_targets=self._route.max_targets,
             left_s=self._deadline_s - self._front.clock.now(),
             usual_s=self._front.times.usual_s(self._service),
             budget=self._front.budget.left(self._service),
         )
 
+    def _targets_in_use(self) -> int:
+        """Returns how many targets have the request or may have run it."""
+        used = {target.key for target in self._arrived}
+        used.update(item.target.key for item in self._running.values())
+        return len(used)
+
     def _send(self, kind: evidences.SendKind, *, reason: str = "") -> bool:
         front = self._front
         target = front.place.choose(
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -16,9 +16,13 @@
 WATCH_S = 28.0
 # Changes that follow each other within this time are read by one call, in
 # seconds. Targets must be left within two seconds.
-GATHER_S = 0.4
-FIRST_RETRY_S = 0.25
-MAX_RETRY_S = 1.0
+GATHER_S = 0.8
+# Waits after a store that is not reached, in seconds: a cut that has healed
+# is noticed within the second that the fronts have for it.
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 0.4
+# Wait after a store that turns calls away, in seconds; each call costs.
+REFUSED_RETRY_S = 1.0
 
 
 class StoreFollower(abc.ABC):
@@ -53,6 +57,8 @@
         # reached.
         self.lost_at_s: float | None = None
         self.has_listed = False
+        # Monotonic time since which the store is reached.
+        self.reached_since_s = 0.0
 
     @property
     def is_current(self) -> bool:
@@ -88,6 +94,9 @@
                     error=str(error),
                 )
                 self._revision = 0
+            except errors.StoreRefused as error:
+                self._lost(error)
+                await self.clock.sleep(REFUSED_RETRY_S)
             except errors.StoreError as error:
                 self._lost(error)
                 await self.clock.sleep(self._backoff.next())
@@ -114,6 +123,7 @@
             return
         away_s = self.clock.now() - self.lost_at_s
         self.lost_at_s = None
+        self.reached_since_s = self.clock.now()
         logs.event(
             self.log,
             "store_regained",
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -15,6 +15,8 @@
 # Registrations that lapsed during an outage of the store are back within
 # two seconds of its return; until then their targets stay in use.
 RETURN_GRACE_S = 2.1
+# Interval at which the end of that time is looked for, in seconds.
+GRACE_CHECK_S = 0.1
 # An outage shorter than this lets no registration lapse, in seconds.
 SHORT_OUTAGE_S = 1.0
 
@@ -28,6 +30,9 @@
         table: Targets.
         timers: Timer service.
         decode: Decodes a registration.
+        store_back_s: Returns for how long some front has reached the store,
+            in seconds. A store that others have reached for long was not
+            away, and no registration has lapsed for its absence.
         **options: Arguments of the follower.
     """
 
@@ -37,12 +42,15 @@
         table: target_table.TargetTable,
         timers: timer_services.Timers,
         decode: Decode,
+        store_back_s: typing.Callable[[], float],
         **options: typing.Any,
     ) -> None:
         super().__init__(**options)
         self._table = table
         self._timers = timers
         self._decode = decode
+        self._store_back_s = store_back_s
+        self._lapsed: set[str] = set()
         # Objects by key, as last seen.
         self.by_key: dict[str, stores.StoredObject] = {}
         self._grace_until_s = 0.0
@@ -80,22 +88,30 @@
         target = self._table.by_id.get(_id(key))
         if known is None or target is None:
             return
-        wait_s = self._grace_until_s - self.clock.now()
-        if wait_s <= 0.0 or target.record.is_draining:
+        if not self._is_in_grace() or target.record.is_draining:
             self._table.remove(_id(key), reason=reason)
             return
-        logs.event(
-            self.log,
-            "target_lapsed",
-            target=_id(key),
-            reason=reason,
-            grace_s=round(wait_s, 2),
+        logs.event(self.log, "target_lapsed", target=_id(key), reason=reason)
+        if not self._lapsed:
+            self._timers.after(GRACE_CHECK_S, self._check_lapsed)
+        self._lapsed.add(key)
+
+    def _is_in_grace(self) -> bool:
+        return (
+            self.clock.now() < self._grace_until_s
+            and self._store_back_s() < RETURN_GRACE_S
         )
-        self._timers.after(wait_s, lambda: self._remove_lapsed(key))
 
-    def _remove_lapsed(self, key: str) -> None:
-        if key not in self.by_key:
+    def _check_lapsed(self) -> None:
+        self._lapsed -= set(self.by_key)
+        if not self._lapsed:
+            return
+        if self._is_in_grace():
+            self._timers.after(GRACE_CHECK_S, self._check_lapsed)
+            return
+        for key in self._lapsed:
             self._table.remove(_id(key), reason="did not return")
+        self._lapsed.clear()
 
 
 def _id(key: str) -> str:
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -14,7 +14,7 @@
 
 # Longest wait for a connection and for the answer to a call, in seconds.
 # The store answers within milliseconds; a slow one within some hundred.
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.6
 CALL_TIMEOUT_S = 3.0
 # Longest answer; a page holds about a megabyte, an object at most one.
 MAX_ANSWER_BYTES = 8_000_000
@@ -209,7 +209,7 @@
     if status == _RATE_LIMITED:
         raise errors.StoreRateLimited(detail)
     if status == _UNAVAILABLE:
-        raise errors.StoreUnavailable(detail)
+        raise errors.StoreRefused(detail)
     if status >= _FIRST_SERVER_ERROR and method != "GET":
         raise errors.StoreUnsure(detail)
     if status >= _FIRST_SERVER_ERROR:
