Separate the path to a target from its health

Cause: sickness was the maximum of the shared estimate and an estimate of the own path that started from the share of sick targets, so fronts disagreed and wasted requests; a target's 504 at a short deadline and errors after the usual work counted as sickness. Change: the path estimate has a small prior and hears path outcomes only; a 504 at the deadline is a timeout; late errors weigh less; the last sending of a repeatable request counts as not repeatable.

--- a/fuchsiacourse/front/evidence_book.py
+++ b/fuchsiacourse/front/evidence_book.py
@@ -27,6 +27,10 @@
     )
 )
 PATH_WEIGHT = 0.5
+# A sick target fails a request at once; one that fails after this part of
+# the usual time has done its work, and the request itself is often wrong.
+WORKED_SHARE = 0.4
+WORKED_WEIGHT = 0.4
 # Sickness above which a change of belief is logged.
 SICK = 0.5
 
@@ -83,7 +87,7 @@
 
     def late(self, target: targets.Target, kind: evidences.SendKind) -> None:
         """Notes that an own sending takes unusually long."""
-        self._observe_own(target, outcomes.Outcome.LATE)
+        self._observe_own(target, outcomes.Outcome.LATE, took_s=0.0)
         self._tell(
             evidences.Evidence(
                 target_key=target.key,
@@ -106,7 +110,7 @@
         """Notes the end of an own sending."""
         now_s = self._clock.now()
         target.load.change(-1, now_s)
-        self._observe_own(target, outcome)
+        self._observe_own(target, outcome, took_s=took_s)
         if outcome is outcomes.Outcome.MISDIRECTED:
             target.is_misplaced = True
             logs.warning(
@@ -148,6 +152,7 @@
         weight = 1.0 if is_same_zone else OTHER_ZONE_WEIGHT
         if told.outcome in PATH_OUTCOMES:
             weight *= PATH_WEIGHT
+        weight *= self._failure_weight(target, told.outcome, told.took_s)
         self._observe(target, told.outcome, weight=weight, front=front)
         self._common(target, told)
 
@@ -174,12 +179,31 @@
             self._budget.count_request(service)
 
     def _observe_own(
-        self, target: targets.Target, outcome: outcomes.Outcome
+        self,
+        target: targets.Target,
+        outcome: outcomes.Outcome,
+        *,
+        took_s: float,
     ) -> None:
-        target.reach.observe(outcome, self._clock.now())
-        weight = PATH_WEIGHT if outcome in PATH_OUTCOMES else 1.0
+        weight = self._failure_weight(target, outcome, took_s)
+        if outcome in PATH_OUTCOMES:
+            weight *= PATH_WEIGHT
+        is_path_news = outcome in PATH_OUTCOMES
+        if is_path_news or outcome is outcomes.Outcome.ANSWERED:
+            target.reach.observe(outcome, self._clock.now())
         self._observe(target, outcome, weight=weight, front="")
 
+    def _failure_weight(
+        self,
+        target: targets.Target,
+        outcome: outcomes.Outcome,
+        took_s: float,
+    ) -> float:
+        if outcome is not outcomes.Outcome.FAILED:
+            return 1.0
+        usual_s = self._times.usual_s(target.record.service)
+        return WORKED_WEIGHT if took_s > WORKED_SHARE * usual_s else 1.0
+
     def _observe(
         self,
         target: targets.Target,
--- a/fuchsiacourse/front/health_estimate.py
+++ b/fuchsiacourse/front/health_estimate.py
@@ -18,6 +18,9 @@
 # Time in which old evidence loses all but 1/e of its weight, in seconds, as
 # long as the users' gray failures last.
 MEMORY_S = 9.0
+# The same for the path to a target, which is rarely cut for one front alone.
+CUT_SHARE = 0.01
+PATH_MEMORY_S = 4.0
 # Probability that a newly registered target starts with.
 NEW_SHARE = 0.05
 # Bounds that keep single outcomes able to change the estimate.
@@ -34,7 +37,6 @@
     outcomes.Outcome.BAD_ANSWER: 15.0,
     outcomes.Outcome.DECLINED: 6.0,
     outcomes.Outcome.UNREACHED: 60.0,
-    outcomes.Outcome.TIMED_OUT: 4.0,
     outcomes.Outcome.LATE: 8.0,
 }
 
@@ -45,20 +47,29 @@
     Args:
         now_s: Monotonic time in seconds.
         probability: Probability to start with.
+        share: Probability without news.
+        memory_s: Time in which evidence loses its weight, in seconds.
     """
 
-    __slots__ = ("_probability", "_at_s")
+    __slots__ = ("_probability", "_at_s", "_share", "_memory_s")
 
     def __init__(
-        self, *, now_s: float, probability: float = NEW_SHARE
+        self,
+        *,
+        now_s: float,
+        probability: float = NEW_SHARE,
+        share: float = SICK_SHARE,
+        memory_s: float = MEMORY_S,
     ) -> None:
         self._probability = probability
         self._at_s = now_s
+        self._share = share
+        self._memory_s = memory_s
 
     def probability(self, now_s: float) -> float:
         """Returns the probability that the target is sick, 0 to 1."""
-        kept = math.exp(min(0.0, self._at_s - now_s) / MEMORY_S)
-        return SICK_SHARE + (self._probability - SICK_SHARE) * kept
+        kept = math.exp(min(0.0, self._at_s - now_s) / self._memory_s)
+        return self._share + (self._probability - self._share) * kept
 
     def observe(
         self, outcome: outcomes.Outcome, now_s: float, *, weight: float = 1.0
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -17,7 +17,7 @@
 # Loss of sending a request and its answer out of the own zone or region,
 # from the price of the traffic relative to the worth of a request.
 OTHER_ZONE_LOSS = 0.04
-OTHER_REGION_LOSS = 0.5
+OTHER_REGION_LOSS = 0.35
 # Loss at a target whose slots are nearly all taken; some slow down there.
 BUSY_LOSS = 0.05
 # A request that can be repeated loses only time at a sick target, and shows
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -31,6 +31,10 @@
 # These statuses promise that a request has not run, so the front passes them
 # on only if the target states it.
 PROMISES = frozenset((408, 421, 429, 503))
+# A target's own timeout this close to the deadline is no failure of it, in
+# seconds.
+DEADLINE_SLACK_S = 0.1
+_TIMEOUT = 504
 _HEAD = b"HEAD"
 
 
@@ -160,7 +164,12 @@
         terms = self._protocol.target_terms(answer)
         if connection.is_usable:
             self._keep(target.key, connection, terms.idle_s)
-        return _judged(answer, terms)
+        result = _judged(answer, terms)
+        is_over = self._clock.now() > deadline_s - DEADLINE_SLACK_S
+        if answer.status == _TIMEOUT and is_over:
+            # The target has stopped at the deadline that it was given.
+            result.outcome = outcomes.Outcome.TIMED_OUT
+        return result
 
     def _is_ours(
         self, answer: http_answer.HttpAnswer, request_id: str
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -203,6 +203,15 @@
             budget=self._front.budget.left(self._service),
         )
 
+    @property
+    def _is_repeatable(self) -> bool:
+        """Whether the next sending may be followed by another."""
+        return (
+            self._route.is_idempotent
+            and self._targets_in_use() + 1 < self._route.max_targets
+            and self._front.budget.left(self._service) >= 1.0
+        )
+
     def _targets_in_use(self) -> int:
         """Returns how many targets have the request or may have run it."""
         used = {target.key for target in self._arrived}
@@ -214,8 +223,7 @@
         target = front.place.choose(
             front.table.of_service(self._service),
             objective_s=self._route.objective_s,
-            is_repeatable=self._route.is_idempotent
-            and self._route.max_targets > 1,
+            is_repeatable=self._is_repeatable,
             avoid=self._tried,
         )
         if target is None:
@@ -320,8 +328,9 @@
             return self._refused("no target has taken the request")
         if (
             failure is not None
-            and failure.outcome is outcomes.Outcome.FAILED
             and failure.answer is not None
+            and failure.outcome
+            in (outcomes.Outcome.FAILED, outcomes.Outcome.TIMED_OUT)
             and failure.answer.status not in pooled_sender.PROMISES
         ):
             return self._log_answer(
--- a/fuchsiacourse/front/target.py
+++ b/fuchsiacourse/front/target.py
@@ -14,8 +14,8 @@
 class Target:
     """Registration, health and load of one incarnation of a target.
 
-    ``health`` follows the outcomes at all fronts that are heard, ``reach``
-    only those of this front, because a path may be cut for one front alone.
+    ``health`` follows the outcomes at all fronts that are heard. ``reach``
+    follows what this front alone sees of its path to the target.
 
     Args:
         record: Registration.
@@ -38,7 +38,12 @@
         self.record = record
         self.key = key_of(record.id, record.started_ms)
         self.health = health_estimate.HealthEstimate(now_s=now_s)
-        self.reach = health_estimate.HealthEstimate(now_s=now_s)
+        self.reach = health_estimate.HealthEstimate(
+            now_s=now_s,
+            probability=health_estimate.CUT_SHARE,
+            share=health_estimate.CUT_SHARE,
+            memory_s=health_estimate.PATH_MEMORY_S,
+        )
         self.load = target_load.TargetLoad()
         self.cold_until_s = now_s + record.cold_s
         # Whether another target has answered at the address.
@@ -55,9 +60,9 @@
 
     def sickness(self, now_s: float) -> float:
         """Returns the probability that a request fails here, 0 to 1."""
-        return max(
-            self.health.probability(now_s), self.reach.probability(now_s)
-        )
+        is_well = 1.0 - self.health.probability(now_s)
+        is_reached = 1.0 - self.reach.probability(now_s)
+        return 1.0 - is_well * is_reached
 
     def update(self, record: target_record.TargetRecord, now_s: float) -> None:
         """Takes over a newer registration of the same incarnation."""
