Weigh answers by when they were sent and try targets that have joined

Cause: answers to requests sent before a failure cleared the suspicion of the target; trivial requests made the usual time of a service far too short; one of four targets that joined got no request. Change: such answers are left out; the usual time is weighted by the time itself; an untried target gains its first request.

--- a/fuchsiacourse/front/evidence_book.py
+++ b/fuchsiacourse/front/evidence_book.py
@@ -153,7 +153,13 @@
         if told.outcome in PATH_OUTCOMES:
             weight *= PATH_WEIGHT
         weight *= self._failure_weight(target, told.outcome, told.took_s)
-        self._observe(target, told.outcome, weight=weight, front=front)
+        self._observe(
+            target,
+            told.outcome,
+            took_s=told.took_s,
+            weight=weight,
+            front=front,
+        )
         self._common(target, told)
 
     def _common(
@@ -190,8 +196,8 @@
             weight *= PATH_WEIGHT
         is_path_news = outcome in PATH_OUTCOMES
         if is_path_news or outcome is outcomes.Outcome.ANSWERED:
-            target.reach.observe(outcome, self._clock.now())
-        self._observe(target, outcome, weight=weight, front="")
+            target.reach.observe(outcome, self._clock.now(), took_s=took_s)
+        self._observe(target, outcome, took_s=took_s, weight=weight, front="")
 
     def _failure_weight(
         self,
@@ -209,12 +215,13 @@
         target: targets.Target,
         outcome: outcomes.Outcome,
         *,
+        took_s: float,
         weight: float,
         front: str,
     ) -> None:
         now_s = self._clock.now()
         before = target.health.probability(now_s)
-        target.health.observe(outcome, now_s, weight=weight)
+        target.health.observe(outcome, now_s, took_s=took_s, weight=weight)
         after = target.health.probability(now_s)
         if (before >= SICK) != (after >= SICK):
             logs.event(
--- a/fuchsiacourse/front/health_estimate.py
+++ b/fuchsiacourse/front/health_estimate.py
@@ -51,7 +51,14 @@
         memory_s: Time in which evidence loses its weight, in seconds.
     """
 
-    __slots__ = ("_probability", "_at_s", "_share", "_memory_s")
+    __slots__ = (
+        "_probability",
+        "_at_s",
+        "_share",
+        "_memory_s",
+        "_failed_at_s",
+        "is_untried",
+    )
 
     def __init__(
         self,
@@ -65,6 +72,9 @@
         self._at_s = now_s
         self._share = share
         self._memory_s = memory_s
+        self._failed_at_s = float("-inf")
+        # Whether no outcome is known yet.
+        self.is_untried = True
 
     def probability(self, now_s: float) -> float:
         """Returns the probability that the target is sick, 0 to 1."""
@@ -72,19 +82,33 @@
         return self._share + (self._probability - self._share) * kept
 
     def observe(
-        self, outcome: outcomes.Outcome, now_s: float, *, weight: float = 1.0
+        self,
+        outcome: outcomes.Outcome,
+        now_s: float,
+        *,
+        took_s: float = 0.0,
+        weight: float = 1.0,
     ) -> None:
         """Adds an outcome.
 
+        An answer to a request that was sent before the last failure tells
+        nothing of the time since and is left out.
+
         Args:
             outcome: How a sending ended.
-            now_s: Monotonic time in seconds.
+            now_s: Monotonic time of the end in seconds.
+            took_s: Time from its start to its end in seconds.
             weight: Exponent of the likelihood ratio, below 1 for evidence
                 that may not hold here.
         """
+        self.is_untried = False
         ratio = RATIOS_BY_OUTCOME.get(outcome)
         if ratio is None:
             return
+        if ratio > 1.0:
+            self._failed_at_s = now_s
+        elif now_s - took_s < self._failed_at_s:
+            return
         before = self.probability(now_s)
         odds = before / (1.0 - before) * ratio**weight
         self._probability = min(_MAX, max(_MIN, odds / (1.0 + odds)))
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -25,6 +25,9 @@
 REPEATABLE_SICK_LOSS = 0.5
 # Part of the slots that a target offers while it is cold.
 COLD_SLOT_SHARE = 0.5
+# Gain of a first request at a target that has joined: the fronts learn
+# whether its room can be used before they need it.
+UNTRIED_GAIN = 0.08
 # Spreads requests over targets that are equally good.
 _TIE_LOSS = 0.01
 
@@ -97,6 +100,8 @@
         sick_loss = REPEATABLE_SICK_LOSS if is_repeatable else 1.0
         loss = target.sickness(now_s) * sick_loss
         loss += self._distance_loss(target.record.availability_zone)
+        if target.health.is_untried and not target.load.in_flight(now_s):
+            loss -= UNTRIED_GAIN
         slots = float(target.record.slots)
         if target.is_cold(now_s):
             slots = max(1.0, slots * COLD_SLOT_SHARE)
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -23,7 +23,7 @@
 
 # Multiple of the usual time after which a sending is late. Few healthy
 # answers take longer.
-LATE_FACTOR = 2.2
+LATE_FACTOR = 1.6
 MIN_LATE_S = 0.05
 # A refusal whose cause is a lack of room asks the caller to wait this long.
 RETRY_AFTER_S = 0.5
--- a/fuchsiacourse/front/service_times.py
+++ b/fuchsiacourse/front/service_times.py
@@ -4,37 +4,56 @@
 
 # Assumed before the first answer, in seconds.
 FIRST_GUESS_S = 0.5
-# Weight of a new answer in the moving average.
+# Weight of a new answer in the moving averages.
 _WEIGHT = 0.05
 # Weight while there are few answers, so that the first guess fades fast.
 _FIRST_ANSWERS = 20
-# A straggler counts as at most this multiple of the average.
-_MAX_RATIO = 4.0
+# A straggler counts as at most this multiple of the usual time.
+_MAX_RATIO = 3.0
+
+
+class _Averages:
+    """Moving averages of the time to an answer and of its square."""
+
+    __slots__ = ("answers", "time_s", "square_s2")
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.time_s = 0.0
+        self.square_s2 = 0.0
+
+    @property
+    def usual_s(self) -> float:
+        """Average time of a request, weighted by the time itself."""
+        return self.square_s2 / self.time_s if self.time_s else 0.0
 
 
 class ServiceTimes:
-    """Moving average of the time to an answer by service."""
+    """Usual time to an answer by service.
+
+    The average is weighted by the time that requests take: a service also
+    answers trivial requests, which say nothing of its ordinary work.
+    """
 
-    __slots__ = ("_usual_s_by_service", "_answers_by_service")
+    __slots__ = ("_averages_by_service",)
 
     def __init__(self) -> None:
-        self._usual_s_by_service: dict[str, float] = {}
-        self._answers_by_service: dict[str, int] = {}
+        self._averages_by_service: dict[str, _Averages] = {}
 
     def usual_s(self, service: str) -> float:
         """Returns the usual time of a service in seconds."""
-        return self._usual_s_by_service.get(service, FIRST_GUESS_S)
+        averages = self._averages_by_service.get(service)
+        if averages is None or not averages.usual_s:
+            return FIRST_GUESS_S
+        return averages.usual_s
 
     def add(self, service: str, took_s: float) -> None:
         """Adds the time of a successful answer in seconds."""
-        answers = self._answers_by_service.get(service, 0) + 1
-        self._answers_by_service[service] = answers
-        if answers == 1:
-            self._usual_s_by_service[service] = took_s
-            return
-        usual_s = self._usual_s_by_service[service]
-        weight = max(_WEIGHT, 1.0 / min(answers, _FIRST_ANSWERS))
-        counted_s = min(took_s, usual_s * _MAX_RATIO)
-        self._usual_s_by_service[service] = usual_s + weight * (
-            counted_s - usual_s
-        )
+        averages = self._averages_by_service.get(service)
+        if averages is None:
+            averages = self._averages_by_service[service] = _Averages()
+        counted_s = min(took_s, self.usual_s(service) * _MAX_RATIO)
+        averages.answers += 1
+        weight = max(_WEIGHT, 1.0 / min(averages.answers, _FIRST_ANSWERS))
+        averages.time_s += weight * (counted_s - averages.time_s)
+        averages.square_s2 += weight * (counted_s**2 - averages.square_s2)
