Add the stand-in of the object store and tests of the adapter

Cause: the adapter had no tests and the platform no stand-in of its own protocol. Change: the platform model serves the objects protocol as well (pages, watches, 409, 410, 429, 503, finalizers, lost answers); tests of codecs, settings, headers; a check that the platform's names stay in the adapter.

--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -150,8 +150,8 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(answer)
         self.idle_since_s = asyncio.get_running_loop().time()
-        has_more = bool(self._parser.answers) or self._parser.has_begun
-        if self._parser.closes or has_more or self._is_out_of_step:
+        is_ahead = bool(self._parser.answers) or self._parser.has_begun
+        if self._parser.closes or is_ahead or self._is_out_of_step:
             self.close()
 
     def _fail(self, error: errors.TargetError) -> None:
--- a/fuchsiacourse/object_table.py
+++ b/fuchsiacourse/object_table.py
@@ -94,7 +94,7 @@
         not reach back to the revision, or if the revision is above the
         table's own, which happens after a restart without its objects.
         """
-        if not self._covers(after_revision):
+        if not self.covers(after_revision):
             found = sorted(self.list(prefix), key=lambda item: item.version)
             return store.WatchBatch(revision=self.revision, objects=found)
         latest_by_key: dict[str, store.StoredObject] = {}
@@ -122,7 +122,8 @@
         """Removes a waiter; has no effect if it was called already."""
         self._waiters_by_id.pop(waiter_id, None)
 
-    def _covers(self, after_revision: int) -> bool:
+    def covers(self, after_revision: int) -> bool:
+        """Returns whether all changes after a revision are still known."""
         if after_revision > self.revision:
             return False
         recorded = len(self._changes)
--- /dev/null
+++ b/fuchsiacourse/platform/objects_app.py
@@ -0,0 +1,249 @@
+"""Stand-in for the platform's object store, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import typing
+
+import falcon
+import falcon.asgi
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse import platform_model
+from fuchsiacourse import store
+
+PAGE_ITEMS = 50
+MAX_WAIT_MS = 30_000
+# A lost answer is held back longer than the client waits, in seconds.
+LOST_ANSWER_HOLD_S = 60.0
+_MS = 1000.0
+
+Json = dict[str, typing.Any]
+
+
+class ObjectsApp:
+    """Objects by kind and name over a platform model.
+
+    Args:
+        model: Objects, limits and faults.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self, *, model: platform_model.PlatformModel, clock: clocks.Clock
+    ) -> None:
+        self.model = model
+        self._clock = clock
+        self._closing = asyncio.Event()
+        self.asgi = falcon.asgi.App()
+        self.asgi.add_error_handler(errors.StoreError, _refuse)
+        base = "/fuchsiacourse/objects/{kind}"
+        self.asgi.add_route(base, self, suffix="kind")
+        self.asgi.add_route(base + "/{name}", self, suffix="object")
+        self.asgi.add_route(base + "/{name}/status", self, suffix="status")
+
+    def close(self) -> None:
+        """Ends the held calls, so that a server's stop need not wait."""
+        self._closing.set()
+
+    async def on_get_kind(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        kind: str,
+    ) -> None:
+        """Lists a kind, or waits for its changes."""
+        await self._admit("list", is_write=False)
+        after = req.get_param_as_int("watch")
+        if after is None:
+            resp.media = self._page(kind, req.get_param("after", default=""))
+            return
+        if not self.model.table.covers(after):
+            raise falcon.HTTPGone(title="this history is gone")
+        wait_ms = req.get_param_as_int("wait_ms", default=0)
+        batch = await self.model.wait_for_change(
+            f"{kind}/",
+            after_revision=after,
+            timeout_s=min(wait_ms, MAX_WAIT_MS) / _MS,
+        )
+        if not self.model.table.covers(after):
+            raise falcon.HTTPGone(title="this history is gone")
+        resp.media = {
+            "events": [
+                {"deleted": item.deleted, "object": _shown(item)}
+                for item in batch.objects
+            ],
+            "as_of": batch.revision,
+        }
+
+    async def on_post_kind(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        kind: str,
+    ) -> None:
+        """Creates an object."""
+        body = await req.get_media()
+        await self._admit("create", is_write=True)
+        key = f"{kind}/{body['metadata']['name']}"
+        if self.model.table.get(key) is not None:
+            raise errors.VersionConflict(key)
+        self._write(key, {"spec": body.get("spec"), "status": None}, body)
+        resp.status = falcon.HTTP_201
+        resp.media = _shown(self._held(key))
+        await self._hold_lost_answer()
+
+    async def on_get_object(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        kind: str,
+        name: str,
+    ) -> None:
+        """Returns an object."""
+        await self._admit("get", is_write=False)
+        resp.media = _shown(self._held(f"{kind}/{name}"))
+
+    async def on_put_object(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        kind: str,
+        name: str,
+    ) -> None:
+        """Replaces ``spec`` and ``finalizers``."""
+        await self._replace(req, resp, f"{kind}/{name}", "spec")
+
+    async def on_put_status(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        kind: str,
+        name: str,
+    ) -> None:
+        """Replaces ``status``."""
+        await self._replace(req, resp, f"{kind}/{name}", "status")
+
+    async def on_delete_object(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        kind: str,
+        name: str,
+    ) -> None:
+        """Removes an object, or marks it until its finalizers are gone."""
+        await self._admit("delete", is_write=True)
+        held = self._held(f"{kind}/{name}")
+        _require(held, req.get_param_as_int("revision"))
+        content = json.loads(held.value)
+        if content.get("finalizers"):
+            content["deleting"] = True
+            self._store(held.key, content)
+            resp.media = _shown(self._held(held.key))
+            return
+        self.model.table.delete(held.key, if_version=None)
+        await self._hold_lost_answer()
+
+    async def _replace(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        key: str,
+        part: str,
+    ) -> None:
+        body = await req.get_media()
+        await self._admit("put", is_write=True)
+        held = self._held(key)
+        _require(held, body.get("metadata", {}).get("revision"))
+        content = json.loads(held.value)
+        changed = {**content, part: body.get(part)}
+        self._write(key, changed, body)
+        written = self.model.table.get(key)
+        resp.media = _shown(held if written is None else written)
+        await self._hold_lost_answer()
+
+    def _write(self, key: str, content: Json, body: Json) -> None:
+        metadata = body.get("metadata", {})
+        if "finalizers" in metadata:
+            content["finalizers"] = metadata["finalizers"]
+        if content.get("deleting") and not content.get("finalizers"):
+            self.model.table.delete(key, if_version=None)
+            return
+        held = self.model.table.get(key)
+        # A write that changes nothing makes no new revision.
+        if held is None or json.loads(held.value) != content:
+            self._store(key, content)
+
+    def _store(self, key: str, content: Json) -> None:
+        value = json.dumps(content).encode()
+        self.model.table.put(key, value, if_version=None)
+
+    def _held(self, key: str) -> store.StoredObject:
+        held = self.model.table.get(key)
+        if held is None:
+            raise falcon.HTTPNotFound(title="no such object")
+        return held
+
+    def _page(self, kind: str, after: str) -> Json:
+        prefix = f"{kind}/"
+        found = [
+            item
+            for item in self.model.table.list(prefix)
+            if item.key > prefix + after
+        ]
+        return {
+            "items": [_shown(item) for item in found[:PAGE_ITEMS]],
+            "has_more": len(found) > PAGE_ITEMS,
+            "as_of": self.model.table.revision,
+        }
+
+    async def _admit(self, name: str, *, is_write: bool) -> None:
+        if self.model.faults.delay_s > 0:
+            await self._clock.sleep(self.model.faults.delay_s)
+        self.model.admit(name, is_write=is_write)
+
+    async def _hold_lost_answer(self) -> None:
+        if self.model.loses_reply():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._closing.wait(), LOST_ANSWER_HOLD_S
+                )
+
+
+def _shown(item: store.StoredObject) -> Json:
+    content = json.loads(item.value) if item.value else {}
+    name = item.key.partition("/")[2]
+    return {
+        "metadata": {
+            "name": name,
+            "revision": item.version,
+            "created": item.version,
+            "finalizers": content.get("finalizers", []),
+            "deleting": content.get("deleting", False),
+        },
+        "spec": content.get("spec"),
+        "status": content.get("status"),
+    }
+
+
+def _require(held: store.StoredObject, revision: int | None) -> None:
+    if revision is not None and revision != held.version:
+        raise errors.VersionConflict(held.key)
+
+
+async def _refuse(
+    req: falcon.asgi.Request,
+    resp: falcon.asgi.Response,
+    error: Exception,
+    params: typing.Any,
+) -> None:
+    if isinstance(error, errors.VersionConflict):
+        resp.status = falcon.HTTP_409
+    elif isinstance(error, errors.StoreRateLimited):
+        resp.status = falcon.HTTP_429
+    else:
+        resp.status = falcon.HTTP_503
+    resp.media = {"error": str(error)}
--- /dev/null
+++ b/tests/test_object_store.py
@@ -0,0 +1,161 @@
+"""Tests of the platform's store client against the stand-in."""
+
+import asyncio
+import json
+import unittest
+
+import uvicorn
+
+from fuchsiacourse import errors
+from fuchsiacourse.platform import object_store
+from fuchsiacourse.platform import objects_app
+from fuchsiacourse import platform_model
+from fuchsiacourse import store as stores
+from fuchsiacourse import system_clock
+
+
+def value(number: int) -> bytes:
+    return json.dumps({"spec": {"n": number}, "status": None}).encode()
+
+
+class ObjectStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Each failure must raise the error that tells its effect."""
+
+    async def asyncSetUp(self) -> None:
+        clock = system_clock.SystemClock()
+        self.model = platform_model.PlatformModel(clock=clock, history_limit=5)
+        self.app = objects_app.ObjectsApp(model=self.model, clock=clock)
+        self.server = uvicorn.Server(
+            uvicorn.Config(
+                self.app.asgi,
+                host="127.0.0.1",
+                port=0,
+                lifespan="off",
+                log_config=None,
+                timeout_graceful_shutdown=0,
+            )
+        )
+        self.task = asyncio.ensure_future(self.server._serve())
+        while not self.server.started:
+            await asyncio.sleep(0.01)
+        address = self.server.servers[0].sockets[0].getsockname()
+        self.store = object_store.ObjectStore(address=address)
+
+    async def asyncTearDown(self) -> None:
+        self.store.close()
+        self.app.close()
+        self.server.should_exit = True
+        await self.task
+
+    async def fill(self, count: int, kind: str = "boxes") -> None:
+        for number in range(count):
+            await self.store.put(
+                f"{kind}/b{number:03}",
+                value(number),
+                if_version=stores.CREATE_ONLY,
+            )
+
+    async def test_objects_and_conditions(self):
+        version = await self.store.put(
+            "boxes/b", value(1), if_version=stores.CREATE_ONLY
+        )
+        found = await self.store.get("boxes/b")
+        self.assertEqual(version, found.version)
+        self.assertEqual({"n": 1}, json.loads(found.value)["spec"])
+        self.assertIsNone(await self.store.get("boxes/c"))
+        with self.assertRaises(errors.VersionConflict):
+            await self.store.put(
+                "boxes/b", value(2), if_version=stores.CREATE_ONLY
+            )
+        with self.assertRaises(errors.VersionConflict):
+            await self.store.put("boxes/b", value(2), if_version=version + 7)
+        newer = await self.store.put("boxes/b", value(2), if_version=version)
+        self.assertGreater(newer, version)
+        with self.assertRaises(errors.VersionConflict):
+            await self.store.delete("boxes/b", if_version=version)
+        await self.store.delete("boxes/b", if_version=newer)
+        self.assertIsNone(await self.store.get("boxes/b"))
+
+    async def test_list_reads_all_pages(self):
+        await self.fill(2 * objects_app.PAGE_ITEMS + 3)
+        await self.fill(2, kind="others")
+        found = await self.store.list("boxes/")
+        self.assertEqual(2 * objects_app.PAGE_ITEMS + 3, len(found))
+        self.assertEqual(len(found), len({item.key for item in found}))
+
+    async def test_watch_returns_changes_and_their_revision(self):
+        await self.fill(1)
+        listed = await self.store.watch(
+            "boxes/", after_revision=0, timeout_s=1.0
+        )
+        self.assertEqual(["boxes/b000"], [i.key for i in listed.objects])
+        waiting = asyncio.ensure_future(
+            self.store.watch(
+                "boxes/", after_revision=listed.revision, timeout_s=5.0
+            )
+        )
+        await asyncio.sleep(0.05)
+        await self.store.delete("boxes/b000", if_version=None)
+        batch = await asyncio.wait_for(waiting, 2.0)
+        self.assertTrue(batch.objects[0].deleted)
+        self.assertGreater(batch.revision, listed.revision)
+        empty = await self.store.watch(
+            "boxes/", after_revision=batch.revision, timeout_s=0.05
+        )
+        self.assertEqual([], empty.objects)
+
+    async def test_lost_history_is_told(self):
+        await self.fill(9)
+        with self.assertRaises(errors.StoreHistoryGone):
+            await self.store.watch("boxes/", after_revision=1, timeout_s=1.0)
+
+    async def test_outage_and_rate_limit(self):
+        self.model.faults.outage = True
+        with self.assertRaises(errors.StoreRefused):
+            await self.store.get("boxes/b")
+        self.model.faults.outage = False
+        self.model._read_rate = platform_model.CallRate(calls_per_s=1.0)
+        await self.store.get("boxes/b")
+        with self.assertRaises(errors.StoreRateLimited):
+            await self.store.get("boxes/b")
+
+    async def test_lost_answer_to_a_write_is_unsure(self):
+        self.model.faults.lose_write_replies = 1
+        patience_s = object_store.CALL_TIMEOUT_S
+        object_store.CALL_TIMEOUT_S = 0.1
+        try:
+            with self.assertRaises(errors.StoreUnsure):
+                await self.store.put(
+                    "boxes/b", value(1), if_version=stores.CREATE_ONLY
+                )
+        finally:
+            object_store.CALL_TIMEOUT_S = patience_s
+        self.assertIsNotNone(await self.store.get("boxes/b"))
+
+    async def test_store_that_is_not_there(self):
+        self.store.close()
+        nobody = object_store.ObjectStore(address=("127.0.0.1", 1))
+        with self.assertRaises(errors.StoreUnavailable):
+            await nobody.get("boxes/b")
+
+
+class ObjectsAppTest(ObjectStoreTest):
+    """The stand-in must behave as the platform's pages say."""
+
+    async def test_finalizers_keep_an_object_marked(self):
+        await self.fill(1)
+        content = json.loads(self.model.table.get("boxes/b000").value)
+        content["finalizers"] = ["ours"]
+        self.model.table.put(
+            "boxes/b000", json.dumps(content).encode(), if_version=None
+        )
+        await self.store.delete("boxes/b000", if_version=None)
+        self.assertIsNotNone(await self.store.get("boxes/b000"))
+        await self.store.put("boxes/b000", value(0), if_version=None)
+        self.assertIsNone(self.model.table.get("boxes/b000"))
+
+    async def test_write_without_a_change_has_no_revision(self):
+        await self.fill(1)
+        before = self.model.table.revision
+        await self.store.put("boxes/b000", value(0), if_version=None)
+        self.assertEqual(before, self.model.table.revision)
--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,317 @@
+"""Tests of what the adapter translates."""
+
+import ast
+import json
+import pathlib
+import unittest
+
+from bench import front_fakes
+from fuchsiacourse import errors
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.platform import config_codec
+from fuchsiacourse.platform import directory_calls
+from fuchsiacourse.platform import settings_file
+from fuchsiacourse.platform import target_codec
+from fuchsiacourse.platform import wire_headers
+
+PACKAGE = pathlib.Path(config_codec.__file__).parent.parent
+# Names that only the platform's pages use.
+WIRE_NAMES = (
+    "x-fuchsiacourse-",
+    "/fuchsiacourse/",
+    "traffic_split",
+    "cold_remaining_ms",
+    "target_latency_ms",
+    "path_prefix",
+    "heartbeat_ms",
+    "stability_window_ms",
+    "retry_budget_",
+    "config_apply_ms",
+    "header_timeout_ms",
+    "serializable",
+    "as_of",
+    "has_more",
+    "metadata",
+)
+# These words are names of the front's own as well.
+OWN_NAMES = frozenset(("path_prefix",))
+
+SETTINGS = """\
+self.node=front-a-1
+self.ip=10.1.0.34
+self.zone=a
+self.region=east
+self.limits.cpu_share=0.86
+self.limits.cores=2
+network.listen.front=10.1.0.34:8548
+network.listen.ready=10.1.0.34:8542
+network.listen.control=10.1.0.34:8544
+network.listen.directory=10.1.0.34:8546
+network.internal_ports=7540,7555
+network.seeds=10.1.0.34:8544,10.2.0.34:8544
+network.zones.a=east
+network.zones.c=west
+platform.platform.address=10.200.1.7:8541
+terms.bounds.drain_ms=2500
+terms.bounds.grace_s=7
+terms.bounds.retry_budget_ratio=0.25
+a.field.of.tomorrow=true
+"""
+
+
+def config_value(**changes) -> bytes:
+    spec = {
+        "version": "r12",
+        "services": [{"name": "s1", "max_connections": 390}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "hosts": [
+            {
+                "host": "One.example",
+                "paths": [
+                    {
+                        "name": "r-1",
+                        "path_prefix": "/a/",
+                        "kind": "safe",
+                        "timeout_ms": 2000,
+                        "target_latency_ms": 900,
+                        "priority": 2,
+                        "traffic_split": [
+                            {"service": "s1", "weight": 90},
+                            {"service": "s2", "weight": 10},
+                        ],
+                        "max_attempts": 3,
+                    },
+                    {
+                        "name": "r-2",
+                        "path_prefix": "/a/b/",
+                        "kind": "unsafe",
+                        "timeout_ms": 2500,
+                        "service": "s3",
+                    },
+                ],
+            }
+        ],
+    }
+    return json.dumps({"spec": {**spec, **changes}}).encode()
+
+
+class ConfigCodecTest(unittest.TestCase):
+    """The operator's configuration must be read as it is meant."""
+
+    def test_routes(self):
+        table = config_codec.decode(config_value())
+        self.assertEqual(12, table.version)
+        safe = table.find("one.example", "/a/x")
+        self.assertTrue(safe.is_idempotent)
+        self.assertEqual((2.0, 0.9), (safe.timeout_s, safe.objective_s))
+        self.assertEqual(3, safe.max_targets)
+        self.assertEqual({"s1": 90, "s2": 10}, safe.weights_by_service)
+        self.assertEqual("s1", safe.choose_service(0.89))
+        self.assertEqual("s2", safe.choose_service(0.91))
+        unsafe = table.find("one.example", "/a/b/c/d")
+        self.assertFalse(unsafe.is_idempotent)
+        self.assertEqual("s3", unsafe.choose_service(0.999))
+        self.assertIsNone(table.find("one.example", "/b/"))
+        self.assertIsNone(table.find("two.example", "/a/x"))
+        self.assertIsNone(table.find("one.example", "/a"))
+        self.assertEqual(15.0, table.limits.idle_timeout_s)
+
+    def test_unknown_kind_of_request_may_run_once_only(self):
+        content = json.loads(config_value())
+        content["spec"]["hosts"][0]["paths"][0]["kind"] = "keyed"
+        table = config_codec.decode(json.dumps(content).encode())
+        self.assertFalse(table.find("one.example", "/a/x").is_idempotent)
+
+    def test_other_content_is_rejected(self):
+        for value in (
+            b"",
+            b"\xff",
+            b"{}",
+            b'{"spec": 4}',
+            config_value(version=12),
+            config_value(hosts=[{"host": "x"}]),
+            config_value(limits={}),
+        ):
+            with self.assertRaises(errors.ConfigRejected):
+                config_codec.decode(value)
+
+
+class TargetCodecTest(unittest.TestCase):
+    """A registration must be read as it is meant."""
+
+    def test_record(self):
+        spec = {
+            "address": "10.128.0.9:8080",
+            "born": 1700,
+            "info": {
+                "service": "s1",
+                "version": "v1",
+                "zone": "a",
+                "slots": 3,
+            },
+            "status": {
+                "state": "draining",
+                "sequence": 4,
+                "cold_remaining_ms": 1500,
+            },
+        }
+        value = json.dumps({"spec": spec, "status": None}).encode()
+        record = target_codec.decode("servers/i-7", value)
+        self.assertEqual("i-7", record.id)
+        self.assertEqual(("10.128.0.9", 8080), record.address)
+        self.assertTrue(record.is_draining)
+        self.assertEqual(1.5, record.cold_s)
+        self.assertEqual(1700, record.started_ms)
+
+
+class SettingsFileTest(unittest.TestCase):
+    """Settings must be read whole or refused with a reason."""
+
+    def test_settings(self):
+        settings = settings_file.parse(SETTINGS, source="test")
+        self.assertEqual("front-a-1", settings.name)
+        self.assertEqual(("10.1.0.34", 8546), settings.directory_address)
+        self.assertEqual(7540, settings.peer_port)
+        self.assertEqual({"a": "east", "c": "west"}, settings.regions_by_zone)
+        self.assertEqual(2, len(settings.seeds))
+        self.assertAlmostEqual(1.72, settings.cores)
+        self.assertEqual(2.5, settings.bounds.drain_s)
+        self.assertEqual(7.0, settings.bounds.stop_s)
+        self.assertEqual(0.25, settings.bounds.repeat_share)
+
+    def test_missing_and_malformed_fields_are_named(self):
+        without = SETTINGS.replace("self.zone=a\n", "")
+        with self.assertRaisesRegex(errors.SettingsError, "self.zone"):
+            settings_file.parse(without, source="test")
+        malformed = SETTINGS.replace("7540,7555", "many")
+        with self.assertRaisesRegex(errors.SettingsError, "many"):
+            settings_file.parse(malformed, source="test")
+
+
+class WireHeadersTest(unittest.TestCase):
+    """Headers must be translated both ways."""
+
+    def setUp(self) -> None:
+        self.protocol = wire_headers.WireHeaders()
+
+    def test_headers_to_a_target(self):
+        request = front_fakes.request()
+        request.headers += [
+            (b"connection", b"close, X-Private"),
+            (b"x-private", b"1"),
+            (b"te", b"trailers"),
+            (b"accept", b"*/*"),
+            (b"x-fuchsiacourse-expected-instance", b"forged"),
+        ]
+        headers = self.protocol.target_headers(
+            request, target_id="i-1", left_s=1.25
+        )
+        names = [name for name, _ in headers]
+        self.assertNotIn(b"x-private", names)
+        self.assertNotIn(b"te", names)
+        self.assertIn((b"accept", b"*/*"), headers)
+        self.assertIn((b"x-fuchsiacourse-request-deadline", b"1250"), headers)
+        expected = b"x-fuchsiacourse-expected-instance"
+        self.assertEqual(
+            [b"i-1"], [value for name, value in headers if name == expected]
+        )
+
+    def test_terms_of_a_target(self):
+        terms = self.protocol.target_terms(
+            http_answer.HttpAnswer(
+                status=503,
+                headers=[
+                    (b"x-fuchsiacourse-not-executed", b"1"),
+                    (b"x-fuchsiacourse-server-load", b"3,1,8"),
+                    (b"keep-alive", b"timeout=9, max=10"),
+                ],
+            )
+        )
+        self.assertTrue(terms.is_not_run)
+        self.assertEqual((3, 1, 8), _load(terms))
+        self.assertEqual(9.0, terms.idle_s)
+
+    def test_malformed_load_is_none(self):
+        for value in (b"", b"3", b"3,1", b"a,b,c", b"1,2,3,4"):
+            terms = self.protocol.target_terms(
+                http_answer.HttpAnswer(
+                    status=200,
+                    headers=[(b"x-fuchsiacourse-server-load", value)],
+                )
+            )
+            self.assertIsNone(terms.load, value)
+
+    def test_unreadable_deadline_is_none(self):
+        request = front_fakes.request()
+        request.headers[-1] = (
+            b"x-fuchsiacourse-request-deadline",
+            b"soon",
+        )
+        self.assertIsNone(self.protocol.caller_terms(request).deadline_s)
+
+    def test_refusal_names_a_time_in_fractions(self):
+        headers = self.protocol.refusal_headers(
+            request_id="q", retry_after_s=0.5
+        )
+        self.assertIn((b"retry-after", b"0.50"), headers)
+
+
+class DirectoryCallsTest(unittest.TestCase):
+    """Questions at other paths must not be answered."""
+
+    def test_ready(self):
+        request = front_fakes.request("/fuchsiacourse/ready")
+        self.assertEqual(200, directory_calls.ready(request, True).status)
+        self.assertEqual(503, directory_calls.ready(request, False).status)
+        other = front_fakes.request("/elsewhere")
+        self.assertEqual(404, directory_calls.ready(other, True).status)
+
+
+class WireNamesTest(unittest.TestCase):
+    """No module outside the adapter may hold the platform's names."""
+
+    def test_names_stay_in_the_adapter(self):
+        for path in sorted(PACKAGE.rglob("*.py")):
+            if path.is_relative_to(PACKAGE / "platform"):
+                continue
+            for name in _names(path):
+                with self.subTest(path=path.name, name=name):
+                    self.assertFalse(
+                        any(wire in name for wire in WIRE_NAMES)
+                        and name not in OWN_NAMES
+                    )
+
+    def test_adapter_holds_them(self):
+        found = "".join(
+            path.read_text(encoding="utf-8")
+            for path in (PACKAGE / "platform").glob("*.py")
+        )
+        for wire in ("x-fuchsiacourse-", "traffic_split", "as_of"):
+            self.assertIn(wire, found)
+
+
+def _load(terms) -> tuple[int, int, int]:
+    return terms.load.running, terms.load.waiting, terms.load.slots
+
+
+def _names(path: pathlib.Path) -> set[str]:
+    """Returns the identifiers and strings of a module, in lower case."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Constant):
+            if isinstance(node.value, bytes):
+                found.add(node.value.decode("latin-1").lower())
+            elif isinstance(node.value, str) and " " not in node.value:
+                found.add(node.value.lower())
+        elif isinstance(node, ast.Attribute):
+            found.add(node.attr.lower())
+        elif isinstance(node, ast.Name):
+            found.add(node.id.lower())
+        elif isinstance(node, ast.arg):
+            found.add(node.arg.lower())
+    return found
