Tell declined requests from sickness and use the whole budget

Change: declines have an average and a loss of their own; the budget uses nine tenths of its bound over the windows that the operator counts, and only the heard share of its fixed part; the first list of a kind may be old.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -231,7 +231,10 @@
     table = target_table.TargetTable(clock=used, log=log)
     times = service_times.ServiceTimes()
     budget = repeat_budget.RepeatBudget(
-        clock=used, bounds=bounds(**bound_changes), regions=1
+        clock=used,
+        bounds=bounds(**bound_changes),
+        regions=1,
+        heard_share=lambda: 1.0,
     )
     suspects = crash_suspects.CrashSuspects(clock=used)
     for item in records:
--- a/fuchsiacourse/front/evidence_book.py
+++ b/fuchsiacourse/front/evidence_book.py
@@ -167,6 +167,8 @@
     ) -> None:
         if told.reported is not None:
             target.load.report(told.reported, self._clock.now())
+        if told.outcome is not None:
+            target.declines.observe(told.outcome, self._clock.now())
         if told.outcome is outcomes.Outcome.ANSWERED:
             self._times.add(target.record.service, told.took_s)
         if told.fingerprint:
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -155,13 +155,22 @@
             default=0.0,
         )
 
-    def alive(self) -> int:
-        """Returns the number of other fronts that are heard."""
+    def heard_share(self) -> float:
+        """Returns the share of the region's fronts that are heard.
+
+        This front counts as heard.
+        """
         now_s = self._clock.now()
-        return sum(
-            now_s - member.heard_s <= self._limit_s(member)
+        regions = self._settings.regions_by_zone
+        near = [
+            member
             for member in self.by_ip.values()
+            if regions[self._zones[member.zone]] == self._settings.region
+        ]
+        heard = sum(
+            now_s - member.heard_s <= self._limit_s(member) for member in near
         )
+        return (heard + 1) / (len(near) + 1)
 
     def _limit_s(self, member: fleet_member.FleetMember) -> float:
         return ALIVE_S if member.zone == self._zone else FAR_ALIVE_S
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -171,6 +171,7 @@
             clock=self._clock,
             bounds=settings.bounds,
             regions=len(set(settings.regions_by_zone.values())),
+            heard_share=self._fleet.heard_share,
         )
         suspects = crash_suspects.CrashSuspects(clock=self._clock)
         return forwarders.Forwarder(
--- a/fuchsiacourse/front/health_estimate.py
+++ b/fuchsiacourse/front/health_estimate.py
@@ -35,7 +35,6 @@
     outcomes.Outcome.FAILED: 35.0,
     outcomes.Outcome.LOST: 50.0,
     outcomes.Outcome.BAD_ANSWER: 15.0,
-    outcomes.Outcome.DECLINED: 6.0,
     outcomes.Outcome.UNREACHED: 60.0,
     outcomes.Outcome.LATE: 8.0,
 }
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -23,6 +23,8 @@
 # A request that can be repeated loses only time at a sick target, and shows
 # whether the target is well again.
 REPEATABLE_SICK_LOSS = 0.5
+# Loss of a request that is declined: it is sent again, from a budget.
+DECLINED_LOSS = 0.3
 # Part of the slots that a target offers while it is cold.
 COLD_SLOT_SHARE = 0.5
 # Gain of a first request at a target that has joined: the fronts learn
@@ -99,6 +101,7 @@
         now_s = self._clock.now()
         sick_loss = REPEATABLE_SICK_LOSS if is_repeatable else 1.0
         loss = target.sickness(now_s) * sick_loss
+        loss += target.declines.share(now_s) * DECLINED_LOSS
         loss += self._distance_loss(target.record.availability_zone)
         if target.health.is_untried and not target.load.in_flight(now_s):
             loss -= UNTRIED_GAIN
--- a/fuchsiacourse/front/repeat_budget.py
+++ b/fuchsiacourse/front/repeat_budget.py
@@ -8,23 +8,31 @@
 from __future__ import annotations
 
 import collections
+import typing
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse.front import front_settings
 
 # Part of the budget that is used; the rest covers news of other fronts that
 # is under way or lost.
-USED_SHARE = 0.8
+USED_SHARE = 0.9
 _BUCKET_S = 0.5
+# The operator counts the requests of a window, of the one before it or of
+# the one half a window before it, whichever has most.
+_EARLIER_WINDOWS = (0.0, 0.5, 1.0)
 
 
-class _Window:
-    """Counts of one service in buckets of time."""
+class _Bucket:
+    """Counts of one service in a short time.
 
-    __slots__ = ("buckets", "requests", "repeats")
+    Args:
+        start_s: Monotonic time of its start in seconds.
+    """
 
-    def __init__(self) -> None:
-        self.buckets: collections.deque[list[float]] = collections.deque()
+    __slots__ = ("start_s", "requests", "repeats")
+
+    def __init__(self, *, start_s: float) -> None:
+        self.start_s = start_s
         self.requests = 0
         self.repeats = 0
 
@@ -36,9 +44,17 @@
         clock: Source of time.
         bounds: Promises to the operator.
         regions: Number of regions that share the budget's fixed part.
+        heard_share: Returns the share of the region's fronts that are
+            heard. A front that is cut off uses its own part only.
     """
 
-    __slots__ = ("_clock", "_bounds", "_extra", "_windows_by_service")
+    __slots__ = (
+        "_clock",
+        "_bounds",
+        "_regions",
+        "_heard_share",
+        "_buckets_by_service",
+    )
 
     def __init__(
         self,
@@ -46,43 +62,55 @@
         clock: clocks.Clock,
         bounds: front_settings.Bounds,
         regions: int,
+        heard_share: typing.Callable[[], float],
     ) -> None:
         self._clock = clock
         self._bounds = bounds
-        self._extra = bounds.repeat_extra / max(1, regions)
-        self._windows_by_service: dict[str, _Window] = {}
+        self._regions = max(1, regions)
+        self._heard_share = heard_share
+        self._buckets_by_service: dict[str, collections.deque[_Bucket]] = {}
 
     def count_request(self, service: str) -> None:
         """Counts the first sending of a request."""
-        window = self._window(service)
-        self._bucket(window)[1] += 1
-        window.requests += 1
+        self._bucket(service).requests += 1
 
     def count_repeat(self, service: str) -> None:
         """Counts a sending beyond the first."""
-        window = self._window(service)
-        self._bucket(window)[2] += 1
-        window.repeats += 1
+        self._bucket(service).repeats += 1
 
     def left(self, service: str) -> float:
         """Returns how many repeats a service may have now."""
-        window = self._window(service)
-        allowed = self._bounds.repeat_share * window.requests + self._extra
-        return USED_SHARE * allowed - window.repeats
-
-    def _window(self, service: str) -> _Window:
-        window = self._windows_by_service.get(service)
-        if window is None:
-            window = self._windows_by_service[service] = _Window()
-        oldest_s = self._clock.now() - self._bounds.repeat_window_s - _BUCKET_S
-        while window.buckets and window.buckets[0][0] < oldest_s:
-            _, requests, repeats = window.buckets.popleft()
-            window.requests -= int(requests)
-            window.repeats -= int(repeats)
-        return window
-
-    def _bucket(self, window: _Window) -> list[float]:
+        buckets = self._buckets_by_service.get(service, ())
+        window_s = self._bounds.repeat_window_s
+        now_s = self._clock.now()
+        requests = 0
+        for earlier in _EARLIER_WINDOWS:
+            end_s = now_s - earlier * window_s
+            # A bucket that lies partly in the window is left out.
+            counted = sum(
+                bucket.requests
+                for bucket in buckets
+                if end_s - window_s <= bucket.start_s
+                and (not earlier or bucket.start_s + _BUCKET_S <= end_s)
+            )
+            requests = max(requests, counted)
+        oldest_s = now_s - window_s - _BUCKET_S
+        repeats = sum(
+            bucket.repeats for bucket in buckets if bucket.start_s >= oldest_s
+        )
+        extra = self._bounds.repeat_extra / self._regions
+        allowed = self._bounds.repeat_share * requests
+        allowed += extra * self._heard_share()
+        return USED_SHARE * allowed - repeats
+
+    def _bucket(self, service: str) -> _Bucket:
+        buckets = self._buckets_by_service.setdefault(
+            service, collections.deque()
+        )
         now_s = self._clock.now()
-        if not window.buckets or now_s - window.buckets[-1][0] > _BUCKET_S:
-            window.buckets.append([now_s, 0, 0])
-        return window.buckets[-1]
+        oldest_s = now_s - 2.0 * self._bounds.repeat_window_s - _BUCKET_S
+        while buckets and buckets[0].start_s < oldest_s:
+            buckets.popleft()
+        if not buckets or now_s - buckets[-1].start_s > _BUCKET_S:
+            buckets.append(_Bucket(start_s=now_s))
+        return buckets[-1]
--- a/fuchsiacourse/front/target.py
+++ b/fuchsiacourse/front/target.py
@@ -4,6 +4,7 @@
 
 import hashlib
 
+from fuchsiacourse.front import decline_rate
 from fuchsiacourse.front import health_estimate
 from fuchsiacourse.front import target_load
 from fuchsiacourse.front import target_record
@@ -27,6 +28,7 @@
         "key",
         "health",
         "reach",
+        "declines",
         "load",
         "cold_until_s",
         "is_misplaced",
@@ -44,6 +46,7 @@
             share=health_estimate.CUT_SHARE,
             memory_s=health_estimate.PATH_MEMORY_S,
         )
+        self.declines = decline_rate.DeclineRate()
         self.load = target_load.TargetLoad()
         self.cold_until_s = now_s + record.cold_s
         # Whether another target has answered at the address.
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -37,7 +37,8 @@
     """Objects by kind and name behind the product's port.
 
     A key is ``kind/name``; a prefix is ``kind/``. A value is the JSON of an
-    object's ``spec`` and ``status``. A watch from revision 0 lists.
+    object's ``spec`` and ``status``. A watch from revision 0 lists; the
+    first such list of a kind may be old.
 
     Args:
         address: IP number and port of the store.
@@ -47,6 +48,7 @@
         self._address = address
         self._host = f"{address[0]}:{address[1]}"
         self._idle: list[client_connection.ClientConnection] = []
+        self._listed: set[str] = set()
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -99,7 +101,11 @@
             StoreHistoryGone: The changes since then are no longer known.
         """
         if after_revision <= 0:
-            return await self._list(prefix)
+            # An old list does no harm: the watch that follows from its
+            # revision brings all later changes or tells that they are lost.
+            is_first = prefix not in self._listed
+            self._listed.add(prefix)
+            return await self._list(prefix, may_be_old=is_first)
         wait_ms = int(timeout_s * 1000.0)
         query = f"?watch={after_revision}&wait_ms={wait_ms}"
         answer = await self._call(
@@ -123,13 +129,19 @@
         """Not offered: the platform lists no hosts of the fleet."""
         raise errors.StoreError("the platform lists no hosts")
 
-    async def _list(self, prefix: str) -> store.WatchBatch:
+    async def _list(
+        self, prefix: str, *, may_be_old: bool = False
+    ) -> store.WatchBatch:
         kind = prefix.rstrip("/")
+        # A list that may be some seconds old costs a tenth.
+        cheap = "serializable=1" if may_be_old else ""
         objects: list[store.StoredObject] = []
         revision = 0
-        query = ""
+        after = ""
         while True:
-            answer = await self._call("GET", _path(kind) + query)
+            query = "&".join(part for part in (after, cheap) if part)
+            path = _path(kind) + ("?" + query if query else "")
+            answer = await self._call("GET", path)
             content = _decoded(lambda: _content(answer))
             # Later pages may be newer; the watch repeats those changes.
             revision = revision or int(content.get("as_of", 0))
@@ -141,7 +153,7 @@
             if not content.get("has_more") or not page:
                 return store.WatchBatch(revision=revision, objects=objects)
             last = page[-1].key.partition("/")[2]
-            query = "?after=" + urllib.parse.quote(last, safe="")
+            after = "after=" + urllib.parse.quote(last, safe="")
 
     async def _call(
         self,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -74,6 +74,25 @@
         full.load.change(6, self.clock.now())
         self.assertIs(free, self.choose(full, free))
 
+    def test_declines_of_all_do_not_hide_the_sick_target(self):
+        sick, well = self.target("sick"), self.target("well")
+        for target in (sick, well):
+            for _ in range(10):
+                target.declines.observe(
+                    outcome.Outcome.DECLINED, self.clock.now()
+                )
+        sick.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        for _ in range(20):
+            self.assertIs(well, self.choose(sick, well))
+
+    def test_target_that_declines_is_left_for_one_that_does_not(self):
+        declining, other = self.target("declining"), self.target("other")
+        for _ in range(3):
+            declining.declines.observe(
+                outcome.Outcome.DECLINED, self.clock.now()
+            )
+        self.assertIs(other, self.choose(declining, other))
+
     def test_requests_spread_over_equal_targets(self):
         found = [self.target(f"t{number}") for number in range(4)]
         counts = collections.Counter()
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -11,8 +11,12 @@
 
     def setUp(self) -> None:
         self.clock = front_fakes.ManualClock()
+        self.heard_share = 1.0
         self.budget = repeat_budget.RepeatBudget(
-            clock=self.clock, bounds=front_fakes.bounds(), regions=2
+            clock=self.clock,
+            bounds=front_fakes.bounds(),
+            regions=2,
+            heard_share=lambda: self.heard_share,
         )
 
     def spend(self, service: str = "s") -> int:
@@ -52,6 +56,18 @@
             )
             self.assertLessEqual(repeats, 0.2 * 100 + 30)
 
+    def test_front_that_is_cut_off_uses_its_own_part_only(self):
+        self.heard_share = 1.0 / 20.0
+        self.assertLessEqual(self.spend(), 2)
+
+    def test_budget_of_a_peak_holds_in_the_window_after_it(self):
+        for _ in range(100):
+            self.clock.now_s += 0.1
+            for _ in range(10):
+                self.budget.count_request("s")
+        self.clock.now_s += 9.0
+        self.assertGreater(self.spend(), 0.2 * 1000 * 0.8)
+
     def test_services_have_budgets_of_their_own(self):
         self.spend("s")
         self.assertGreaterEqual(self.budget.left("t"), 1.0)
