--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -262,6 +262,7 @@
             times=times,
             suspects=suspects,
             tell=tell or ignore,
+            warn=ignore,
             log=log,
         ),
         budget=budget,
--- a/fuchsiacourse/front/evidence_book.py
+++ b/fuchsiacourse/front/evidence_book.py
@@ -46,7 +46,8 @@
         budget: Budget for repeats.
         times: Usual times of the services.
         suspects: Requests that crash targets.
-        tell: Sends evidence to the other fronts.
+        tell: Sends evidence to the other fronts of the region.
+        warn: Sends evidence to the other regions.
         log: Logger.
     """
 
@@ -59,6 +60,7 @@
         times: service_times.ServiceTimes,
         suspects: crash_suspects.CrashSuspects,
         tell: Tell,
+        warn: Tell,
         log: typing.Any,
     ) -> None:
         self._clock = clock
@@ -67,6 +69,7 @@
         self._times = times
         self._suspects = suspects
         self._tell = tell
+        self._warn = warn
         self._log = log
 
     def started(
@@ -110,6 +113,7 @@
         """Notes the end of an own sending."""
         now_s = self._clock.now()
         target.load.change(-1, now_s)
+        was_trusted = target.health.probability(now_s) < SICK
         self._observe_own(target, outcome, took_s=took_s)
         if outcome is outcomes.Outcome.MISDIRECTED:
             target.is_misplaced = True
@@ -130,6 +134,8 @@
         if outcome is outcomes.Outcome.ANSWERED:
             self._suspects.answered(fingerprint)
         self._tell(told)
+        if was_trusted and target.health.probability(now_s) >= SICK:
+            self._warn(told)
 
     def heard(
         self, told: evidences.Evidence, *, front: str, is_same_zone: bool
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -2,7 +2,8 @@
 
 Inside a zone each front tells all others. To the other zones of its region
 it sends one packet to one front, which passes it on in its zone, so that few
-bytes cross zones and no front is special. Other regions hear nothing.
+bytes cross zones and no front is special. Other regions hear only of targets
+that have become suspect.
 """
 
 from __future__ import annotations
@@ -103,6 +104,20 @@
             self._timers.after(0.0, self.flush)
         self._pending.append(evidence)
 
+    def warn(self, evidence: evidences.Evidence) -> None:
+        """Tells the other regions of a target that has become suspect."""
+        data = self._packet(
+            evidence=[evidence], is_region_relayed=True
+        ).encode()
+        regions = self._settings.regions_by_zone
+        by_region: dict[str, list[str]] = {}
+        for member in self.by_ip.values():
+            region = regions[self._zones[member.zone]]
+            by_region.setdefault(region, []).append(member.ip)
+        for region, ips in by_region.items():
+            if region != self._settings.region:
+                self._datagram.send(self._address(self._rng.choice(ips)), data)
+
     def flush(self) -> None:
         """Sends the evidence that is waiting."""
         pending, self._pending = self._pending, []
@@ -222,7 +237,12 @@
             return
         if not self._note(packet):
             return
-        if packet.is_relayed:
+        if packet.is_region_relayed:
+            packet.is_region_relayed = False
+            self._send_near(packet.encode())
+            packet.is_relayed = True
+            self._send_far(packet)
+        elif packet.is_relayed:
             packet.is_relayed = False
             self._send_near(packet.encode())
         for ip, zone in packet.members:
@@ -288,6 +308,7 @@
         self,
         *,
         is_relayed: bool = False,
+        is_region_relayed: bool = False,
         asks_members: bool = False,
         evidence: list[evidences.Evidence] | None = None,
         members: list[tuple[str, int]] | None = None,
@@ -302,6 +323,7 @@
             is_ready=status.is_ready,
             is_leaving=status.is_leaving,
             is_relayed=is_relayed,
+            is_region_relayed=is_region_relayed,
             asks_members=asks_members,
             evidence=evidence,
             members=members,
--- a/fuchsiacourse/front/fleet_packet.py
+++ b/fuchsiacourse/front/fleet_packet.py
@@ -25,6 +25,7 @@
 _LEAVING = 2
 _RELAY = 4
 _ASKS_MEMBERS = 8
+_REGION_RELAY = 16
 _NO_REPORT = 255
 _MAX_BYTE = 254
 _MAX_MS = 65_535
@@ -46,6 +47,8 @@
         is_ready: Whether the front serves callers.
         is_leaving: Whether the front is stopping.
         is_relayed: Whether the receiver passes the packet on in its zone.
+        is_region_relayed: Whether the receiver passes the packet on in its
+            region.
         asks_members: Whether the receiver answers with its members.
         evidence: What the front has seen.
         members: IP number and zone of fronts.
@@ -60,6 +63,7 @@
         "is_ready",
         "is_leaving",
         "is_relayed",
+        "is_region_relayed",
         "asks_members",
         "evidence",
         "members",
@@ -76,6 +80,7 @@
         is_ready: bool,
         is_leaving: bool,
         is_relayed: bool = False,
+        is_region_relayed: bool = False,
         asks_members: bool = False,
         evidence: list[evidences.Evidence] | None = None,
         members: list[tuple[str, int]] | None = None,
@@ -88,6 +93,7 @@
         self.is_ready = is_ready
         self.is_leaving = is_leaving
         self.is_relayed = is_relayed
+        self.is_region_relayed = is_region_relayed
         self.asks_members = asks_members
         self.evidence = evidence or []
         self.members = members or []
@@ -96,6 +102,7 @@
         """Returns the bytes of the packet."""
         flags = _READY * self.is_ready | _LEAVING * self.is_leaving
         flags |= _RELAY * self.is_relayed | _ASKS_MEMBERS * self.asks_members
+        flags |= _REGION_RELAY * self.is_region_relayed
         head = _HEAD.pack(
             _MARK,
             flags,
@@ -161,6 +168,7 @@
         is_ready=bool(flags & _READY),
         is_leaving=bool(flags & _LEAVING),
         is_relayed=bool(flags & _RELAY),
+        is_region_relayed=bool(flags & _REGION_RELAY),
         asks_members=bool(flags & _ASKS_MEMBERS),
         evidence=found,
         members=listed,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -193,6 +193,7 @@
                 times=times,
                 suspects=suspects,
                 tell=self._fleet.tell,
+                warn=self._fleet.warn,
                 log=self._log,
             ),
             budget=budget,
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -25,6 +25,12 @@
 REPEATABLE_SICK_LOSS = 0.5
 # Loss of a request that is declined: it is sent again, from a budget.
 DECLINED_LOSS = 0.3
+# Loss of an answer that comes just within its objective, of one that comes
+# an objective later, and of one that can't come in time. A late answer is
+# worth more to callers than a likely failure.
+TIGHT_LOSS = 0.15
+LATE_LOSS = 0.6
+HOPELESS_LOSS = 1.0
 # Part of the slots that a target offers while it is cold.
 COLD_SLOT_SHARE = 0.5
 # Gain of a first request at a target that has joined: the fronts learn
@@ -32,6 +38,7 @@
 UNTRIED_GAIN = 0.08
 # Spreads requests over targets that are equally good.
 _TIE_LOSS = 0.01
+_MIN_SLACK_S = 0.01
 
 
 class Placement:
@@ -67,6 +74,7 @@
         candidates: typing.Iterable[targets.Target],
         *,
         objective_s: float,
+        left_s: float,
         is_repeatable: bool,
         avoid: typing.Collection[targets.Target] = (),
     ) -> targets.Target | None:
@@ -75,6 +83,7 @@
         Args:
             candidates: Targets of the service.
             objective_s: Time within which an answer is worth most.
+            left_s: Time until the request ends.
             is_repeatable: Whether a failure can be made good.
             avoid: Targets that are used only if there are no others.
         """
@@ -83,7 +92,10 @@
         best, lowest = None, 0.0
         for item in others or usable:
             loss = self.loss(
-                item, objective_s=objective_s, is_repeatable=is_repeatable
+                item,
+                objective_s=objective_s,
+                left_s=left_s,
+                is_repeatable=is_repeatable,
             )
             loss += _TIE_LOSS * self._rng.random()
             if best is None or loss < lowest:
@@ -95,6 +107,7 @@
         target: targets.Target,
         *,
         objective_s: float,
+        left_s: float,
         is_repeatable: bool,
     ) -> float:
         """Returns the expected loss of sending a request to a target."""
@@ -105,16 +118,29 @@
         loss += self._distance_loss(target.record.availability_zone)
         if target.health.is_untried and not target.load.in_flight(now_s):
             loss -= UNTRIED_GAIN
+        return loss + self._delay_loss(target, now_s, objective_s, left_s)
+
+    def _delay_loss(
+        self,
+        target: targets.Target,
+        now_s: float,
+        objective_s: float,
+        left_s: float,
+    ) -> float:
         slots = float(target.record.slots)
         if target.is_cold(now_s):
             slots = max(1.0, slots * COLD_SLOT_SHARE)
         load = target.load.in_flight(now_s)
-        loss += BUSY_LOSS * min(1.0, load / slots)
-        if load >= slots:
-            usual_s = self._times.usual_s(target.record.service)
-            wait_s = (load - slots + 1.0) / slots * usual_s
-            loss += wait_s / objective_s
-        return loss
+        if load < slots:
+            return BUSY_LOSS * load / slots
+        usual_s = self._times.usual_s(target.record.service)
+        wait_s = (load - slots + 1.0) / slots * usual_s
+        if wait_s + usual_s > left_s:
+            return BUSY_LOSS + HOPELESS_LOSS
+        slack_s = max(_MIN_SLACK_S, objective_s - usual_s)
+        loss = BUSY_LOSS + TIGHT_LOSS * min(1.0, wait_s / slack_s)
+        late = max(0.0, wait_s - slack_s) / objective_s
+        return loss + (LATE_LOSS - TIGHT_LOSS) * min(1.0, late)
 
     def _distance_loss(self, zone: str) -> float:
         if zone == self._zone:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -18,7 +18,7 @@
 from fuchsiacourse import logs
 from fuchsiacourse import timers as timer_services
 
-SEEDS = ("10.0.0.1", "10.0.1.1")
+SEEDS = ("10.0.0.1", "10.0.1.1", "10.0.2.1")
 
 
 class Front:
@@ -143,6 +143,16 @@
 
         self.play(script)
 
+    def test_suspicion_reaches_the_other_region_once(self):
+        async def script(network):
+            self.fronts["10.0.0.2"].fleet.warn(evidence())
+            await asyncio.sleep(0.1)
+            for ip, front in self.fronts.items():
+                expected = 1 if ip.startswith("10.0.2") else 0
+                self.assertEqual(expected, len(front.heard), ip)
+
+        self.play(script)
+
     def test_restarted_front_is_known_again_with_its_seeds_down(self):
         async def script(network):
             for ip in SEEDS:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -36,9 +36,15 @@
         )
         return made
 
-    def choose(self, *found: targets.Target, is_repeatable=False, avoid=()):
+    def choose(
+        self, *found, is_repeatable=False, avoid=(), left_s=2.5
+    ) -> targets.Target | None:
         return self.place.choose(
-            found, objective_s=1.0, is_repeatable=is_repeatable, avoid=avoid
+            found,
+            objective_s=1.0,
+            left_s=left_s,
+            is_repeatable=is_repeatable,
+            avoid=avoid,
         )
 
     def test_sick_target_is_left_for_a_well_one(self):
@@ -93,6 +99,19 @@
             )
         self.assertIs(other, self.choose(declining, other))
 
+    def test_late_answer_is_better_than_a_likely_failure(self):
+        full, sick = self.target("full"), self.target("sick")
+        full.load.change(15, self.clock.now())
+        for _ in range(2):
+            sick.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        self.assertIs(full, self.choose(full, sick, left_s=6.0))
+
+    def test_queue_beyond_the_deadline_is_no_choice(self):
+        full, suspect = self.target("full"), self.target("suspect")
+        full.load.change(15, self.clock.now())
+        suspect.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        self.assertIs(suspect, self.choose(full, suspect, left_s=0.5))
+
     def test_requests_spread_over_equal_targets(self):
         found = [self.target(f"t{number}") for number in range(4)]
         counts = collections.Counter()
