Weigh losses against a request that fails

Cause: with a queue of two seconds at the well targets, sick ones were still chosen: a late answer and the bytes to the other region were rated nearly as bad as a failure. Change: losses are parts of the loss of a failed request.

--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -14,22 +14,22 @@
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target as targets
 
-# Loss of sending a request and its answer out of the own zone or region,
-# from the price of the traffic relative to the worth of a request.
-OTHER_ZONE_LOSS = 0.04
-OTHER_REGION_LOSS = 0.35
+# The losses are parts of the loss of a request that fails. Sending a request
+# and its answer out of the own zone or region costs the operator bytes.
+OTHER_ZONE_LOSS = 0.03
+OTHER_REGION_LOSS = 0.22
 # Loss at a target whose slots are nearly all taken; some slow down there.
 BUSY_LOSS = 0.05
 # A request that can be repeated loses only time at a sick target, and shows
 # whether the target is well again.
 REPEATABLE_SICK_LOSS = 0.5
 # Loss of a request that is declined: it is sent again, from a budget.
-DECLINED_LOSS = 0.3
+DECLINED_LOSS = 0.2
 # Loss of an answer that comes just within its objective, of one that comes
 # an objective later, and of one that can't come in time. A late answer is
 # worth more to callers than a likely failure.
-TIGHT_LOSS = 0.15
-LATE_LOSS = 0.6
+TIGHT_LOSS = 0.08
+LATE_LOSS = 0.3
 HOPELESS_LOSS = 1.0
 # Part of the slots that a target offers while it is cold.
 COLD_SLOT_SHARE = 0.5
