--- a/fuchsiacourse/front/health_estimate.py
+++ b/fuchsiacourse/front/health_estimate.py
@@ -48,7 +48,6 @@
         probability: Probability to start with.
         share: Probability without news.
         memory_s: Time in which evidence loses its weight, in seconds.
-        is_untried: Whether a first outcome is wanted.
     """
 
     __slots__ = (
@@ -67,14 +66,14 @@
         probability: float = NEW_SHARE,
         share: float = SICK_SHARE,
         memory_s: float = MEMORY_S,
-        is_untried: bool = True,
     ) -> None:
         self._probability = probability
         self._at_s = now_s
         self._share = share
         self._memory_s = memory_s
         self._failed_at_s = float("-inf")
-        self.is_untried = is_untried
+        # Whether no outcome is known yet.
+        self.is_untried = True
 
     def probability(self, now_s: float) -> float:
         """Returns the probability that the target is sick, 0 to 1."""
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -1,8 +1,9 @@
 """Chooses the target of a request.
 
 Load answered here: ordinary load with some targets sick, and peaks at which
-some are full. The target with the lowest expected loss wins, in parts of
-the worth of the request.
+the well ones are full. The target with the lowest expected loss wins. A queue
+that would make answers late costs as much as a failure, so that a peak makes
+some requests fail at suspect targets rather than all of them late.
 """
 
 from __future__ import annotations
@@ -16,21 +17,15 @@
 
 # The losses are parts of the loss of a request that fails. Sending a request
 # and its answer out of the own zone or region costs the operator bytes.
-OTHER_ZONE_LOSS = 0.03
-OTHER_REGION_LOSS = 0.22
+OTHER_ZONE_LOSS = 0.04
+OTHER_REGION_LOSS = 0.35
 # Loss at a target whose slots are nearly all taken; some slow down there.
 BUSY_LOSS = 0.05
 # A request that can be repeated loses only time at a sick target, and shows
 # whether the target is well again.
 REPEATABLE_SICK_LOSS = 0.5
 # Loss of a request that is declined: it is sent again, from a budget.
-DECLINED_LOSS = 0.2
-# Loss of an answer that comes just within its objective, of one that comes
-# an objective later, and of one that can't come in time. A late answer is
-# worth more to callers than a likely failure.
-TIGHT_LOSS = 0.08
-LATE_LOSS = 0.3
-HOPELESS_LOSS = 1.0
+DECLINED_LOSS = 0.3
 # Part of the slots that a target offers while it is cold.
 COLD_SLOT_SHARE = 0.5
 # Gain of a first request at a target that has joined: the fronts learn
@@ -38,7 +33,6 @@
 UNTRIED_GAIN = 0.08
 # Spreads requests over targets that are equally good.
 _TIE_LOSS = 0.01
-_MIN_SLACK_S = 0.01
 
 
 class Placement:
@@ -74,7 +68,6 @@
         candidates: typing.Iterable[targets.Target],
         *,
         objective_s: float,
-        left_s: float,
         is_repeatable: bool,
         avoid: typing.Collection[targets.Target] = (),
     ) -> targets.Target | None:
@@ -83,7 +76,6 @@
         Args:
             candidates: Targets of the service.
             objective_s: Time within which an answer is worth most.
-            left_s: Time until the request ends.
             is_repeatable: Whether a failure can be made good.
             avoid: Targets that are used only if there are no others.
         """
@@ -94,7 +86,6 @@
             loss = self.loss(
                 item,
                 objective_s=objective_s,
-                left_s=left_s,
                 is_repeatable=is_repeatable,
             )
             loss += _TIE_LOSS * self._rng.random()
@@ -107,7 +98,6 @@
         target: targets.Target,
         *,
         objective_s: float,
-        left_s: float,
         is_repeatable: bool,
     ) -> float:
         """Returns the expected loss of sending a request to a target."""
@@ -118,14 +108,13 @@
         loss += self._distance_loss(target.record.availability_zone)
         if target.health.is_untried and not target.load.in_flight(now_s):
             loss -= UNTRIED_GAIN
-        return loss + self._delay_loss(target, now_s, objective_s, left_s)
+        return loss + self._delay_loss(target, now_s, objective_s)
 
     def _delay_loss(
         self,
         target: targets.Target,
         now_s: float,
         objective_s: float,
-        left_s: float,
     ) -> float:
         slots = float(target.record.slots)
         if target.is_cold(now_s):
@@ -135,12 +124,7 @@
             return BUSY_LOSS * load / slots
         usual_s = self._times.usual_s(target.record.service)
         wait_s = (load - slots + 1.0) / slots * usual_s
-        if wait_s + usual_s > left_s:
-            return BUSY_LOSS + HOPELESS_LOSS
-        slack_s = max(_MIN_SLACK_S, objective_s - usual_s)
-        loss = BUSY_LOSS + TIGHT_LOSS * min(1.0, wait_s / slack_s)
-        late = max(0.0, wait_s - slack_s) / objective_s
-        return loss + (LATE_LOSS - TIGHT_LOSS) * min(1.0, late)
+        return BUSY_LOSS + wait_s / objective_s
 
     def _distance_loss(self, zone: str) -> float:
         if zone == self._zone:
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -223,7 +223,6 @@
         target = front.place.choose(
             front.table.of_service(self._service),
             objective_s=self._route.objective_s,
-            left_s=self._deadline_s - front.clock.now(),
             is_repeatable=self._is_repeatable,
             avoid=self._tried,
         )
--- a/fuchsiacourse/front/target.py
+++ b/fuchsiacourse/front/target.py
@@ -21,7 +21,6 @@
     Args:
         record: Registration.
         now_s: Monotonic time in seconds.
-        has_joined: Whether it has started a short time ago.
     """
 
     __slots__ = (
@@ -40,19 +39,10 @@
         *,
         record: target_record.TargetRecord,
         now_s: float,
-        has_joined: bool = True,
     ) -> None:
         self.record = record
         self.key = key_of(record.id, record.started_ms)
-        self.health = health_estimate.HealthEstimate(
-            now_s=now_s,
-            probability=(
-                health_estimate.NEW_SHARE
-                if has_joined
-                else health_estimate.SICK_SHARE
-            ),
-            is_untried=has_joined,
-        )
+        self.health = health_estimate.HealthEstimate(now_s=now_s)
         self.reach = health_estimate.HealthEstimate(
             now_s=now_s,
             probability=health_estimate.CUT_SHARE,
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -73,10 +73,7 @@
             return
         self.by_key[item.key] = item
         try:
-            self._table.put(
-                self._decode(item.key, item.value),
-                has_joined=self.has_listed,
-            )
+            self._table.put(self._decode(item.key, item.value))
         except errors.RecordRejected as error:
             logs.warning(self.log, "target_entry_unreadable", error=str(error))
             self._table.remove(_id(item.key), reason="unreadable entry")
--- a/fuchsiacourse/front/target_table.py
+++ b/fuchsiacourse/front/target_table.py
@@ -29,26 +29,15 @@
         """Returns the targets of a service."""
         return self._by_service.get(service, [])
 
-    def put(
-        self, record: target_record.TargetRecord, *, has_joined: bool = True
-    ) -> None:
-        """Adds a target or takes over its newer registration.
-
-        Args:
-            record: Registration.
-            has_joined: Whether a target that is new here is new everywhere.
-        """
+    def put(self, record: target_record.TargetRecord) -> None:
+        """Adds a target or takes over its newer registration."""
         now_s = self._clock.now()
         known = self.by_id.get(record.id)
         if known is not None and not _is_same(known.record, record):
             self.remove(record.id, reason="started again")
             known = None
         if known is None:
-            self._add(
-                targets.Target(
-                    record=record, now_s=now_s, has_joined=has_joined
-                )
-            )
+            self._add(targets.Target(record=record, now_s=now_s))
             return
         if record.is_draining and not known.record.is_draining:
             logs.event(
