--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -12,6 +12,7 @@
 from fuchsiacourse.front import evidence as evidences
 from fuchsiacourse.front import evidence_book
 from fuchsiacourse.front import forwarder as forwarders
+from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
@@ -269,5 +270,6 @@
         times=times,
         suspects=suspects,
         sender=sender,
+        metrics=front_metrics.FrontMetrics(gauges=dict),
         log=log,
     )
--- a/fuchsiacourse/ctl.py
+++ b/fuchsiacourse/ctl.py
@@ -5,6 +5,7 @@
 import datetime
 import functools
 import json
+import pathlib
 import sys
 import typing
 
@@ -16,6 +17,7 @@
 from fuchsiacourse import http_store
 from fuchsiacourse import manifest as manifests
 from fuchsiacourse import operator_program
+from fuchsiacourse import request_story
 from fuchsiacourse import settings
 
 _FILE_WIDTH = 200
@@ -45,6 +47,22 @@
     _show_problems(console, view)
 
 
+@app.command()
+def request(
+    request_id: typing.Annotated[str, typing.Argument(help="Request id.")],
+    log: typing.Annotated[
+        list[pathlib.Path],
+        typing.Option(help="Log file of a front; may be repeated."),
+    ],
+) -> None:
+    """Shows what the logs of the fronts tell of a request."""
+    story = request_story.RequestStory(request_id=request_id)
+    for path in log:
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            story.read(lines)
+    print("\n".join(story.lines()))
+
+
 @app.command()
 def explain(
     service: typing.Annotated[str, typer.Argument(help="Service name.")],
--- a/fuchsiacourse/front/__main__.py
+++ b/fuchsiacourse/front/__main__.py
@@ -9,6 +9,7 @@
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import front_program
+from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import settings_watch
 from fuchsiacourse import logs
 from fuchsiacourse.platform import platform_adapter
@@ -19,15 +20,16 @@
 
 async def _run(path: pathlib.Path) -> None:
     settings = settings_file.load(path)
-    log = logs.configure(
-        program="front", host=settings.name, stream=sys.stdout
-    )
+    loop = asyncio.get_running_loop()
+    sink = log_sink.LogSink(descriptor=sys.stdout.fileno(), now_s=loop.time)
+    log = logs.configure(program="front", host=settings.name, stream=sink)
     program = front_program.FrontProgram(
         settings=settings,
         adapter=platform_adapter.PlatformAdapter(),
         watch=settings_watch.SettingsWatch(
             path=path, load=settings_file.load, settings=settings, log=log
         ),
+        sink=sink,
         log=log,
     )
     await program.run()
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -9,6 +9,7 @@
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import crash_suspects
 from fuchsiacourse.front import evidence_book
+from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import placement
@@ -46,6 +47,7 @@
         times: Usual times of the services.
         suspects: Requests that crash targets.
         sender: Sends requests to targets.
+        metrics: Metrics of the front.
         log: Logger.
     """
 
@@ -62,6 +64,7 @@
         times: service_times.ServiceTimes,
         suspects: crash_suspects.CrashSuspects,
         sender: sending.TargetSender,
+        metrics: front_metrics.FrontMetrics,
         log: typing.Any,
     ) -> None:
         self.clock = clock
@@ -74,6 +77,7 @@
         self.times = times
         self.suspects = suspects
         self.sender = sender
+        self.metrics = metrics
         self.log = log
         self.in_flight = 0
         # Whether the configuration is known to be the newest.
@@ -145,6 +149,7 @@
         reason: str,
     ) -> http_answer.HttpAnswer:
         version = self.config.version if self.config is not None else None
+        self.metrics.count("front_refusals_total", reason=reason)
         logs.event(
             self.log,
             "request_refused",
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -18,10 +18,12 @@
 from fuchsiacourse.front import fleet as fleets
 from fuchsiacourse.front import forwarder as forwarders
 from fuchsiacourse.front import front_adapter
+from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import front_status
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
+from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import pooled_sender
 from fuchsiacourse.front import repeat_budget
@@ -42,6 +44,7 @@
 # Time kept at the end of a stop for the last answers, in seconds.
 STOP_MARGIN_S = 0.35
 _STOP_POLL_S = 0.05
+METRICS_PATH = "/metrics"
 # Limits until a configuration is known.
 FIRST_LIMITS = route_table.CallerLimits(
     max_head_bytes=16_384,
@@ -58,6 +61,7 @@
         settings: Place, addresses and bounds.
         adapter: Translates between the platform and the front.
         watch: Takes over changes of the settings.
+        sink: Output of the logs.
         log: Logger.
     """
 
@@ -67,10 +71,12 @@
         settings: front_settings.FrontSettings,
         adapter: front_adapter.FrontAdapter,
         watch: settings_watch.SettingsWatch,
+        sink: log_sink.LogSink,
         log: typing.Any,
     ) -> None:
         self._settings = settings
         self._watch = watch
+        self._sink = sink
         self._adapter = adapter
         self._log = log
         self._clock = system_clock.SystemClock()
@@ -100,6 +106,7 @@
         self._sender = pooled_sender.PooledSender(
             clock=self._clock, protocol=adapter.protocol
         )
+        self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
         self._forwarder = self._make_forwarder()
         store = adapter.store(settings)
         self._configs = self._make_config_follower(store)
@@ -200,6 +207,7 @@
             times=times,
             suspects=suspects,
             sender=self._sender,
+            metrics=self._metrics,
             log=self._log,
         )
 
@@ -240,6 +248,7 @@
             (settings.front_address, self._forwarder.handle),
             (settings.ready_address, self._answer_ready),
             (settings.directory_address, self._answer_resolve),
+            (settings.metrics_address, self._answer_metrics),
         ]
         return [
             caller_server.CallerServer(
@@ -267,6 +276,40 @@
     ) -> http_answer.HttpAnswer:
         return self._adapter.answer_resolve(request, self._directory)
 
+    async def _answer_metrics(
+        self,
+        request: http_request.HttpRequest,
+        presence: caller_presence.CallerPresence,
+    ) -> http_answer.HttpAnswer:
+        if request.path != METRICS_PATH:
+            return http_answer.HttpAnswer(status=404, headers=[])
+        return http_answer.HttpAnswer(
+            status=200,
+            headers=[(b"content-type", b"text/plain; version=0.0.4")],
+            body=self._metrics.render(),
+        )
+
+    def _gauges(self) -> dict[str, float]:
+        now_s = self._clock.now()
+        targets = list(self._table.by_id.values())
+        return {
+            "front_ready": float(self.is_ready),
+            "front_requests_in_flight": self._forwarder.in_flight,
+            "front_config_version": self._configs.version,
+            "front_store_reached": float(
+                self._targets.is_current and self._configs.is_current
+            ),
+            "front_fronts_heard_share": self._fleet.heard_share(),
+            "front_packets_rejected": self._fleet.rejected_packets,
+            "front_targets": len(targets),
+            "front_targets_suspect": sum(
+                target.health.probability(now_s) >= evidence_book.SICK
+                for target in targets
+            ),
+            "front_connections_opened_total": self._sender.opened,
+            "front_log_lines_dropped_total": self._sink.dropped,
+        }
+
     def _status(self) -> front_status.FrontStatus:
         targets = self._targets
         store_s = 0.0
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -274,6 +274,11 @@
             reported=None if load is None else load.running + load.waiting,
             fingerprint=self._fingerprint,
         )
+        self._front.metrics.count(
+            "front_sendings_total",
+            service=self._service,
+            outcome=result.outcome.name,
+        )
         logs.event(
             self._front.log,
             "sending_ended",
@@ -365,7 +370,15 @@
         cause: str,
         target: targets.Target | None = None,
     ) -> http_answer.HttpAnswer:
-        now_s = self._front.clock.now()
+        took_s = self._front.clock.now() - self._request.received_s
+        self._front.metrics.count(
+            "front_requests_total",
+            service=self._service,
+            status=str(answer.status),
+        )
+        self._front.metrics.time(
+            "front_request_seconds", took_s, service=self._service
+        )
         logs.event(
             self._front.log,
             "request_answered",
@@ -376,7 +389,7 @@
             cause=cause,
             target=None if target is None else target.record.id,
             sendings=self._sendings,
-            took_ms=int((now_s - self._request.received_s) * 1000.0),
+            took_ms=int(took_s * 1000.0),
             repeats_left=round(self._front.budget.left(self._service), 1),
         )
         return answer
--- a/fuchsiacourse/logs.py
+++ b/fuchsiacourse/logs.py
@@ -37,7 +37,7 @@
     first = [] if processor is None else [processor]
     structlog.configure(
         processors=[*first, *_SHARED_PROCESSORS, _RENDERER],
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
     _configure_libraries()
--- /dev/null
+++ b/tests/test_request_story.py
@@ -0,0 +1,43 @@
+"""Tests of the story of a request in the logs."""
+
+import unittest
+
+from fuchsiacourse import request_story
+
+LINES = """\
+timestamp='1' level='info' event='store_lost' host='f1' prefix='servers/'
+timestamp='2' level='info' event='target_suspected' host='f1' target='t1'
+timestamp='2' level='info' event='target_suspected' host='f2' target='t1'
+timestamp='3' level='info' event='request_sent' host='f1' request_id='q1' \
+target='t1' sickness=0.7
+timestamp='3' level='info' event='request_sent' host='f1' request_id='q2' \
+target='t1' sickness=0.7
+timestamp='4' level='info' event='sending_ended' host='f1' request_id='q1' \
+outcome='LOST' detail='it\\'s gone'
+timestamp='5' level='info' event='request_answered' host='f1' \
+request_id='q1' status=502
+""".splitlines()
+
+
+class RequestStoryTest(unittest.TestCase):
+    """The story must name the cause and nothing of other requests."""
+
+    def test_story(self):
+        story = request_story.RequestStory(request_id="q1")
+        story.read(LINES)
+        told = story.lines()
+        self.assertEqual(5, len(told))
+        self.assertIn("store_lost", told[0])
+        self.assertIn("target_suspected", told[1])
+        self.assertIn("host=f1", told[1])
+        self.assertIn("outcome=LOST", told[3])
+        self.assertIn("status=502", told[4])
+
+    def test_unknown_request(self):
+        story = request_story.RequestStory(request_id="q9")
+        story.read(LINES)
+        self.assertEqual(["no line names request q9"], story.lines())
+
+    def test_quoted_values(self):
+        fields = request_story.parse(LINES[5])
+        self.assertEqual("it\\'s gone", fields["detail"])
