Run the front as a process in the tests

Cause: the first run of the grown site ended in a crash loop: the log output had no weak reference, which the logging library needs; no test started the program. Measured: the new tests pass; one process a test.

--- a/fuchsiacourse/ctl.py
+++ b/fuchsiacourse/ctl.py
@@ -49,10 +49,10 @@
 
 @app.command()
 def request(
-    request_id: typing.Annotated[str, typing.Argument(help="Request id.")],
+    request_id: typing.Annotated[str, typer.Argument(help="Request id.")],
     log: typing.Annotated[
         list[pathlib.Path],
-        typing.Option(help="Log file of a front; may be repeated."),
+        typer.Option(help="Log file of a front; may be repeated."),
     ],
 ) -> None:
     """Shows what the logs of the fronts tell of a request."""
--- a/fuchsiacourse/front/log_sink.py
+++ b/fuchsiacourse/front/log_sink.py
@@ -26,7 +26,15 @@
         now_s: Returns monotonic time in seconds.
     """
 
-    __slots__ = ("dropped", "_descriptor", "_now_s", "_bucket", "_waiting")
+    # The logging library keeps a weak reference to its output.
+    __slots__ = (
+        "dropped",
+        "_descriptor",
+        "_now_s",
+        "_bucket",
+        "_waiting",
+        "__weakref__",
+    )
 
     def __init__(
         self, *, descriptor: int, now_s: typing.Callable[[], float]
--- a/fuchsiacourse/logs.py
+++ b/fuchsiacourse/logs.py
@@ -37,13 +37,20 @@
     first = [] if processor is None else [processor]
     structlog.configure(
         processors=[*first, *_SHARED_PROCESSORS, _RENDERER],
-        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
+        logger_factory=_factory(stream),
         cache_logger_on_first_use=True,
     )
     _configure_libraries()
     return structlog.get_logger(program=program, host=host)
 
 
+def _factory(stream: typing.Any) -> typing.Any:
+    if stream is None:
+        return structlog.PrintLoggerFactory(file=sys.stderr)
+    # One call for a line and its end, so that a stream can drop it whole.
+    return structlog.WriteLoggerFactory(file=stream)
+
+
 def _configure_libraries() -> None:
     # Libraries log through the standard library; their lines get the same
     # form, and only warnings and errors are of use to an operator.
--- a/fuchsiacourse/platform/settings_file.py
+++ b/fuchsiacourse/platform/settings_file.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import front_settings
 
 PATH_VARIABLE = "FUCHSIACOURSE_CONFIG"
-# Port of the metrics, as in the deploy file.
-METRICS_PORT = 9464
+# Port on which the deploy file wants the metrics, none if it is not set.
+METRICS_VARIABLE = "METRICS_PORT"
 
 Fields = dict[str, str]
 
 
 def load(path: pathlib.Path) -> front_settings.FrontSettings:
-    """Reads a settings file.
+    """Reads a settings file, and the port of the metrics of the environment.
 
     Args:
         path: File with a line ``name=value`` for each field.
@@ -27,15 +28,22 @@
         text = path.read_text(encoding="utf-8")
     except (OSError, ValueError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
-    return parse(text, source=str(path))
+    return parse(
+        text,
+        source=str(path),
+        metrics_port=os.environ.get(METRICS_VARIABLE, ""),
+    )
 
 
-def parse(text: str, *, source: str) -> front_settings.FrontSettings:
+def parse(
+    text: str, *, source: str, metrics_port: str = ""
+) -> front_settings.FrontSettings:
     """Returns the settings in a text.
 
     Args:
         text: Lines ``name=value``; unknown names are ignored.
         source: Name of the text in errors.
+        metrics_port: Port of the metrics, empty for none.
 
     Raises:
         SettingsError: Names the source and the field.
@@ -46,7 +54,7 @@
         if mark:
             fields[name.strip()] = value.strip()
     try:
-        return _settings(fields)
+        return _settings(fields, metrics_port)
     except KeyError as error:
         raise errors.SettingsError(
             f"{source}: {error.args[0]} is missing"
@@ -55,7 +63,9 @@
         raise errors.SettingsError(f"{source}: {error}") from error
 
 
-def _settings(fields: Fields) -> front_settings.FrontSettings:
+def _settings(
+    fields: Fields, metrics_port: str
+) -> front_settings.FrontSettings:
     ip = fields["self.ip"]
     zones = "network.zones."
     return front_settings.FrontSettings(
@@ -74,7 +84,7 @@
         control_address=_optional(fields, "network.listen.control"),
         # The first of the ports that are free for traffic between hosts.
         peer_port=int(fields["network.internal_ports"].partition(",")[0]),
-        metrics_address=(ip, METRICS_PORT),
+        metrics_address=(ip, int(metrics_port)) if metrics_port else None,
         seeds=tuple(
             _address(item)
             for item in fields.get("network.seeds", "").split(",")
--- /dev/null
+++ b/tests/test_front_process.py
@@ -0,0 +1,246 @@
+"""Tests of a front as a process of its own, over loopback."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+
+import uvicorn
+
+from fuchsiacourse.front import front_program
+from fuchsiacourse.platform import objects_app
+from fuchsiacourse.platform import settings_file
+from fuchsiacourse import platform_model
+from fuchsiacourse import request_story
+from fuchsiacourse import system_clock
+from tests import test_platform_codecs
+from tests import test_pooled_sender
+from tests import test_target_follower
+
+START_S = 20.0
+IP = "127.0.0.1"
+PATH = "/a/b/1"
+
+
+class FrontProcessTest(unittest.IsolatedAsyncioTestCase):
+    """The program must serve, obey its signals and tell what it does."""
+
+    async def asyncSetUp(self) -> None:
+        self.work_s = 0.05
+        self.runs: list[str] = []
+        self.tasks: set[asyncio.Task] = set()
+        await self.start_store()
+        self.target = await asyncio.start_server(self.serve, IP, 0)
+        port = self.target.sockets[0].getsockname()[1]
+        self.put("config/main", test_platform_codecs.config_value())
+        spec = json.loads(test_target_follower.entry("t1"))["spec"]
+        spec["address"] = f"{IP}:{port}"
+        spec["info"]["service"] = "s3"
+        self.put("servers/t1", json.dumps({"spec": spec}).encode())
+        self.folder = tempfile.TemporaryDirectory()
+        self.settings = pathlib.Path(self.folder.name) / "node.conf"
+        self.ports = _free_ports(6)
+        self.settings.write_text(self.settings_text(), encoding="utf-8")
+        self.lines: list[str] = []
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "fuchsiacourse.front",
+            stdout=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                settings_file.PATH_VARIABLE: str(self.settings),
+                settings_file.METRICS_VARIABLE: str(self.ports[5]),
+            },
+        )
+        self.reading = asyncio.ensure_future(self.read_lines())
+        await self.until_ready()
+
+    async def asyncTearDown(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+        self.target.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.app.close()
+        self.store_server.should_exit = True
+        await self.store_task
+        self.folder.cleanup()
+
+    async def start_store(self) -> None:
+        clock = system_clock.SystemClock()
+        self.model = platform_model.PlatformModel(clock=clock)
+        self.app = objects_app.ObjectsApp(model=self.model, clock=clock)
+        self.store_server = uvicorn.Server(
+            uvicorn.Config(
+                self.app.asgi,
+                host=IP,
+                port=0,
+                lifespan="off",
+                log_config=None,
+                timeout_graceful_shutdown=0,
+            )
+        )
+        self.store_task = asyncio.ensure_future(self.store_server._serve())
+        while not self.store_server.started:
+            await asyncio.sleep(0.01)
+        server = self.store_server.servers[0]
+        self.store_address = server.sockets[0].getsockname()
+
+    def put(self, key: str, value: bytes) -> None:
+        content = {"spec": json.loads(value)["spec"], "status": None}
+        self.model.table.put(
+            key, json.dumps(content).encode(), if_version=None
+        )
+
+    def settings_text(self) -> str:
+        front, ready, directory, control, peer, _ = self.ports
+        store = f"{self.store_address[0]}:{self.store_address[1]}"
+        text = test_platform_codecs.SETTINGS
+        for old, new in (
+            ("10.1.0.34:8548", f"{IP}:{front}"),
+            ("10.1.0.34:8542", f"{IP}:{ready}"),
+            ("10.1.0.34:8546", f"{IP}:{directory}"),
+            ("10.1.0.34:8544,10.2.0.34:8544", f"{IP}:{control}"),
+            ("10.1.0.34:8544", f"{IP}:{control}"),
+            ("10.1.0.34", IP),
+            ("7540,7555", f"{peer},{peer}"),
+            ("10.200.1.7:8541", store),
+        ):
+            text = text.replace(old, new)
+        return text
+
+    async def serve(self, reader, writer) -> None:
+        """Serves one connection of the stand-in for a target."""
+        self.tasks.add(asyncio.current_task())
+        try:
+            while True:
+                head = await test_pooled_sender.read_request(reader)
+                fields = dict(
+                    line.split(": ", 1)
+                    for line in head.decode().lower().split("\r\n")[1:]
+                    if line
+                )
+                length = int(fields.get("content-length", 0))
+                await reader.readexactly(length)
+                id = fields["x-fuchsiacourse-request-id"]
+                self.runs.append(id)
+                await asyncio.sleep(self.work_s)
+                writer.write(test_pooled_sender.answer(id, id.encode()))
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+    async def read_lines(self) -> None:
+        async for line in self.process.stdout:
+            self.lines.append(line.decode())
+
+    async def call(
+        self, port: int, path: str, id: str = "q1"
+    ) -> tuple[int, bytes]:
+        reader, writer = await asyncio.open_connection(IP, port)
+        try:
+            writer.write(
+                f"POST {path} HTTP/1.1\r\nHost: one.example\r\n"
+                f"X-Fuchsiacourse-Request-Id: {id}\r\n"
+                "X-Fuchsiacourse-Request-Deadline: 5000\r\n"
+                "Content-Length: 2\r\n\r\nab".encode()
+            )
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            length = int(head.split(b"content-length: ")[1].split()[0])
+            return int(head.split()[1]), await reader.readexactly(length)
+        finally:
+            writer.close()
+
+    async def until_ready(self) -> None:
+        deadline_s = asyncio.get_running_loop().time() + START_S
+        while asyncio.get_running_loop().time() < deadline_s:
+            try:
+                status, _ = await self.call(
+                    self.ports[1], "/fuchsiacourse/ready"
+                )
+            except OSError:
+                # The process does not listen yet.
+                status = 0
+            if status == 200:
+                return
+            await asyncio.sleep(0.05)
+        self.fail("the front was not ready in time")
+
+    async def test_request_is_served_and_told(self):
+        front, _, directory, _, _, metrics = self.ports
+        status, body = await self.call(front, PATH, "q7")
+        self.assertEqual((200, b"q7"), (status, body))
+        self.assertEqual(["q7"], self.runs)
+        status, body = await self.call(
+            directory, "/fuchsiacourse/resolve?name=x&region=east&zone=a"
+        )
+        self.assertEqual([f"{IP}:{front}"], json.loads(body)["addresses"])
+        self.assertEqual(404, (await self.call(front, "/nowhere/1", "q8"))[0])
+        status, body = await self.call(metrics, front_program.METRICS_PATH)
+        self.assertIn(b'front_requests_total{service="s3"', body)
+        await asyncio.sleep(0.1)
+        story = request_story.RequestStory(request_id="q7")
+        story.read(self.lines)
+        self.assertIn("status=200", story.lines()[-1])
+
+    async def test_settings_are_read_again(self):
+        self.settings.write_text(
+            self.settings_text().replace("ratio=0.25", "ratio=0.3"),
+            encoding="utf-8",
+        )
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        self.assertTrue(
+            any("settings_reloaded" in line for line in self.lines)
+        )
+        self.settings.write_text("self.node=x\n", encoding="utf-8")
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        self.assertTrue(any("settings_refused" in line for line in self.lines))
+        self.assertEqual(200, (await self.call(self.ports[0], PATH))[0])
+
+    async def test_stop_cuts_nothing_off(self):
+        self.work_s = 1.0
+        running = asyncio.ensure_future(self.call(self.ports[0], PATH, "q1"))
+        await asyncio.sleep(0.3)
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        status, _ = await self.call(self.ports[1], "/fuchsiacourse/ready")
+        self.assertEqual(503, status)
+        # Callers with an old address list still come.
+        status, body = await self.call(self.ports[0], PATH, "q2")
+        self.assertEqual((200, b"q2"), (status, body))
+        self.assertEqual((200, b"q1"), await running)
+        await asyncio.wait_for(self.process.wait(), 7.0)
+        self.assertEqual(0, self.process.returncode)
+        self.assertEqual(["q1", "q2"], self.runs)
+
+    async def test_leaving_target_gets_no_new_work(self):
+        held = self.model.table.get("servers/t1")
+        spec = json.loads(held.value)["spec"]
+        spec["status"]["state"] = "draining"
+        self.put("servers/t1", json.dumps({"spec": spec}).encode())
+        await asyncio.sleep(1.5)
+        status, _ = await self.call(self.ports[0], PATH, "q1")
+        self.assertEqual(503, status)
+        self.assertEqual([], self.runs)
+
+
+def _free_ports(count: int) -> list[int]:
+    """Returns ports that nothing uses, different from each other."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((IP, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
--- a/tests/test_request_story.py
+++ b/tests/test_request_story.py
@@ -1,7 +1,11 @@
 """Tests of the story of a request in the logs."""
 
+import tempfile
 import unittest
 
+from typer import testing
+
+from fuchsiacourse import ctl
 from fuchsiacourse import request_story
 
 LINES = """\
@@ -38,6 +42,16 @@
         story.read(LINES)
         self.assertEqual(["no line names request q9"], story.lines())
 
+    def test_command(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".log") as log:
+            log.write("\n".join(LINES))
+            log.flush()
+            result = testing.CliRunner().invoke(
+                ctl.app, ["request", "q1", "--log", log.name]
+            )
+        self.assertEqual(0, result.exit_code, result.output)
+        self.assertIn("status=502", result.output)
+
     def test_quoted_values(self):
         fields = request_story.parse(LINES[5])
         self.assertEqual("it\\'s gone", fields["detail"])
