--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -184,12 +184,17 @@
             self._last_failure = result
         if step is retry_policy.Step.GIVE_UP or self._presence.has_left:
             return None
-        kind = evidences.SendKind.REPLACEMENT
-        if step is retry_policy.Step.REPEAT:
-            kind = evidences.SendKind.REPEAT
-        elif self._running:
+        if step is retry_policy.Step.REPLACE:
+            if not self._running:
+                self._send(
+                    evidences.SendKind.REPLACEMENT, reason=result.outcome.name
+                )
             return None
-        self._send(kind, reason=result.outcome.name)
+        self._send(
+            evidences.SendKind.REPEAT,
+            reason=result.outcome.name,
+            to_same=step is retry_policy.Step.REPEAT_SAME,
+        )
         return None
 
     def _state(self) -> retry_policy.RunState:
@@ -218,13 +223,25 @@
         used.update(item.target.key for item in self._running.values())
         return len(used)
 
-    def _send(self, kind: evidences.SendKind, *, reason: str = "") -> bool:
+    def _send(
+        self,
+        kind: evidences.SendKind,
+        *,
+        reason: str = "",
+        to_same: bool = False,
+    ) -> bool:
         front = self._front
+        candidates = front.table.of_service(self._service)
+        if to_same:
+            # A target that only declined the request may be asked again;
+            # one that has been removed meanwhile may not.
+            declined = {target.key for target in self._arrived}
+            candidates = [t for t in candidates if t.key in declined]
         target = front.place.choose(
-            front.table.of_service(self._service),
+            candidates,
             objective_s=self._route.objective_s,
             is_repeatable=self._is_repeatable,
-            avoid=self._tried,
+            avoid=self._tried[-1:] if to_same else self._tried,
         )
         if target is None:
             return False
--- a/fuchsiacourse/front/retry_policy.py
+++ b/fuchsiacourse/front/retry_policy.py
@@ -23,6 +23,8 @@
     DELIVER = "deliver"
     # Send it to another target.
     REPEAT = "repeat"
+    # Send it again to a target that has declined it.
+    REPEAT_SAME = "repeat_same"
     # Send it to another target without drawing on the budget.
     REPLACE = "replace"
     GIVE_UP = "give_up"
@@ -85,9 +87,12 @@
         return Step.GIVE_UP
     if outcome is outcomes.Outcome.UNREACHED:
         return Step.REPLACE
-    if state.budget < 1.0 or state.targets >= state.max_targets:
+    if state.budget < 1.0:
         return Step.GIVE_UP
-    if outcome.is_not_run or state.is_idempotent:
+    has_targets = state.targets < state.max_targets
+    if outcome is outcomes.Outcome.DECLINED and not has_targets:
+        return Step.REPEAT_SAME
+    if has_targets and (outcome.is_not_run or state.is_idempotent):
         return Step.REPEAT
     return Step.GIVE_UP
 
--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -92,6 +92,28 @@
         self.assertIsNotNone(answer.header(b"retry-after"))
         self.assertEqual(2, len(set(sender.sent_ids)))
 
+    def test_declined_request_is_offered_again_to_its_targets(self):
+        def behave(target, count):
+            sent.append(target.record.id)
+            if len(sent) < 4:
+                return 0.01, front_fakes.result(Outcome.DECLINED, 503)
+            return 0.1, front_fakes.answered()
+
+        sent = []
+        answer, _, _, _ = handle(behave, is_idempotent=False)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(set(sent)))
+
+    def test_declines_end_with_the_budget(self):
+        def behave(target, count):
+            sent.append(target.record.id)
+            return 0.01, front_fakes.result(Outcome.DECLINED, 503)
+
+        sent = []
+        answer, _, _, _ = handle(behave, is_idempotent=False)
+        self.assertEqual(503, answer.status)
+        self.assertLessEqual(len(sent), 6)
+
     def test_unsure_refusal_of_a_target_is_not_passed_on(self):
         answer, _, _, _ = handle(
             lambda target, count: (
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -48,6 +48,18 @@
             Step.REPLACE, retry_policy.next_step(Outcome.UNREACHED, unsafe)
         )
 
+    def test_declined_request_may_go_to_the_same_targets_again(self):
+        for is_idempotent in (True, False):
+            tried = state(is_idempotent=is_idempotent, targets=2)
+            self.assertIs(
+                Step.REPEAT_SAME,
+                retry_policy.next_step(Outcome.DECLINED, tried),
+            )
+        spent = state(targets=2, budget=0.5)
+        self.assertIs(
+            Step.GIVE_UP, retry_policy.next_step(Outcome.DECLINED, spent)
+        )
+
     def test_safe_request_is_repeated_within_its_limits(self):
         self.assertIs(
             Step.REPEAT, retry_policy.next_step(Outcome.FAILED, state())
