Spend little of the repeat budget in the first window after a start

Change: in the first window after a start a front uses two fifths of the requests' share and nothing of the fixed part, unless the deployment starts for the first time; three quarters of the budget are used otherwise.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -87,6 +87,7 @@
         seeds=tuple((seed, 8003) for seed in seeds),
         store_address=("10.0.9.9", 9000),
         cores=1.0,
+        is_first_start=True,
         bounds=bounds(),
     )
 
@@ -236,6 +237,7 @@
         bounds=bounds(**bound_changes),
         regions=1,
         heard_share=lambda: 1.0,
+        is_first_start=True,
     )
     suspects = crash_suspects.CrashSuspects(clock=used)
     for item in records:
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -182,6 +182,7 @@
             bounds=settings.bounds,
             regions=len(set(settings.regions_by_zone.values())),
             heard_share=self._fleet.heard_share,
+            is_first_start=settings.is_first_start,
         )
         suspects = crash_suspects.CrashSuspects(clock=self._clock)
         return forwarders.Forwarder(
--- a/fuchsiacourse/front/front_settings.py
+++ b/fuchsiacourse/front/front_settings.py
@@ -4,7 +4,8 @@
 
 Address = tuple[str, int]
 
-_RELOADED = frozenset(("seeds", "bounds"))
+# The last of these only tells how the process was started.
+_RELOADED = frozenset(("seeds", "bounds", "is_first_start"))
 
 
 class Bounds:
@@ -73,6 +74,8 @@
         seeds: Control addresses of some hosts; they may be stale.
         store_address: Address of the platform's object API.
         cores: Processor cores of the host, a fraction for a share of one.
+        is_first_start: Whether the whole deployment starts for the first
+            time.
         bounds: Promises to the operator.
     """
 
@@ -91,6 +94,7 @@
         "seeds",
         "store_address",
         "cores",
+        "is_first_start",
         "bounds",
     )
 
@@ -111,6 +115,7 @@
         seeds: tuple[Address, ...],
         store_address: Address,
         cores: float,
+        is_first_start: bool,
         bounds: Bounds,
     ) -> None:
         self.name = name
@@ -127,6 +132,7 @@
         self.seeds = seeds
         self.store_address = store_address
         self.cores = cores
+        self.is_first_start = is_first_start
         self.bounds = bounds
 
     def take_over(self, newer: FrontSettings) -> list[str]:
--- a/fuchsiacourse/front/repeat_budget.py
+++ b/fuchsiacourse/front/repeat_budget.py
@@ -14,8 +14,12 @@
 from fuchsiacourse.front import front_settings
 
 # Part of the budget that is used; the rest covers news of other fronts that
-# is under way or lost.
-USED_SHARE = 0.9
+# is under way or lost, and what fronts spend that start in the same window.
+USED_SHARE = 0.75
+# Part of the requests' share that a front uses in the first window after its
+# start. It does not know what was spent before; all fronts may have started
+# at the same time, right after the budget was spent.
+FIRST_WINDOW_SHARE = 0.4
 _BUCKET_S = 0.5
 # The operator counts the requests of a window, of the one before it or of
 # the one half a window before it, whichever has most.
@@ -46,6 +50,8 @@
         regions: Number of regions that share the budget's fixed part.
         heard_share: Returns the share of the region's fronts that are
             heard. A front that is cut off uses its own part only.
+        is_first_start: Whether nothing was spent before the start, because
+            the whole deployment starts for the first time.
     """
 
     __slots__ = (
@@ -53,6 +59,7 @@
         "_bounds",
         "_regions",
         "_heard_share",
+        "_started_s",
         "_buckets_by_service",
     )
 
@@ -63,11 +70,13 @@
         bounds: front_settings.Bounds,
         regions: int,
         heard_share: typing.Callable[[], float],
+        is_first_start: bool,
     ) -> None:
         self._clock = clock
         self._bounds = bounds
         self._regions = max(1, regions)
         self._heard_share = heard_share
+        self._started_s = float("-inf") if is_first_start else clock.now()
         self._buckets_by_service: dict[str, collections.deque[_Bucket]] = {}
 
     def count_request(self, service: str) -> None:
@@ -98,9 +107,12 @@
         repeats = sum(
             bucket.repeats for bucket in buckets if bucket.start_s >= oldest_s
         )
-        extra = self._bounds.repeat_extra / self._regions
         allowed = self._bounds.repeat_share * requests
-        allowed += extra * self._heard_share()
+        if now_s - self._started_s < window_s:
+            allowed *= FIRST_WINDOW_SHARE
+        else:
+            extra = self._bounds.repeat_extra / self._regions
+            allowed += extra * self._heard_share()
         return USED_SHARE * allowed - repeats
 
     def _bucket(self, service: str) -> _Bucket:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -41,6 +41,7 @@
 self.ip=10.1.0.34
 self.zone=a
 self.region=east
+self.bootstrap=true
 self.limits.cpu_share=0.86
 self.limits.cores=2
 network.listen.front=10.1.0.34:8548
@@ -180,6 +181,7 @@
         self.assertEqual({"a": "east", "c": "west"}, settings.regions_by_zone)
         self.assertEqual(2, len(settings.seeds))
         self.assertAlmostEqual(1.72, settings.cores)
+        self.assertTrue(settings.is_first_start)
         self.assertEqual(2.5, settings.bounds.drain_s)
         self.assertEqual(7.0, settings.bounds.stop_s)
         self.assertEqual(0.25, settings.bounds.repeat_share)
