Offer declined requests again only where nobody works on them

Change: a declined request waits 30 ms before it is offered again, only to targets that declined it and only if no other sending runs. Measured: test_declined_hedge_is_not_repeated_at_the_target_at_work fails without the change (sent six times).

--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -25,6 +25,9 @@
 # answers take longer.
 LATE_FACTOR = 1.6
 MIN_LATE_S = 0.05
+# Time until a request that its targets have declined is offered to them again,
+# in seconds; a full queue needs some of the usual time to get shorter.
+DECLINED_PAUSE_S = 0.03
 # A refusal whose cause is a lack of room asks the caller to wait this long.
 RETRY_AFTER_S = 0.5
 
@@ -92,6 +95,9 @@
         self._sendings = 0
         self._arrived: list[targets.Target] = []
         self._tried: list[targets.Target] = []
+        self._declined: list[targets.Target] = []
+        # Monotonic time at which the request is offered again, in seconds.
+        self._offer_at_s: float | None = None
         # Whether a target may have run the request.
         self._may_have_run = False
         self._last_failure: sending.SendResult | None = None
@@ -107,12 +113,14 @@
     async def _answer(self) -> http_answer.HttpAnswer:
         if not self._send(evidences.SendKind.FIRST):
             return self._refused("no target is known")
-        while self._running:
+        while self._running or self._offer_at_s is not None:
             now_s = self._front.clock.now()
             if now_s >= self._deadline_s:
                 return self._timed_out()
             await self._wait(now_s)
-            if self._presence.has_left and self._ends_with_caller:
+            if self._presence.has_left and (
+                self._ends_with_caller or not self._running
+            ):
                 return self._log_answer(
                     self._front.own_answer(
                         self._terms, _TIMEOUT, "the caller has left"
@@ -123,6 +131,7 @@
             if final is not None:
                 return final
             self._note_late()
+            self._offer_again()
         return self._given_up()
 
     @property
@@ -136,11 +145,13 @@
 
     async def _wait(self, now_s: float) -> None:
         due_s = self._deadline_s
+        if self._offer_at_s is not None:
+            due_s = min(due_s, self._offer_at_s)
         for item in self._running.values():
             if not item.is_late:
                 due_s = min(due_s, item.started_s + self._late_s)
         waited: list[asyncio.Future] = list(self._running)
-        if self._ends_with_caller:
+        if self._ends_with_caller or not self._running:
             waited.append(self._presence.left)
         await asyncio.wait(
             waited,
@@ -190,13 +201,26 @@
                     evidences.SendKind.REPLACEMENT, reason=result.outcome.name
                 )
             return None
-        self._send(
-            evidences.SendKind.REPEAT,
-            reason=result.outcome.name,
-            to_same=step is retry_policy.Step.REPEAT_SAME,
-        )
+        if step is retry_policy.Step.REPEAT_SAME:
+            if not self._running:
+                now_s = self._front.clock.now()
+                self._offer_at_s = now_s + DECLINED_PAUSE_S
+            return None
+        self._send(evidences.SendKind.REPEAT, reason=result.outcome.name)
         return None
 
+    def _offer_again(self) -> None:
+        now_s = self._front.clock.now()
+        if self._offer_at_s is None or now_s < self._offer_at_s:
+            return
+        self._offer_at_s = None
+        if self._front.budget.left(self._service) >= 1.0:
+            self._send(
+                evidences.SendKind.REPEAT,
+                reason=outcomes.Outcome.DECLINED.name,
+                to_same=True,
+            )
+
     def _state(self) -> retry_policy.RunState:
         return retry_policy.RunState(
             is_idempotent=self._route.is_idempotent,
@@ -233,9 +257,8 @@
         front = self._front
         candidates = front.table.of_service(self._service)
         if to_same:
-            # A target that only declined the request may be asked again;
-            # one that has been removed meanwhile may not.
-            declined = {target.key for target in self._arrived}
+            # Those that have been removed meanwhile are left out.
+            declined = {target.key for target in self._declined}
             candidates = [t for t in candidates if t.key in declined]
         target = front.place.choose(
             candidates,
@@ -281,6 +304,8 @@
     def _note_end(self, item: _Sending, result: sending.SendResult) -> None:
         if result.outcome.has_arrived and item.target not in self._arrived:
             self._arrived.append(item.target)
+        if result.outcome is outcomes.Outcome.DECLINED:
+            self._declined.append(item.target)
         load = result.terms.load if result.terms is not None else None
         took_s = self._front.clock.now() - item.started_s
         self._front.book.ended(
--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -104,6 +104,29 @@
         self.assertEqual(200, answer.status)
         self.assertEqual(2, len(set(sent)))
 
+    def test_declined_hedge_is_not_repeated_at_the_target_at_work(self):
+        def behave(target, count):
+            sent.append(target.record.id)
+            if len(sent) == 1:
+                return 1.8, front_fakes.answered()
+            return 0.01, front_fakes.result(Outcome.DECLINED, 503)
+
+        sent = []
+        answer, _, _, _ = handle(behave)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(sent))
+
+    def test_declined_request_ends_when_its_caller_leaves(self):
+        answer, took_s, _, _ = handle(
+            lambda target, count: (
+                0.01,
+                front_fakes.result(Outcome.DECLINED, 503),
+            ),
+            is_idempotent=False,
+            leaves_after_s=0.025,
+        )
+        self.assertLess(took_s, 0.03)
+
     def test_declines_end_with_the_budget(self):
         def behave(target, count):
             sent.append(target.record.id)
