Use equal targets in turn and leave time for the end of a stop

Change: among equal targets the one used the longest ago wins; 0.6 s are kept for the end of a stop.

--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -42,8 +42,9 @@
 # Callers keep an address list up to three times its lifetime, so a stopping
 # front serves new requests for this time, in seconds.
 SERVE_ON_S = 3.4
-# Time kept at the end of a stop for the last answers, in seconds.
-STOP_MARGIN_S = 0.35
+# Time kept at the end of a stop for the end of the process, in seconds; a
+# slow host takes some of it.
+STOP_MARGIN_S = 0.6
 _STOP_POLL_S = 0.05
 METRICS_PATH = "/metrics"
 # Limits until a configuration is known.
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -31,8 +31,12 @@
 # Gain of a first request at a target that has joined: the fronts learn
 # whether its room can be used before they need it.
 UNTRIED_GAIN = 0.08
-# Spreads requests over targets that are equally good.
-_TIE_LOSS = 0.01
+# Among targets that are equally good, the one that was used the longest ago
+# wins: all stay in use, and what is known of them is equally fresh.
+RECENT_LOSS = 0.015
+RECENT_S = 2.0
+# Fronts that choose at the same moment choose different targets.
+_TIE_LOSS = 0.004
 
 
 class Placement:
@@ -89,10 +93,15 @@
                 is_repeatable=is_repeatable,
             )
             loss += _TIE_LOSS * self._rng.random()
+            loss += self._recent_loss(item)
             if best is None or loss < lowest:
                 best, lowest = item, loss
         return best
 
+    def _recent_loss(self, target: targets.Target) -> float:
+        idle_s = self._clock.now() - target.used_s
+        return RECENT_LOSS * max(0.0, 1.0 - idle_s / RECENT_S)
+
     def loss(
         self,
         target: targets.Target,
--- a/fuchsiacourse/front/target.py
+++ b/fuchsiacourse/front/target.py
@@ -32,6 +32,7 @@
         "load",
         "cold_until_s",
         "is_misplaced",
+        "used_s",
     )
 
     def __init__(
@@ -54,6 +55,8 @@
         self.cold_until_s = now_s + record.cold_s
         # Whether another target has answered at the address.
         self.is_misplaced = False
+        # Monotonic time of the last sending of any front that is heard.
+        self.used_s = float("-inf")
 
     @property
     def is_usable(self) -> bool:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -107,6 +107,16 @@
             counts[chosen.record.id] += 1
         self.assertEqual({10}, set(counts.values()))
 
+    def test_no_equal_target_is_left_unused(self):
+        found = [self.target(f"t{number}") for number in range(10)]
+        used = set()
+        for _ in range(12):
+            self.clock.now_s += 0.05
+            chosen = self.choose(*found)
+            chosen.used_s = self.clock.now()
+            used.add(chosen.record.id)
+        self.assertEqual(10, len(used))
+
     def test_target_that_has_joined_is_tried(self):
         joined = targets.Target(
             record=front_fakes.record("joined"), now_s=self.clock.now()
