--- a/fuchsiacourse/front/http_answer.py
+++ b/fuchsiacourse/front/http_answer.py
@@ -60,6 +60,14 @@
                 return value
         return None
 
+    def passed_on(self) -> HttpAnswer:
+        """Returns the answer without what concerns one connection."""
+        return HttpAnswer(
+            status=self.status,
+            headers=end_to_end(self.headers),
+            body=self.body,
+        )
+
     def encode(self, *, keeps_alive: bool, has_body: bool = True) -> bytes:
         """Returns the bytes of the answer.
 
--- /dev/null
+++ b/fuchsiacourse/front/request_events.py
@@ -0,0 +1,119 @@
+"""Log lines and metrics of one request."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse.front import front_metrics
+from fuchsiacourse.front import route as routes
+from fuchsiacourse.front import sending
+from fuchsiacourse.front import target as targets
+from fuchsiacourse import logs
+
+
+class RequestEvents:
+    """Tells what happens to a request.
+
+    Args:
+        log: Logger.
+        metrics: Metrics of the front.
+        request_id: Id of the request.
+        route: Route of the request.
+        service: Service that serves it.
+    """
+
+    __slots__ = ("_log", "_metrics", "_request_id", "_route", "_service")
+
+    def __init__(
+        self,
+        *,
+        log: typing.Any,
+        metrics: front_metrics.FrontMetrics,
+        request_id: str,
+        route: routes.Route,
+        service: str,
+    ) -> None:
+        self._log = log
+        self._metrics = metrics
+        self._request_id = request_id
+        self._route = route
+        self._service = service
+
+    def sent(
+        self,
+        target: targets.Target,
+        *,
+        now_s: float,
+        left_s: float,
+        config_version: int,
+        repeat_of: str,
+    ) -> None:
+        """Tells the choice of a target and what it was based on."""
+        logs.event(
+            self._log,
+            "request_sent",
+            request_id=self._request_id,
+            route=self._route.name,
+            config_version=config_version,
+            service=self._service,
+            target=target.record.id,
+            sickness=round(target.sickness(now_s), 3),
+            load=round(target.load.in_flight(now_s), 1),
+            left_ms=int(left_s * 1000.0),
+            repeat_of=repeat_of,
+        )
+
+    def ended(
+        self,
+        target: targets.Target,
+        result: sending.SendResult,
+        *,
+        took_s: float,
+    ) -> None:
+        """Tells the end of a sending."""
+        self._metrics.count(
+            "front_sendings_total",
+            service=self._service,
+            outcome=result.outcome.name,
+        )
+        logs.event(
+            self._log,
+            "sending_ended",
+            request_id=self._request_id,
+            target=target.record.id,
+            outcome=result.outcome.name,
+            status=None if result.answer is None else result.answer.status,
+            took_ms=int(took_s * 1000.0),
+            detail=result.detail,
+        )
+
+    def answered(
+        self,
+        status: int,
+        *,
+        cause: str,
+        target: targets.Target | None,
+        sendings: int,
+        took_s: float,
+        repeats_left: float,
+    ) -> None:
+        """Tells the final answer and its cause."""
+        self._metrics.count(
+            "front_requests_total", service=self._service, status=str(status)
+        )
+        self._metrics.time(
+            "front_request_seconds", took_s, service=self._service
+        )
+        logs.event(
+            self._log,
+            "request_answered",
+            request_id=self._request_id,
+            route=self._route.name,
+            service=self._service,
+            status=status,
+            cause=cause,
+            target=None if target is None else target.record.id,
+            sendings=sendings,
+            took_ms=int(took_s * 1000.0),
+            repeats_left=round(repeats_left, 1),
+        )
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -11,12 +11,13 @@
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import request_events
 from fuchsiacourse.front import retry_policy
 from fuchsiacourse.front import route as routes
+from fuchsiacourse.front import running_sending
 from fuchsiacourse.front import sending
 from fuchsiacourse.front import target as targets
 from fuchsiacourse.front import wire_protocol
-from fuchsiacourse import logs
 
 if typing.TYPE_CHECKING:
     from fuchsiacourse.front import forwarder
@@ -36,26 +37,6 @@
 _TIMEOUT = 504
 
 
-class _Sending:
-    """A sending under way."""
-
-    __slots__ = ("target", "task", "started_s", "kind", "is_late")
-
-    def __init__(
-        self,
-        *,
-        target: targets.Target,
-        task: asyncio.Task[sending.SendResult],
-        started_s: float,
-        kind: evidences.SendKind,
-    ) -> None:
-        self.target = target
-        self.task = task
-        self.started_s = started_s
-        self.kind = kind
-        self.is_late = False
-
-
 class RequestRun:
     """One request of a caller.
 
@@ -86,12 +67,19 @@
         self._route = route
         self._service = service
         self._fingerprint = fingerprint
+        self._events = request_events.RequestEvents(
+            log=front.log,
+            metrics=front.metrics,
+            request_id=terms.request_id,
+            route=route,
+            service=service,
+        )
         self._presence = presence
         wait_s = route.timeout_s
         if terms.deadline_s is not None:
             wait_s = min(wait_s, terms.deadline_s)
         self._deadline_s = request.received_s + wait_s
-        self._running: dict[asyncio.Task, _Sending] = {}
+        self._running: dict[asyncio.Task, running_sending.RunningSending] = {}
         self._sendings = 0
         self._arrived: list[targets.Target] = []
         self._tried: list[targets.Target] = []
@@ -177,7 +165,7 @@
         return None
 
     def _after(
-        self, item: _Sending, result: sending.SendResult
+        self, item: running_sending.RunningSending, result: sending.SendResult
     ) -> http_answer.HttpAnswer | None:
         if not result.outcome.is_not_run:
             self._may_have_run = True
@@ -185,7 +173,7 @@
         if step is retry_policy.Step.DELIVER:
             assert result.answer is not None
             return self._log_answer(
-                _passed_on(result.answer), "answered", item.target
+                result.answer.passed_on(), "answered", item.target
             )
         if (
             self._last_failure is None
@@ -269,8 +257,15 @@
         if target is None:
             return False
         now_s = front.clock.now()
-        sickness = round(target.sickness(now_s), 3)
-        load = round(target.load.in_flight(now_s), 1)
+        left_s = self._deadline_s - now_s
+        version = 0 if front.config is None else front.config.version
+        self._events.sent(
+            target,
+            now_s=now_s,
+            left_s=left_s,
+            config_version=version,
+            repeat_of=reason,
+        )
         task = asyncio.get_running_loop().create_task(
             front.sender.send(
                 target,
@@ -280,28 +275,17 @@
                 is_idempotent=self._route.is_idempotent,
             )
         )
-        self._running[task] = _Sending(
+        self._running[task] = running_sending.RunningSending(
             target=target, task=task, started_s=now_s, kind=kind
         )
         self._sendings += 1
         self._tried.append(target)
         front.book.started(target, kind)
-        logs.event(
-            front.log,
-            "request_sent",
-            request_id=self._terms.request_id,
-            route=self._route.name,
-            config_version=front.config.version if front.config else None,
-            service=self._service,
-            target=target.record.id,
-            sickness=sickness,
-            load=load,
-            left_ms=int((self._deadline_s - now_s) * 1000.0),
-            repeat_of=reason,
-        )
         return True
 
-    def _note_end(self, item: _Sending, result: sending.SendResult) -> None:
+    def _note_end(
+        self, item: running_sending.RunningSending, result: sending.SendResult
+    ) -> None:
         if result.outcome.has_arrived and item.target not in self._arrived:
             self._arrived.append(item.target)
         if result.outcome is outcomes.Outcome.DECLINED:
@@ -316,21 +300,7 @@
             reported=None if load is None else load.running + load.waiting,
             fingerprint=self._fingerprint,
         )
-        self._front.metrics.count(
-            "front_sendings_total",
-            service=self._service,
-            outcome=result.outcome.name,
-        )
-        logs.event(
-            self._front.log,
-            "sending_ended",
-            request_id=self._terms.request_id,
-            target=item.target.record.id,
-            outcome=result.outcome.name,
-            status=None if result.answer is None else result.answer.status,
-            took_ms=int(took_s * 1000.0),
-            detail=result.detail,
-        )
+        self._events.ended(item.target, result, took_s=took_s)
 
     def _note_late(self) -> None:
         now_s = self._front.clock.now()
@@ -349,7 +319,7 @@
                     reason=outcomes.Outcome.LATE.name,
                 )
 
-    def _break_off(self, item: _Sending) -> None:
+    def _break_off(self, item: running_sending.RunningSending) -> None:
         del self._running[item.task]
         item.task.cancel()
         self._front.book.ended(
@@ -381,7 +351,7 @@
             and failure.answer.status not in pooled_sender.PROMISES
         ):
             return self._log_answer(
-                _passed_on(failure.answer), "failed at the target"
+                failure.answer.passed_on(), "failed at the target"
             )
         if (
             failure is not None
@@ -413,33 +383,12 @@
         target: targets.Target | None = None,
     ) -> http_answer.HttpAnswer:
         took_s = self._front.clock.now() - self._request.received_s
-        self._front.metrics.count(
-            "front_requests_total",
-            service=self._service,
-            status=str(answer.status),
-        )
-        self._front.metrics.time(
-            "front_request_seconds", took_s, service=self._service
-        )
-        logs.event(
-            self._front.log,
-            "request_answered",
-            request_id=self._terms.request_id,
-            route=self._route.name,
-            service=self._service,
-            status=answer.status,
+        self._events.answered(
+            answer.status,
             cause=cause,
-            target=None if target is None else target.record.id,
+            target=target,
             sendings=self._sendings,
-            took_ms=int(took_s * 1000.0),
-            repeats_left=round(self._front.budget.left(self._service), 1),
+            took_s=took_s,
+            repeats_left=self._front.budget.left(self._service),
         )
         return answer
-
-
-def _passed_on(answer: http_answer.HttpAnswer) -> http_answer.HttpAnswer:
-    return http_answer.HttpAnswer(
-        status=answer.status,
-        headers=http_answer.end_to_end(answer.headers),
-        body=answer.body,
-    )
