Tell a loss in the middle of the work on a used connection

Cause, found by reading: a safe request whose used connection was reset was sent again without being counted, also when the target was already at work; with answers lost at many targets this exceeds the budget. A store that answers without a revision would be asked without a wait. Change: only a reset within 50 ms counts as a dropped idle connection; such an answer of the store counts as an outage. Measured: test_loss_in_the_middle_of_the_work_is_told fails without the change.

--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -26,6 +26,9 @@
 # meets such a drop may have run; those that must not run twice go only over
 # connections that were in use a moment ago.
 UNSAFE_IDLE_S = 0.15
+# A dropped idle connection is reset within a crossing or two, in seconds; one
+# that ends later may have been cut off in the middle of the work.
+STALE_S = 0.05
 # Idle connections kept for a target, and the part of the connections that a
 # target accepts which the idle ones of all fronts may take.
 MAX_IDLE = 2
@@ -90,6 +93,7 @@
         max_idle_s = DEFAULT_IDLE_S * 10 if is_idempotent else UNSAFE_IDLE_S
         connection = self._take(target.key, max_idle_s)
         is_reused = connection is not None
+        started_s = self._clock.now()
         if connection is None:
             try:
                 connection = await self._open(target)
@@ -98,7 +102,11 @@
         result = await self._exchange(
             connection, target, request, request_id, deadline_s
         )
-        is_stale = is_reused and result.outcome is outcomes.Outcome.LOST
+        is_stale = (
+            is_reused
+            and result.outcome is outcomes.Outcome.LOST
+            and self._clock.now() - started_s < STALE_S
+        )
         if is_stale and is_idempotent:
             # The target has dropped the idle connection.
             self._forget(target.key)
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -108,6 +108,9 @@
         batch = await self._store.watch(
             self._prefix, after_revision=after, timeout_s=WATCH_S
         )
+        if batch.revision <= 0:
+            # A watch could not go on from there, and a list is no wait.
+            raise errors.StoreUnavailable("an answer without a revision")
         self._reached()
         self._revision = batch.revision
         if after == 0:
--- a/tests/test_pooled_sender.py
+++ b/tests/test_pooled_sender.py
@@ -288,6 +288,20 @@
         self.assertIs(Outcome.ANSWERED, result.outcome)
         self.assertEqual(2, self.accepted)
 
+    async def test_loss_in_the_middle_of_the_work_is_told(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(answer("q1"))
+            await read_request(reader)
+            await asyncio.sleep(3.0 * pooled_sender.STALE_S)
+            reset(writer)
+
+        target = await self.target(script)
+        await self.send(target, "q1")
+        result = await self.send(target, "q2")
+        self.assertIs(Outcome.LOST, result.outcome)
+        self.assertEqual(1, self.accepted)
+
     async def test_unsafe_request_avoids_idle_connections(self):
         async def script(reader, writer):
             await read_request(reader)
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -238,6 +238,18 @@
 
         self.play(script)
 
+    def test_store_without_a_revision_is_not_asked_without_waits(self):
+        async def main():
+            world = World()
+            world.store.revision = 0
+            await world.start()
+            await asyncio.sleep(2.0)
+            self.assertLess(world.store.calls, 20)
+            self.assertFalse(world.follower.has_listed)
+            world.timers.close()
+
+        virtual_loop.run(main())
+
     def test_unreadable_entries_name_no_target(self):
         async def script(world):
             good = json.loads(entry("t3"))["spec"]
