--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -182,6 +182,18 @@
         handle(behave)
         self.assertEqual(2, len(sent))
 
+    def test_running_hedge_counts_as_a_target(self):
+        def behave(target, count):
+            sent.append(target.record.id)
+            if len(sent) == 1:
+                return 0.9, front_fakes.result(Outcome.FAILED, 500)
+            return 0.6, front_fakes.answered()
+
+        sent = []
+        answer, _, _, _ = handle(behave)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(sent))
+
     def test_timeout_of_the_route_ends_the_request(self):
         answer, took_s, sender, _ = handle(
             lambda target, count: (10.0, front_fakes.answered()),
