--- /dev/null
+++ b/bench/front_fakes.py
@@ -0,0 +1,269 @@
+"""Parts of a front with fakes in place of the network and the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+from bench import virtual_loop
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import crash_suspects
+from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import evidence_book
+from fuchsiacourse.front import forwarder as forwarders
+from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import placement
+from fuchsiacourse.front import repeat_budget
+from fuchsiacourse.front import route as routes
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import sending
+from fuchsiacourse.front import service_times
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.front import target_record
+from fuchsiacourse.front import target_table
+from fuchsiacourse import logs
+from fuchsiacourse.platform import wire_headers
+
+HOST = "callers.example"
+SERVICE = "larder"
+ZONES = {"a": "east", "b": "east", "c": "west"}
+_OK = 200
+
+
+class ManualClock(clocks.Clock):
+    """Clock that stands still until it is set."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def now(self) -> float:
+        """Returns the set time in seconds."""
+        return self.now_s
+
+    def wall(self) -> float:
+        """Returns the set time as Unix time in seconds."""
+        return virtual_loop.START_WALL_S + self.now_s
+
+    async def sleep(self, delay_s: float) -> None:
+        """Moves the time on."""
+        self.now_s += delay_s
+
+
+def bounds(**changes: float) -> front_settings.Bounds:
+    """Returns bounds with some values changed."""
+    values = {
+        "stop_s": 6.0,
+        "drain_s": 2.0,
+        "repeat_share": 0.2,
+        "repeat_extra": 60.0,
+        "repeat_window_s": 10.0,
+        "max_address_ttl_s": 5.0,
+        "floor_share": 0.7,
+    }
+    return front_settings.Bounds(**{**values, **changes})
+
+
+def settings(
+    ip: str = "10.0.0.1", zone: str = "a", seeds: tuple[str, ...] = ()
+) -> front_settings.FrontSettings:
+    """Returns the settings of a front."""
+    return front_settings.FrontSettings(
+        name=f"front-{ip}",
+        ip=ip,
+        availability_zone=zone,
+        region=ZONES[zone],
+        regions_by_zone=ZONES,
+        front_address=(ip, 8000),
+        ready_address=(ip, 8001),
+        directory_address=(ip, 8002),
+        control_address=(ip, 8003),
+        peer_port=7000,
+        metrics_address=None,
+        seeds=tuple((seed, 8003) for seed in seeds),
+        store_address=("10.0.9.9", 9000),
+        cores=1.0,
+        bounds=bounds(),
+    )
+
+
+def record(id: str, **changes: typing.Any) -> target_record.TargetRecord:
+    """Returns the registration of a target with some values changed."""
+    values = {
+        "id": id,
+        "service": SERVICE,
+        "address": ("10.0.8.1", 9100),
+        "availability_zone": "a",
+        "slots": 3,
+        "is_draining": False,
+        "cold_s": 0.0,
+        "started_ms": 1,
+    }
+    return target_record.TargetRecord(**{**values, **changes})
+
+
+def route(**changes: typing.Any) -> routes.Route:
+    """Returns a route with some values changed."""
+    values = {
+        "name": "r-1",
+        "host": HOST,
+        "path_prefix": "/work/",
+        "is_idempotent": True,
+        "timeout_s": 2.0,
+        "objective_s": 1.0,
+        "max_targets": 2,
+        "priority": 1,
+        "weights_by_service": {SERVICE: 1.0},
+    }
+    return routes.Route(**{**values, **changes})
+
+
+def config(*found: routes.Route, version: int = 1) -> route_table.RouteTable:
+    """Returns a configuration with some routes."""
+    return route_table.RouteTable(
+        version=version,
+        routes=list(found),
+        limits=route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=100_000,
+            head_timeout_s=3.0,
+            idle_timeout_s=15.0,
+        ),
+        connection_caps_by_service={},
+    )
+
+
+def request(
+    path: str = "/work/1",
+    *,
+    id: str = "q1",
+    deadline_ms: int = 2000,
+    received_s: float = 0.0,
+    body: bytes = b"",
+) -> http_request.HttpRequest:
+    """Returns a request of a caller."""
+    return http_request.HttpRequest(
+        method=b"POST",
+        target=path.encode(),
+        headers=[
+            (b"host", HOST.encode()),
+            (b"x-fuchsiacourse-request-id", id.encode()),
+            (b"x-fuchsiacourse-request-deadline", b"%d" % deadline_ms),
+        ],
+        body=body,
+        received_s=received_s,
+        keeps_alive=True,
+    )
+
+
+class FakeSender(sending.TargetSender):
+    """Targets that behave as a function says.
+
+    Args:
+        behave: Called with the target and the number of its sendings so
+            far; returns the seconds until the end and the result.
+    """
+
+    def __init__(
+        self,
+        behave: typing.Callable[
+            [targets.Target, int], tuple[float, sending.SendResult]
+        ],
+    ) -> None:
+        self._behave = behave
+        self.sent_ids: list[str] = []
+        self.cancelled_ids: list[str] = []
+
+    async def send(
+        self,
+        target: targets.Target,
+        request: http_request.HttpRequest,
+        *,
+        request_id: str,
+        deadline_s: float,
+        is_idempotent: bool,
+    ) -> sending.SendResult:
+        """Waits and returns what the function says."""
+        id = target.record.id
+        count = self.sent_ids.count(id)
+        self.sent_ids.append(id)
+        wait_s, result = self._behave(target, count)
+        try:
+            await asyncio.sleep(wait_s)
+        except asyncio.CancelledError:
+            self.cancelled_ids.append(id)
+            raise
+        return result
+
+
+def result(
+    outcome: outcomes.Outcome, status: int | None = None
+) -> sending.SendResult:
+    """Returns the end of a sending."""
+    answer = None
+    if status is not None:
+        answer = http_answer.HttpAnswer(
+            status=status, headers=[(b"x-from", b"target")], body=b"whole"
+        )
+    return sending.SendResult(outcome=outcome, answer=answer)
+
+
+def answered() -> sending.SendResult:
+    """Returns the end of a successful sending."""
+    return result(outcomes.Outcome.ANSWERED, _OK)
+
+
+def forwarder(
+    sender: sending.TargetSender,
+    *records: target_record.TargetRecord,
+    clock: clocks.Clock | None = None,
+    seed: int = 1,
+    tell: evidence_book.Tell | None = None,
+    **bound_changes: float,
+) -> forwarders.Forwarder:
+    """Returns a forwarder of a front in zone ``a``."""
+    used = virtual_loop.VirtualClock() if clock is None else clock
+    log = logs.silent()
+    rng = random.Random(seed)
+    table = target_table.TargetTable(clock=used, log=log)
+    times = service_times.ServiceTimes()
+    budget = repeat_budget.RepeatBudget(
+        clock=used, bounds=bounds(**bound_changes), regions=1
+    )
+    suspects = crash_suspects.CrashSuspects(clock=used)
+    for item in records:
+        table.put(item)
+
+    def ignore(evidence: evidences.Evidence) -> None:
+        """Tells nobody."""
+
+    return forwarders.Forwarder(
+        clock=used,
+        rng=rng,
+        protocol=wire_headers.WireHeaders(),
+        table=table,
+        place=placement.Placement(
+            clock=used,
+            rng=rng,
+            availability_zone="a",
+            regions_by_zone=ZONES,
+            times=times,
+        ),
+        book=evidence_book.EvidenceBook(
+            clock=used,
+            table=table,
+            budget=budget,
+            times=times,
+            suspects=suspects,
+            tell=tell or ignore,
+            log=log,
+        ),
+        budget=budget,
+        times=times,
+        suspects=suspects,
+        sender=sender,
+        log=log,
+    )
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -125,7 +125,13 @@
             return None
 
     def serving(self, zone: int) -> list[str]:
-        """Returns the IP numbers of a zone's fronts that serve callers."""
+        """Returns the IP numbers of a zone's fronts that serve callers.
+
+        Of zones in other regions too little is heard to name any.
+        """
+        region = self._settings.regions_by_zone[self._zones[zone]]
+        if region != self._settings.region:
+            return []
         now_s = self._clock.now()
         limit_s = ALIVE_S if zone == self._zone else FAR_ALIVE_S
         return [
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -93,6 +93,8 @@
                     revision=self._revision,
                     error=str(error),
                 )
+                if self._revision == 0:
+                    await self.clock.sleep(self._backoff.next())
                 self._revision = 0
             except errors.StoreRefused as error:
                 self._lost(error)
--- /dev/null
+++ b/tests/test_answer_parser.py
@@ -0,0 +1,65 @@
+"""Tests of the parser of answers."""
+
+import unittest
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import answer_parser
+
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+class AnswerParserTest(unittest.TestCase):
+    """Only whole answers may be taken."""
+
+    def setUp(self) -> None:
+        self.parser = answer_parser.AnswerParser(max_bytes=100)
+
+    def test_framed_answer(self):
+        self.parser.feed(OK + b"Content-Length: 3\r\n\r\nab")
+        self.assertEqual(0, len(self.parser.answers))
+        self.assertTrue(self.parser.has_begun)
+        self.parser.feed(b"c")
+        self.assertEqual(b"abc", self.parser.answers[0].body)
+        self.assertFalse(self.parser.has_begun)
+        self.assertFalse(self.parser.closes)
+
+    def test_framed_answer_that_is_cut_off_is_not_whole(self):
+        self.parser.feed(OK + b"Content-Length: 3\r\n\r\nab")
+        self.parser.end()
+        self.assertEqual(0, len(self.parser.answers))
+
+    def test_answer_without_length_ends_with_an_orderly_close(self):
+        self.parser.feed(OK + b"\r\nab")
+        self.assertEqual(0, len(self.parser.answers))
+        self.parser.end()
+        self.assertEqual(b"ab", self.parser.answers[0].body)
+        self.assertTrue(self.parser.closes)
+
+    def test_chunked_answer(self):
+        self.parser.feed(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+        )
+        self.assertEqual(b"ab", self.parser.answers[0].body)
+
+    def test_informational_answer_is_dropped(self):
+        self.parser.feed(
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            + OK
+            + b"Content-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(
+            [200], [answer.status for answer in self.parser.answers]
+        )
+
+    def test_bytes_that_are_no_answer(self):
+        with self.assertRaises(errors.TargetBadAnswer):
+            self.parser.feed(b"\0\1\2 not http\r\n\r\n")
+
+    def test_garbage_behind_an_answer_does_not_spoil_it(self):
+        self.parser.feed(OK + b"Content-Length: 1\r\n\r\na\0\0garbage")
+        self.assertEqual(1, len(self.parser.answers))
+        self.assertTrue(self.parser.closes)
+
+    def test_answer_that_is_too_large(self):
+        with self.assertRaises(errors.TargetBadAnswer):
+            self.parser.feed(OK + b"Content-Length: 200\r\n\r\n" + b"x" * 200)
--- /dev/null
+++ b/tests/test_caller_connection.py
@@ -0,0 +1,142 @@
+"""Tests of callers' connections over loopback."""
+
+import asyncio
+import unittest
+
+from bench import front_fakes
+from fuchsiacourse.front import caller_server
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import route_table
+from fuchsiacourse import system_clock
+
+GET = b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Each request must get its own whole answer, in order."""
+
+    async def asyncSetUp(self) -> None:
+        self.limits = front_fakes.config().limits
+        self.presences = []
+        self.failures: list[Exception] = []
+        self.release = asyncio.Event()
+        self.release.set()
+        self.server = caller_server.CallerServer(
+            clock=system_clock.SystemClock(),
+            address=("127.0.0.1", 0),
+            handler=self.handle,
+            limits=lambda: self.limits,
+            on_error=self.failures.append,
+        )
+        await self.server.start()
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.server.address
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        self.release.set()
+        self.server.stop_listening()
+        self.server.close_idle()
+        while self.server.busy:
+            await asyncio.sleep(0.01)
+
+    async def handle(self, request, presence):
+        self.presences.append(presence)
+        await self.release.wait()
+        if request.path == "/fail":
+            raise ValueError("broken handler")
+        return http_answer.HttpAnswer(
+            status=200,
+            headers=[(b"x-signature", b"s")],
+            body=request.path.encode(),
+        )
+
+    async def read_answer(self) -> tuple[bytes, bytes]:
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split()[0])
+        return head, await self.reader.readexactly(length)
+
+    async def test_pipelined_requests(self):
+        self.writer.write(GET % b"1" + GET % b"2")
+        self.assertEqual(b"/1", (await self.read_answer())[1])
+        self.assertEqual(b"/2", (await self.read_answer())[1])
+
+    async def test_malformed_request_is_answered_and_closed(self):
+        self.writer.write(b"nonsense\r\n\r\n")
+        head, _ = await self.read_answer()
+        self.assertIn(b" 400 ", head)
+        self.assertEqual(b"", await self.reader.read())
+        self.assertEqual([], self.presences)
+
+    async def test_malformed_request_behind_another(self):
+        self.writer.write(GET % b"1" + b"nonsense\r\n\r\n")
+        self.assertEqual(b"/1", (await self.read_answer())[1])
+        self.assertIn(b" 400 ", (await self.read_answer())[0])
+        self.assertEqual(b"", await self.reader.read())
+
+    async def test_failure_of_the_handler_is_answered_and_told(self):
+        self.writer.write(GET % b"fail")
+        self.assertIn(b" 500 ", (await self.read_answer())[0])
+        self.assertEqual(1, len(self.failures))
+
+    async def test_presence_ends_when_the_caller_leaves(self):
+        self.release.clear()
+        self.writer.write(GET % b"1")
+        while not self.presences:
+            await asyncio.sleep(0.01)
+        self.assertFalse(self.presences[0].has_left)
+        self.writer.close()
+        await asyncio.wait_for(self.presences[0].left, 1.0)
+
+    async def test_slow_head_is_408(self):
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=100,
+            head_timeout_s=0.05,
+            idle_timeout_s=15.0,
+        )
+        self.writer.write(b"GET /1 HTTP/1.1\r\nHo")
+        await asyncio.sleep(0.1)
+        self.server.sweep()
+        self.assertIn(b" 408 ", (await self.read_answer())[0])
+
+    async def test_idle_connection_is_closed_after_the_limit_only(self):
+        self.writer.write(GET % b"1")
+        await self.read_answer()
+        self.server.sweep()
+        self.writer.write(GET % b"2")
+        self.assertEqual(b"/2", (await self.read_answer())[1])
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=100,
+            head_timeout_s=3.0,
+            idle_timeout_s=0.05,
+        )
+        await asyncio.sleep(0.1)
+        self.server.sweep()
+        self.assertEqual(b"", await self.reader.read())
+
+    async def test_stop_finishes_the_request_and_closes(self):
+        self.release.clear()
+        self.writer.write(GET % b"1")
+        while not self.server.busy:
+            await asyncio.sleep(0.01)
+        self.server.is_stopping = True
+        self.server.stop_listening()
+        self.server.close_idle()
+        self.release.set()
+        head, body = await self.read_answer()
+        self.assertIn(b"connection: close", head.lower())
+        self.assertEqual(b"/1", body)
+        self.assertEqual(b"", await self.reader.read())
+
+    async def test_expectation_is_met(self):
+        self.writer.write(
+            b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        line = await self.reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"100 Continue", line)
+        self.writer.write(b"ab")
+        self.assertEqual(b"/1", (await self.read_answer())[1])
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,221 @@
+"""Tests of what fronts tell each other."""
+
+import asyncio
+import random
+import unittest
+
+from bench import fake_datagrams
+from bench import fake_links
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse.front import directory
+from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import fleet as fleets
+from fuchsiacourse.front import fleet_packet
+from fuchsiacourse.front import front_status
+from fuchsiacourse.front import outcome
+from fuchsiacourse import logs
+from fuchsiacourse import timers as timer_services
+
+SEEDS = ("10.0.0.1", "10.0.1.1")
+
+
+class Front:
+    """One front on a fake network."""
+
+    def __init__(
+        self, ip: str, zone: str, network, *, incarnation: int = 1
+    ) -> None:
+        clock = virtual_loop.VirtualClock()
+        rng = random.Random(ip)
+        self.heard: list[tuple[evidences.Evidence, str, bool]] = []
+        self.status = front_status.FrontStatus(
+            is_ready=True, is_leaving=False, config_version=3, store_s=9.0
+        )
+        self.failures: list[Exception] = []
+        self.timers = timer_services.Timers(
+            clock=clock, rng=rng, on_error=self.failures.append
+        )
+        settings = front_fakes.settings(ip, zone, SEEDS)
+        self.fleet = fleets.Fleet(
+            clock=clock,
+            timers=self.timers,
+            rng=rng,
+            datagram=network.endpoint(f"{ip}:7000"),
+            settings=settings,
+            incarnation=incarnation,
+            status=lambda: self.status,
+            log=logs.silent(),
+        )
+        self.directory = directory.Directory(
+            settings=settings,
+            fleet=self.fleet,
+            is_serving=lambda: self.status.is_ready,
+        )
+        self.fleet.start(lambda *item: self.heard.append(item))
+
+    def addresses(self, zone: str) -> set[str]:
+        answer = self.directory.resolve(
+            availability_zone=zone, region=front_fakes.ZONES.get(zone, "")
+        )
+        return {ip for ip, _ in answer.addresses}
+
+
+def evidence(key: int = 7) -> evidences.Evidence:
+    return evidences.Evidence(
+        target_key=key,
+        outcome=outcome.Outcome.FAILED,
+        kind=evidences.SendKind.REPEAT,
+        in_flight=2,
+        took_s=0.25,
+        reported=3,
+        fingerprint=99,
+    )
+
+
+class FleetTest(unittest.TestCase):
+    """Fronts must find each other and hear what others see."""
+
+    def play(self, script) -> None:
+        async def main():
+            links = fake_links.FakeLinks(rng=random.Random(3))
+            network = fake_datagrams.FakeDatagrams(links=links)
+            self.fronts = {}
+            for zone, third in (("a", 0), ("b", 1), ("c", 2)):
+                for last in range(1, 5):
+                    ip = f"10.0.{third}.{last}"
+                    self.fronts[ip] = Front(ip, zone, network)
+            await asyncio.sleep(4.0)
+            await script(network)
+            for front in self.fronts.values():
+                self.assertEqual([], front.failures)
+                front.timers.close()
+
+        virtual_loop.run(main())
+
+    def zone(self, third: int) -> set[str]:
+        return {f"10.0.{third}.{last}" for last in range(1, 5)}
+
+    def test_callers_get_the_fronts_of_their_zone(self):
+        async def script(network):
+            for ip, front in self.fronts.items():
+                own = int(ip.split(".")[2])
+                for third, zone in enumerate("abc"):
+                    is_near = (own < 2) == (third < 2)
+                    named = self.zone(third if is_near else own)
+                    self.assertEqual(named, front.addresses(zone), ip)
+
+        self.play(script)
+
+    def test_front_that_is_silent_or_leaving_is_not_named(self):
+        async def script(network):
+            self.fronts["10.0.0.2"].timers.close()
+            leaving = self.fronts["10.0.0.3"]
+            leaving.status.is_leaving = True
+            leaving.status.is_ready = False
+            leaving.fleet.announce()
+            await asyncio.sleep(0.05)
+            self.assertNotIn(
+                "10.0.0.3", self.fronts["10.0.0.1"].addresses("a")
+            )
+            await asyncio.sleep(fleets.ALIVE_S + 0.1)
+            self.assertEqual(
+                {"10.0.0.1", "10.0.0.4"},
+                self.fronts["10.0.0.1"].addresses("a"),
+            )
+
+        self.play(script)
+
+    def test_evidence_reaches_the_region_once_and_no_other(self):
+        async def script(network):
+            self.fronts["10.0.0.2"].fleet.tell(evidence())
+            await asyncio.sleep(0.1)
+            for ip, front in self.fronts.items():
+                expected = 0 if ip == "10.0.0.2" else 1
+                if ip.startswith("10.0.2"):
+                    expected = 0
+                self.assertEqual(expected, len(front.heard), ip)
+            item, source, is_near = self.fronts["10.0.0.1"].heard[0]
+            self.assertEqual(("10.0.0.2", True), (source, is_near))
+            self.assertEqual(evidence().took_s, item.took_s)
+            self.assertFalse(self.fronts["10.0.1.1"].heard[0][2])
+
+        self.play(script)
+
+    def test_restarted_front_is_known_again_with_its_seeds_down(self):
+        async def script(network):
+            for ip in SEEDS:
+                self.fronts[ip].timers.close()
+            self.fronts["10.0.0.3"].timers.close()
+            await asyncio.sleep(2.0)
+            self.fronts["10.0.0.3"] = Front(
+                "10.0.0.3", "a", network, incarnation=2
+            )
+            await asyncio.sleep(1.0)
+            self.assertIn("10.0.0.4", self.fronts["10.0.0.3"].addresses("a"))
+            self.assertIn("10.0.0.3", self.fronts["10.0.0.4"].addresses("a"))
+
+        self.play(script)
+
+    def test_old_incarnation_is_not_heard(self):
+        async def script(network):
+            front = self.fronts["10.0.0.1"]
+            member = front.fleet.by_ip["10.0.0.2"]
+            member.incarnation = 5
+            member.is_ready = False
+            await asyncio.sleep(1.0)
+            self.assertFalse(member.is_ready)
+
+        self.play(script)
+
+    def test_store_contact_of_others_is_known(self):
+        async def script(network):
+            self.assertEqual(9.0, self.fronts["10.0.0.1"].fleet.store_s())
+
+        self.play(script)
+
+
+class FleetPacketTest(unittest.TestCase):
+    """Packets must survive their coding, other bytes must be refused."""
+
+    def packet(self) -> fleet_packet.FleetPacket:
+        return fleet_packet.FleetPacket(
+            ip="10.1.2.3",
+            zone=2,
+            incarnation=77,
+            config_version=12,
+            store_s=3.4,
+            is_ready=True,
+            is_leaving=False,
+            is_relayed=True,
+            asks_members=True,
+            evidence=[evidence(1), evidence(2**64 - 1)],
+            members=[("10.9.8.7", 1)],
+        )
+
+    def test_round_trip(self):
+        sent = self.packet()
+        got = fleet_packet.decode(sent.encode())
+        for name in fleet_packet.FleetPacket.__slots__:
+            if name != "evidence":
+                self.assertEqual(getattr(sent, name), getattr(got, name), name)
+        for name in evidences.Evidence.__slots__:
+            self.assertEqual(
+                [getattr(item, name) for item in sent.evidence],
+                [getattr(item, name) for item in got.evidence],
+                name,
+            )
+
+    def test_cut_and_foreign_packets(self):
+        data = self.packet().encode()
+        for length in range(len(data)):
+            with self.assertRaises(errors.PeerError):
+                fleet_packet.decode(data[:length])
+        with self.assertRaises(errors.PeerError):
+            fleet_packet.decode(b"XX" + data[2:])
+
+    def test_packet_of_evidence_fits_a_frame(self):
+        full = self.packet()
+        full.evidence = [evidence()] * fleet_packet.MAX_EVIDENCE
+        self.assertLess(len(full.encode()), 1472)
--- /dev/null
+++ b/tests/test_health_estimate.py
@@ -0,0 +1,58 @@
+"""Tests of the estimate of a target's health."""
+
+import unittest
+
+from fuchsiacourse.front import health_estimate
+from fuchsiacourse.front import outcome
+
+ANSWERED = outcome.Outcome.ANSWERED
+FAILED = outcome.Outcome.FAILED
+
+
+class HealthEstimateTest(unittest.TestCase):
+    """Evidence must move the estimate, and time must return it."""
+
+    def setUp(self) -> None:
+        self.estimate = health_estimate.HealthEstimate(now_s=0.0)
+
+    def test_failures_raise_and_answers_lower_it(self):
+        self.estimate.observe(FAILED, 0.1)
+        after_one = self.estimate.probability(0.1)
+        self.estimate.observe(FAILED, 0.2)
+        after_two = self.estimate.probability(0.2)
+        self.estimate.observe(ANSWERED, 0.3, took_s=0.05)
+        self.assertGreater(after_one, 0.5)
+        self.assertGreater(after_two, 0.95)
+        self.assertLess(self.estimate.probability(0.3), after_two)
+
+    def test_old_evidence_fades_to_the_share_of_sick_targets(self):
+        self.estimate.observe(FAILED, 0.0)
+        much_later_s = 20.0 * health_estimate.MEMORY_S
+        self.assertAlmostEqual(
+            self.estimate.probability(much_later_s),
+            health_estimate.SICK_SHARE,
+            places=3,
+        )
+
+    def test_answer_to_a_request_sent_before_the_failure_is_no_news(self):
+        self.estimate.observe(FAILED, 1.0)
+        suspected = self.estimate.probability(1.0)
+        self.estimate.observe(ANSWERED, 1.1, took_s=0.3)
+        self.assertGreater(self.estimate.probability(1.1), suspected - 0.02)
+
+    def test_one_outcome_can_change_any_belief(self):
+        for step in range(50):
+            self.estimate.observe(ANSWERED, step * 0.01)
+        for step in range(3):
+            self.estimate.observe(FAILED, 1.0 + step * 0.01)
+        self.assertGreater(self.estimate.probability(1.1), 0.9)
+
+    def test_cancelled_sendings_tell_nothing(self):
+        before = self.estimate.probability(0.5)
+        self.estimate.observe(outcome.Outcome.CANCELLED, 0.5)
+        self.assertEqual(before, self.estimate.probability(0.5))
+
+    def test_first_outcome_ends_the_trial(self):
+        self.assertTrue(self.estimate.is_untried)
+        self.estimate.observe(ANSWERED, 0.1)
+        self.assertFalse(self.estimate.is_untried)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,101 @@
+"""Tests of the choice of targets."""
+
+import collections
+import random
+import unittest
+
+from bench import front_fakes
+from fuchsiacourse.front import outcome
+from fuchsiacourse.front import placement
+from fuchsiacourse.front import service_times
+from fuchsiacourse.front import target as targets
+
+
+class PlacementTest(unittest.TestCase):
+    """The target with the lowest expected loss must win."""
+
+    def setUp(self) -> None:
+        self.clock = front_fakes.ManualClock()
+        times = service_times.ServiceTimes()
+        times.add(front_fakes.SERVICE, 0.3)
+        self.place = placement.Placement(
+            clock=self.clock,
+            rng=random.Random(1),
+            availability_zone="a",
+            regions_by_zone=front_fakes.ZONES,
+            times=times,
+        )
+
+    def target(self, id: str, zone: str = "a", **changes) -> targets.Target:
+        made = targets.Target(
+            record=front_fakes.record(id, availability_zone=zone, **changes),
+            now_s=self.clock.now(),
+        )
+        made.health.observe(
+            outcome.Outcome.ANSWERED, self.clock.now(), took_s=0.3
+        )
+        return made
+
+    def choose(self, *found: targets.Target, is_repeatable=False, avoid=()):
+        return self.place.choose(
+            found, objective_s=1.0, is_repeatable=is_repeatable, avoid=avoid
+        )
+
+    def test_sick_target_is_left_for_a_well_one(self):
+        sick, well = self.target("sick"), self.target("well", zone="b")
+        sick.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        for _ in range(20):
+            self.assertIs(well, self.choose(sick, well))
+
+    def test_own_zone_then_region_then_the_rest(self):
+        near, zone, far = (
+            self.target("near"),
+            self.target("zone", zone="b"),
+            self.target("far", zone="c"),
+        )
+        self.assertIs(near, self.choose(far, zone, near))
+        self.assertIs(zone, self.choose(far, zone))
+        self.assertIs(far, self.choose(far))
+
+    def test_other_region_is_used_rather_than_failing(self):
+        sick, far = self.target("sick"), self.target("far", zone="c")
+        for _ in range(2):
+            sick.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        self.assertIs(far, self.choose(sick, far))
+
+    def test_leaving_and_misplaced_targets_get_nothing(self):
+        leaving = self.target("leaving", is_draining=True)
+        misplaced = self.target("misplaced")
+        misplaced.is_misplaced = True
+        self.assertIsNone(self.choose(leaving, misplaced))
+
+    def test_full_target_is_left_for_one_with_room(self):
+        full, free = self.target("full"), self.target("free", zone="b")
+        full.load.change(6, self.clock.now())
+        self.assertIs(free, self.choose(full, free))
+
+    def test_requests_spread_over_equal_targets(self):
+        found = [self.target(f"t{number}") for number in range(4)]
+        counts = collections.Counter()
+        for _ in range(40):
+            chosen = self.choose(*found)
+            chosen.load.change(1, self.clock.now())
+            counts[chosen.record.id] += 1
+        self.assertEqual({10}, set(counts.values()))
+
+    def test_target_that_has_joined_is_tried(self):
+        joined = targets.Target(
+            record=front_fakes.record("joined"), now_s=self.clock.now()
+        )
+        known = self.target("known")
+        self.assertIs(joined, self.choose(known, joined))
+
+    def test_tried_target_is_used_again_only_without_others(self):
+        first, other = self.target("first"), self.target("other", zone="c")
+        self.assertIs(other, self.choose(first, other, avoid=[first]))
+        self.assertIs(first, self.choose(first, avoid=[first]))
+
+    def test_cut_path_of_this_front_counts(self):
+        cut, well = self.target("cut"), self.target("well", zone="b")
+        cut.reach.observe(outcome.Outcome.UNREACHED, self.clock.now())
+        self.assertIs(well, self.choose(cut, well))
--- /dev/null
+++ b/tests/test_pooled_sender.py
@@ -0,0 +1,288 @@
+"""Tests of sendings to targets over loopback."""
+
+import asyncio
+import socket
+import struct
+import typing
+import unittest
+
+from bench import front_fakes
+from fuchsiacourse.front import outcome
+from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.platform import wire_headers
+from fuchsiacourse import system_clock
+
+Outcome = outcome.Outcome
+Script = typing.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], typing.Awaitable[None]
+]
+
+
+def answer(
+    id: str,
+    body: bytes = b"whole",
+    status: str = "200 OK",
+    *,
+    headers: str = "",
+    is_signed: bool = True,
+) -> bytes:
+    """Returns the bytes of a target's answer."""
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+    if id:
+        lines.append(f"X-Fuchsiacourse-Request-Id: {id}")
+    if is_signed:
+        lines.append("X-Fuchsiacourse-Response-Signature: s")
+    return ("\r\n".join(lines) + f"\r\n{headers}\r\n").encode() + body
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    """Returns the head of the next request."""
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+class PooledSenderTest(unittest.IsolatedAsyncioTestCase):
+    """The outcome must say what is certain of a request."""
+
+    async def asyncSetUp(self) -> None:
+        self.sender = pooled_sender.PooledSender(
+            clock=system_clock.SystemClock(),
+            protocol=wire_headers.WireHeaders(),
+        )
+        self.server: asyncio.Server | None = None
+        self.accepted = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def asyncTearDown(self) -> None:
+        self.sender.close()
+        for writer in self.writers:
+            writer.close()
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+
+    async def target(self, script: Script) -> targets.Target:
+        """Starts a target that serves each connection by a script."""
+
+        async def serve(reader, writer):
+            self.accepted += 1
+            self.writers.append(writer)
+            try:
+                await script(reader, writer)
+            except (
+                OSError,
+                asyncio.CancelledError,
+                asyncio.IncompleteReadError,
+            ):
+                # The sender has closed the connection, or the test is over.
+                writer.close()
+
+        self.server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = self.server.sockets[0].getsockname()
+        record = front_fakes.record("t1", address=address)
+        return targets.Target(record=record, now_s=0.0)
+
+    async def send(
+        self,
+        target: targets.Target,
+        id: str = "q1",
+        *,
+        is_idempotent: bool = True,
+        wait_s: float = 1.0,
+    ):
+        now_s = asyncio.get_running_loop().time()
+        return await self.sender.send(
+            target,
+            front_fakes.request(id=id),
+            request_id=id,
+            deadline_s=now_s + wait_s,
+            is_idempotent=is_idempotent,
+        )
+
+    async def outcome_of(self, data: bytes, **options) -> Outcome:
+        """Returns the outcome for a target that sends bytes and closes."""
+
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(data)
+            await writer.drain()
+            writer.close()
+
+        return (await self.send(await self.target(script), **options)).outcome
+
+    async def test_request_carries_target_and_time_left(self):
+        heads = []
+
+        async def script(reader, writer):
+            heads.append((await read_request(reader)).decode().lower())
+            writer.write(answer("q1"))
+
+        result = await self.send(await self.target(script))
+        self.assertIs(Outcome.ANSWERED, result.outcome)
+        self.assertIn("expected-instance: t1\r\n", heads[0])
+        self.assertIn("request-id: q1\r\n", heads[0])
+        left_ms = int(heads[0].split("deadline: ")[1].split("\r")[0])
+        self.assertTrue(900 < left_ms <= 1000, left_ms)
+        self.assertEqual(1, heads[0].count("deadline:"))
+
+    async def test_connection_is_used_again(self):
+        async def script(reader, writer):
+            for id in ("q1", "q2"):
+                await read_request(reader)
+                writer.write(answer(id))
+
+        target = await self.target(script)
+        await self.send(target, "q1")
+        result = await self.send(target, "q2")
+        self.assertIs(Outcome.ANSWERED, result.outcome)
+        self.assertEqual(1, self.accepted)
+
+    async def test_late_answer_to_an_earlier_request_is_dropped(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(answer("q1", b"one"))
+            await read_request(reader)
+            writer.write(answer("q1", b"again") + answer("q2", b"two"))
+
+        target = await self.target(script)
+        await self.send(target, "q1")
+        result = await self.send(target, "q2")
+        self.assertEqual(b"two", result.answer.body)
+
+    async def test_extra_answer_ends_the_connection(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(answer("q1") + answer("q1", b"extra"))
+            await read_request(reader)
+
+        target = await self.target(script)
+        result = await self.send(target, "q1")
+        self.assertEqual(b"whole", result.answer.body)
+        result = await self.send(target, "q1")
+        self.assertEqual(b"whole", result.answer.body)
+        self.assertEqual(2, self.accepted)
+
+    async def test_close_without_an_answer_is_unsure(self):
+        self.assertIs(Outcome.LOST, await self.outcome_of(b""))
+
+    async def test_answer_that_is_cut_off(self):
+        cut = answer("q1")[:-2]
+        self.assertIs(Outcome.BAD_ANSWER, await self.outcome_of(cut))
+
+    async def test_reset_answer_without_length_is_not_whole(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+            writer.write(b"X-Fuchsiacourse-Request-Id: q1\r\n\r\npart")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        result = await self.send(await self.target(script))
+        self.assertIs(Outcome.BAD_ANSWER, result.outcome)
+
+    async def test_unsigned_success_is_not_trusted(self):
+        data = answer("q1", is_signed=False)
+        self.assertIs(Outcome.BAD_ANSWER, await self.outcome_of(data))
+
+    async def test_encoded_success_is_not_the_targets_body(self):
+        data = answer("q1", headers="Content-Encoding: gzip\r\n")
+        self.assertIs(Outcome.BAD_ANSWER, await self.outcome_of(data))
+
+    async def test_success_for_nobody_is_not_taken(self):
+        self.assertIs(Outcome.LOST, await self.outcome_of(answer("")))
+
+    async def test_sure_refusal(self):
+        data = answer(
+            "q1",
+            status="503 Busy",
+            headers="X-Fuchsiacourse-Not-Executed: 1\r\n",
+            is_signed=False,
+        )
+        self.assertIs(Outcome.DECLINED, await self.outcome_of(data))
+
+    async def test_unsure_refusal(self):
+        data = answer("q1", status="503 Busy", is_signed=False)
+        self.assertIs(Outcome.FAILED, await self.outcome_of(data))
+
+    async def test_other_target_at_the_address(self):
+        data = answer("q1", status="421 Misdirected", is_signed=False)
+        self.assertIs(Outcome.MISDIRECTED, await self.outcome_of(data))
+
+    async def test_timeout_at_the_deadline_is_no_failure(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            await asyncio.sleep(0.15)
+            writer.write(answer("q1", status="504 Timeout"))
+
+        result = await self.send(await self.target(script), wait_s=0.2)
+        self.assertIs(Outcome.TIMED_OUT, result.outcome)
+        self.assertIsNotNone(result.answer)
+
+    async def test_silence_ends_with_the_deadline(self):
+        async def script(reader, writer):
+            await reader.read()
+
+        result = await self.send(await self.target(script), wait_s=0.1)
+        self.assertIs(Outcome.TIMED_OUT, result.outcome)
+
+    async def test_cancelled_sending_closes_the_connection(self):
+        closed = asyncio.Event()
+
+        async def script(reader, writer):
+            await read_request(reader)
+            await reader.read()
+            closed.set()
+
+        task = asyncio.ensure_future(self.send(await self.target(script)))
+        while not self.accepted:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.wait_for(closed.wait(), 0.5)
+
+    async def test_refused_connection_has_sent_nothing(self):
+        async def script(reader, writer):
+            writer.close()
+
+        target = await self.target(script)
+        self.server.close()
+        await self.server.wait_closed()
+        result = await self.send(target)
+        self.assertIs(Outcome.UNREACHED, result.outcome)
+
+    async def test_dropped_idle_connection_costs_a_safe_request_nothing(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(answer("q1" if self.accepted == 1 else "q2"))
+            await writer.drain()
+            if self.accepted == 1:
+                await read_request(reader)
+                reset(writer)
+
+        target = await self.target(script)
+        await self.send(target, "q1")
+        result = await self.send(target, "q2")
+        self.assertIs(Outcome.ANSWERED, result.outcome)
+        self.assertEqual(2, self.accepted)
+
+    async def test_unsafe_request_avoids_idle_connections(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(answer("q1" if self.accepted == 1 else "q2"))
+            await reader.read()
+
+        target = await self.target(script)
+        await self.send(target, "q1", is_idempotent=False)
+        await asyncio.sleep(pooled_sender.UNSAFE_IDLE_S + 0.05)
+        result = await self.send(target, "q2", is_idempotent=False)
+        self.assertIs(Outcome.ANSWERED, result.outcome)
+        self.assertEqual(2, self.accepted)
--- /dev/null
+++ b/tests/test_repeat_budget.py
@@ -0,0 +1,57 @@
+"""Tests of the budget for repeats."""
+
+import unittest
+
+from bench import front_fakes
+from fuchsiacourse.front import repeat_budget
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    """Repeats must stay below the operator's share in each window."""
+
+    def setUp(self) -> None:
+        self.clock = front_fakes.ManualClock()
+        self.budget = repeat_budget.RepeatBudget(
+            clock=self.clock, bounds=front_fakes.bounds(), regions=2
+        )
+
+    def spend(self, service: str = "s") -> int:
+        spent = 0
+        while self.budget.left(service) >= 1.0:
+            self.budget.count_repeat(service)
+            spent += 1
+        return spent
+
+    def test_extra_part_is_shared_by_the_regions(self):
+        self.assertLessEqual(self.spend(), 30)
+
+    def test_requests_earn_a_share(self):
+        before = self.budget.left("s")
+        for _ in range(100):
+            self.budget.count_request("s")
+        gained = self.budget.left("s") - before
+        self.assertLessEqual(gained, 0.2 * 100)
+        self.assertGreater(gained, 0.1 * 100)
+
+    def test_spent_budget_returns_after_the_window(self):
+        self.spend()
+        self.clock.now_s += 9.0
+        self.assertLess(self.budget.left("s"), 1.0)
+        self.clock.now_s += 2.0
+        self.assertGreaterEqual(self.budget.left("s"), 1.0)
+
+    def test_any_window_stays_within_the_bound(self):
+        sent: list[tuple[float, int]] = []
+        for step in range(600):
+            self.clock.now_s += 0.1
+            self.budget.count_request("s")
+            sent.append((self.clock.now_s, self.spend()))
+        for start_s, _ in sent:
+            repeats = sum(
+                count for at_s, count in sent if 0 <= at_s - start_s <= 10.0
+            )
+            self.assertLessEqual(repeats, 0.2 * 100 + 30)
+
+    def test_services_have_budgets_of_their_own(self):
+        self.spend("s")
+        self.assertGreaterEqual(self.budget.left("t"), 1.0)
--- /dev/null
+++ b/tests/test_request_parser.py
@@ -0,0 +1,113 @@
+"""Tests of the parser of callers' requests."""
+
+import unittest
+
+from bench import front_fakes
+from fuchsiacourse import errors
+from fuchsiacourse.front import request_parser
+
+HEAD = b"POST /work/1?a=b HTTP/1.1\r\nHost: Callers.Example:80\r\n"
+
+
+class RequestParserTest(unittest.TestCase):
+    """Only requests with one reading may pass."""
+
+    def setUp(self) -> None:
+        self.clock = front_fakes.ManualClock()
+        self.parser = request_parser.RequestParser(
+            clock=self.clock, max_head_bytes=1000, max_body_bytes=5000
+        )
+
+    def rejected(self, data: bytes) -> int:
+        with self.assertRaises(errors.RequestRejected) as caught:
+            self.parser.feed(data)
+        self.assertEqual(0, len(self.parser.requests))
+        return caught.exception.status
+
+    def test_request_in_single_bytes(self):
+        data = HEAD + b"Content-Length: 3\r\n\r\nabc"
+        for number in range(len(data)):
+            self.parser.feed(data[number : number + 1])
+        request = self.parser.requests.popleft()
+        self.assertEqual(b"abc", request.body)
+        self.assertEqual(b"/work/1?a=b", request.target)
+        self.assertEqual("/work/1", request.path)
+        self.assertEqual("callers.example", request.host)
+        self.assertFalse(self.parser.is_reading)
+
+    def test_chunked_body(self):
+        self.parser.feed(
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(b"abcde", self.parser.requests[0].body)
+
+    def test_pipelined_requests_keep_their_order(self):
+        one = b"GET /work/%d HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.parser.feed(one % 1 + one % 2)
+        self.assertEqual(
+            [b"/work/1", b"/work/2"],
+            [request.target for request in self.parser.requests],
+        )
+
+    def test_ambiguous_lengths(self):
+        for headers in (
+            b"Content-Length: 3\r\nContent-Length: 3\r\n",
+            b"Content-Length: 3\r\nContent-Length: 4\r\n",
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: gzip, chunked\r\n",
+            b"Transfer-Encoding: xchunked\r\n",
+            b"Content-Length: +3\r\n",
+            b"Content-Length: 3, 3\r\n",
+            b"Content-Length : 3\r\n",
+        ):
+            with self.subTest(headers=headers):
+                self.setUp()
+                data = HEAD + headers + b"\r\nabc0\r\n\r\n"
+                self.assertEqual(400, self.rejected(data))
+
+    def test_malformed_heads(self):
+        for data in (
+            b"GET http://h/work/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+            b"GET * HTTP/1.1\r\nHost: h\r\n\r\n",
+            b"GET /work/1 HTTP/1.1\r\n\r\n",
+            b"GET /work/1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+            b"GET /work/1 HTTP/1.1\r\nHost: h\r\nA: b\r\n folded\r\n\r\n",
+            b"GET /work/1 HTTP/1.1\r\nHost: h\r\nA: b\0c\r\n\r\n",
+            b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        ):
+            with self.subTest(data=data):
+                self.setUp()
+                self.assertEqual(400, self.rejected(data))
+
+    def test_head_that_is_too_large(self):
+        many = b"".join(b"X-%d: %s\r\n" % (i, b"v" * 50) for i in range(40))
+        self.assertEqual(431, self.rejected(HEAD + many + b"\r\n"))
+
+    def test_endless_header_is_stopped(self):
+        status = 0
+        for _ in range(200):
+            try:
+                self.parser.feed(b"X" * 1000 if status else HEAD + b"X-A: ")
+            except errors.RequestRejected as error:
+                status = error.status
+                break
+            status = 1
+        self.assertEqual(431, status)
+
+    def test_body_that_is_too_large(self):
+        self.assertEqual(
+            413, self.rejected(HEAD + b"Content-Length: 5001\r\n\r\n")
+        )
+        self.setUp()
+        chunk = b"fff\r\n" + b"x" * 0xFFF + b"\r\n"
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        self.assertEqual(413, self.rejected(head + chunk * 2))
+
+    def test_time_of_the_first_byte_is_kept(self):
+        self.parser.feed(HEAD)
+        started_s = self.clock.now_s
+        self.clock.now_s += 2.0
+        self.parser.feed(b"\r\n")
+        self.assertEqual(started_s, self.parser.requests[0].received_s)
--- /dev/null
+++ b/tests/test_request_run.py
@@ -0,0 +1,247 @@
+"""Tests of a request's way from its arrival to its answer."""
+
+import asyncio
+import unittest
+
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import outcome
+
+Outcome = outcome.Outcome
+
+
+def handle(
+    behave,
+    *,
+    targets: int = 3,
+    leaves_after_s: float | None = None,
+    deadline_ms: int = 2000,
+    **changes,
+):
+    """Returns the answer, its time, the sender and the forwarder."""
+
+    async def main():
+        sender = front_fakes.FakeSender(behave)
+        front = front_fakes.forwarder(
+            sender, *(front_fakes.record(f"t{i}") for i in range(targets))
+        )
+        front.config = front_fakes.config(front_fakes.route(**changes))
+        presence = caller_presence.CallerPresence()
+        if leaves_after_s is not None:
+            asyncio.get_running_loop().call_later(
+                leaves_after_s, presence.leave
+            )
+        answer = await front.handle(
+            front_fakes.request(deadline_ms=deadline_ms), presence
+        )
+        took_s = front.clock.now()
+        await asyncio.sleep(0.01)
+        return answer, took_s, sender, front
+
+    return virtual_loop.run(main())
+
+
+class RequestRunTest(unittest.TestCase):
+    """What callers get must be true and in time."""
+
+    def test_answer_of_the_target_is_passed_on(self):
+        answer, _, sender, front = handle(
+            lambda target, count: (0.1, front_fakes.answered())
+        )
+        self.assertEqual((200, b"whole"), (answer.status, answer.body))
+        self.assertEqual(1, len(sender.sent_ids))
+        self.assertEqual(0, front.in_flight)
+
+    def test_safe_request_goes_to_another_target_after_a_failure(self):
+        first = []
+
+        def behave(target, count):
+            first.append(target.record.id)
+            if len(first) == 1:
+                return 0.01, front_fakes.result(Outcome.FAILED, 500)
+            return 0.1, front_fakes.answered()
+
+        answer, _, sender, _ = handle(behave)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(set(sender.sent_ids)))
+
+    def test_unsafe_request_runs_once(self):
+        for item in (Outcome.FAILED, Outcome.LOST, Outcome.BAD_ANSWER):
+            answer, _, sender, _ = handle(
+                lambda target, count, item=item: (
+                    0.01,
+                    front_fakes.result(
+                        item, 500 if item is Outcome.FAILED else None
+                    ),
+                ),
+                is_idempotent=False,
+            )
+            self.assertEqual(1, len(sender.sent_ids), item)
+            self.assertIn(answer.status, (500, 502), item)
+
+    def test_refusal_is_true_and_names_a_time(self):
+        answer, _, sender, _ = handle(
+            lambda target, count: (
+                0.01,
+                front_fakes.result(Outcome.DECLINED, 503),
+            ),
+            is_idempotent=False,
+        )
+        self.assertEqual(503, answer.status)
+        self.assertIsNotNone(answer.header(b"retry-after"))
+        self.assertEqual(2, len(set(sender.sent_ids)))
+
+    def test_unsure_refusal_of_a_target_is_not_passed_on(self):
+        answer, _, _, _ = handle(
+            lambda target, count: (
+                0.01,
+                front_fakes.result(Outcome.FAILED, 503),
+            ),
+            is_idempotent=False,
+        )
+        self.assertEqual(502, answer.status)
+
+    def test_refusal_after_a_possible_run_is_none(self):
+        def behave(target, count):
+            if target.record.id in seen or not seen:
+                seen.append(target.record.id)
+                return 0.01, front_fakes.result(Outcome.LOST)
+            seen.append(target.record.id)
+            return 0.01, front_fakes.result(Outcome.DECLINED, 503)
+
+        seen = []
+        answer, _, _, _ = handle(behave)
+        self.assertEqual(502, answer.status)
+
+    def test_late_safe_request_is_hedged_and_the_loser_broken_off(self):
+        def behave(target, count):
+            sent.append(target.record.id)
+            wait_s = 10.0 if len(sent) == 1 else 0.1
+            return wait_s, front_fakes.answered()
+
+        sent = []
+        answer, took_s, sender, _ = handle(behave)
+        self.assertEqual(200, answer.status)
+        self.assertLess(took_s, 1.2)
+        self.assertEqual([sent[0]], sender.cancelled_ids)
+
+    def test_request_never_has_more_targets_than_allowed(self):
+        def behave(target, count):
+            sent.append(target.record.id)
+            if len(sent) == 1:
+                return 10.0, front_fakes.answered()
+            return 0.3, front_fakes.result(Outcome.FAILED, 500)
+
+        sent = []
+        handle(behave)
+        self.assertEqual(2, len(sent))
+
+    def test_timeout_of_the_route_ends_the_request(self):
+        answer, took_s, sender, _ = handle(
+            lambda target, count: (10.0, front_fakes.answered()),
+            timeout_s=0.8,
+            is_idempotent=False,
+        )
+        self.assertEqual(504, answer.status)
+        self.assertLess(took_s, 0.9)
+        self.assertEqual(1, len(sender.cancelled_ids))
+
+    def test_deadline_of_the_caller_ends_the_request(self):
+        _, took_s, _, _ = handle(
+            lambda target, count: (10.0, front_fakes.answered()),
+            deadline_ms=500,
+        )
+        self.assertLess(took_s, 0.6)
+
+    def test_safe_request_ends_with_its_caller(self):
+        _, took_s, sender, _ = handle(
+            lambda target, count: (1.0, front_fakes.answered()),
+            leaves_after_s=0.2,
+        )
+        self.assertLess(took_s, 0.3)
+        self.assertEqual(1, len(sender.cancelled_ids))
+
+    def test_unsafe_request_goes_on_without_its_caller(self):
+        _, _, sender, _ = handle(
+            lambda target, count: (1.0, front_fakes.answered()),
+            leaves_after_s=0.2,
+            is_idempotent=False,
+        )
+        self.assertEqual([], sender.cancelled_ids)
+
+    def test_nothing_is_sent_for_a_caller_that_has_left(self):
+        _, _, sender, _ = handle(
+            lambda target, count: (
+                0.3,
+                front_fakes.result(Outcome.DECLINED, 503),
+            ),
+            leaves_after_s=0.1,
+            is_idempotent=False,
+        )
+        self.assertEqual(1, len(sender.sent_ids))
+
+    def test_service_without_targets_is_refused_at_once(self):
+        answer, took_s, _, _ = handle(None, targets=0)
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0.0, took_s)
+
+
+class ForwarderTest(unittest.TestCase):
+    """Requests that can't be routed must be answered at once."""
+
+    def answer(self, path: str, **changes) -> tuple:
+        async def main():
+            sender = front_fakes.FakeSender(
+                lambda target, count: (0.0, front_fakes.answered())
+            )
+            front = front_fakes.forwarder(sender, front_fakes.record("t"))
+            front.config = front_fakes.config(front_fakes.route())
+            for name, value in changes.items():
+                setattr(front, name, value)
+            answer = await front.handle(
+                front_fakes.request(path), caller_presence.CallerPresence()
+            )
+            return answer, sender.sent_ids
+
+        return virtual_loop.run(main())
+
+    def test_unknown_path_is_404(self):
+        answer, sent = self.answer("/other/1")
+        self.assertEqual((404, []), (answer.status, sent))
+
+    def test_unknown_path_is_503_while_the_configuration_may_be_old(self):
+        answer, _ = self.answer("/other/1", is_config_current=lambda: False)
+        self.assertEqual(503, answer.status)
+
+    def test_no_configuration_is_503(self):
+        answer, _ = self.answer("/work/1", config=None)
+        self.assertEqual(503, answer.status)
+        self.assertIsNotNone(answer.header(b"retry-after"))
+
+    def test_request_that_crashes_targets_is_refused(self):
+        async def main():
+            sender = front_fakes.FakeSender(
+                lambda target, count: (
+                    0.01,
+                    front_fakes.result(Outcome.LOST),
+                )
+            )
+            front = front_fakes.forwarder(
+                sender, *(front_fakes.record(f"t{i}") for i in range(9))
+            )
+            front.config = front_fakes.config(front_fakes.route())
+            statuses = []
+            for number in range(6):
+                answer = await front.handle(
+                    front_fakes.request(
+                        id=f"q{number}", received_s=front.clock.now()
+                    ),
+                    caller_presence.CallerPresence(),
+                )
+                statuses.append(answer.status)
+            return statuses, sender.sent_ids
+
+        statuses, sent = virtual_loop.run(main())
+        self.assertLessEqual(len(sent), 4)
+        self.assertEqual([503] * 4, statuses[2:])
--- /dev/null
+++ b/tests/test_retry_policy.py
@@ -0,0 +1,72 @@
+"""Tests of what follows a sending."""
+
+import unittest
+
+from fuchsiacourse.front import outcome
+from fuchsiacourse.front import retry_policy
+
+Outcome = outcome.Outcome
+Step = retry_policy.Step
+
+
+def state(**changes) -> retry_policy.RunState:
+    values = {
+        "is_idempotent": True,
+        "sendings": 1,
+        "targets": 1,
+        "max_targets": 2,
+        "left_s": 1.0,
+        "usual_s": 0.3,
+        "budget": 10.0,
+    }
+    return retry_policy.RunState(**{**values, **changes})
+
+
+class RetryPolicyTest(unittest.TestCase):
+    """Only what is certain not to have run may be sent again unasked."""
+
+    def test_answer_is_delivered(self):
+        self.assertIs(
+            Step.DELIVER, retry_policy.next_step(Outcome.ANSWERED, state())
+        )
+
+    def test_unsafe_request_that_may_have_run_is_given_up(self):
+        for item in (
+            Outcome.FAILED,
+            Outcome.LOST,
+            Outcome.BAD_ANSWER,
+            Outcome.TIMED_OUT,
+        ):
+            step = retry_policy.next_step(item, state(is_idempotent=False))
+            self.assertIs(Step.GIVE_UP, step, item)
+
+    def test_unsafe_request_that_has_not_run_goes_on(self):
+        unsafe = state(is_idempotent=False)
+        for item in (Outcome.DECLINED, Outcome.MISDIRECTED):
+            self.assertIs(Step.REPEAT, retry_policy.next_step(item, unsafe))
+        self.assertIs(
+            Step.REPLACE, retry_policy.next_step(Outcome.UNREACHED, unsafe)
+        )
+
+    def test_safe_request_is_repeated_within_its_limits(self):
+        self.assertIs(
+            Step.REPEAT, retry_policy.next_step(Outcome.FAILED, state())
+        )
+        for limit in (
+            state(targets=2),
+            state(budget=0.5),
+            state(left_s=0.05),
+            state(sendings=retry_policy.MAX_SENDINGS),
+        ):
+            step = retry_policy.next_step(Outcome.FAILED, limit)
+            self.assertIs(Step.GIVE_UP, step)
+
+    def test_refused_connection_draws_on_no_budget(self):
+        step = retry_policy.next_step(Outcome.UNREACHED, state(budget=0.0))
+        self.assertIs(Step.REPLACE, step)
+
+    def test_hedges_only_for_requests_that_may_run_twice(self):
+        self.assertTrue(retry_policy.may_hedge(state()))
+        self.assertFalse(retry_policy.may_hedge(state(is_idempotent=False)))
+        self.assertFalse(retry_policy.may_hedge(state(targets=2)))
+        self.assertFalse(retry_policy.may_hedge(state(budget=0.0)))
--- /dev/null
+++ b/tests/test_target_follower.py
@@ -0,0 +1,305 @@
+"""Tests of following targets and the configuration."""
+
+import asyncio
+import json
+import random
+import unittest
+
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse.front import config_follower
+from fuchsiacourse.front import target_follower
+from fuchsiacourse.front import target_table
+from fuchsiacourse import logs
+from fuchsiacourse.platform import target_codec
+from fuchsiacourse import store as stores
+from fuchsiacourse import timers as timer_services
+
+
+def entry(id: str, state: str = "ready", **changes) -> bytes:
+    """Returns a target's object."""
+    spec = {
+        "address": "10.0.8.1:9100",
+        "born": 5,
+        "info": {"service": "larder", "zone": "a", "slots": 3},
+        "status": {"state": state, "sequence": 1, "cold_remaining_ms": 0},
+    }
+    return json.dumps({"spec": {**spec, **changes}, "status": None}).encode()
+
+
+class ScriptedStore(stores.Store):
+    """Store whose objects, changes and failures a test sets."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, stores.StoredObject] = {}
+        self.changes: list[stores.StoredObject] = []
+        self.revision = 1
+        self.failure: Exception | None = None
+        self.calls = 0
+        self.first_revision = 0
+        self._changed = asyncio.Event()
+
+    def set(self, key: str, value: bytes | None) -> None:
+        self.revision += 1
+        item = stores.StoredObject(
+            key=key,
+            value=value or b"",
+            version=self.revision,
+            deleted=value is None,
+        )
+        self.objects.pop(key, None)
+        if value is not None:
+            self.objects[key] = item
+        self.changes.append(item)
+        self._changed.set()
+
+    def fail(self, error: Exception | None) -> None:
+        self.failure = error
+        self._changed.set()
+
+    def lose_history(self) -> None:
+        """Drops the changes so far and cuts the waiting watches."""
+        self.revision += 10
+        self.first_revision = self.revision
+        self.changes.clear()
+        self._changed.set()
+
+    async def watch(self, prefix, *, after_revision, timeout_s):
+        self.calls += 1
+        if self.failure is not None:
+            raise self.failure
+        if 0 < after_revision < self.first_revision:
+            raise errors.StoreHistoryGone("410")
+        if after_revision == 0:
+            return stores.WatchBatch(
+                revision=self.revision, objects=list(self.objects.values())
+            )
+        while True:
+            found = [c for c in self.changes if c.version > after_revision]
+            if found:
+                return stores.WatchBatch(revision=self.revision, objects=found)
+            self._changed.clear()
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            if self.failure is not None:
+                raise self.failure
+            if after_revision < self.first_revision:
+                raise errors.StoreHistoryGone("410")
+
+    async def get(self, key):
+        return self.objects.get(key)
+
+    async def list(self, prefix):
+        return list(self.objects.values())
+
+    async def put(self, key, value, *, if_version):
+        raise AssertionError("followers write nothing")
+
+    async def delete(self, key, *, if_version):
+        raise AssertionError("followers write nothing")
+
+    async def hosts(self):
+        raise AssertionError("followers list no hosts")
+
+
+class World:
+    """A follower of targets on a scripted store."""
+
+    def __init__(self) -> None:
+        self.clock = virtual_loop.VirtualClock()
+        self.store = ScriptedStore()
+        self.failures: list[Exception] = []
+        self.timers = timer_services.Timers(
+            clock=self.clock,
+            rng=random.Random(1),
+            on_error=self.failures.append,
+        )
+        self.others_reach_s = 0.0
+        self.table = target_table.TargetTable(
+            clock=self.clock, log=logs.silent()
+        )
+        self.follower = target_follower.TargetFollower(
+            table=self.table,
+            timers=self.timers,
+            decode=target_codec.decode,
+            store_back_s=lambda: self.others_reach_s,
+            clock=self.clock,
+            rng=random.Random(2),
+            store=self.store,
+            prefix="servers/",
+            log=logs.silent(),
+        )
+
+    async def start(self) -> None:
+        self.timers.spawn(self.follower.run())
+        await asyncio.sleep(0.01)
+
+    def usable(self) -> set[str]:
+        return {
+            target.record.id
+            for target in self.table.of_service("larder")
+            if target.is_usable
+        }
+
+
+class TargetFollowerTest(unittest.TestCase):
+    """A target that leaves must be left in time, a living one kept."""
+
+    def play(self, script) -> None:
+        async def main():
+            world = World()
+            world.store.set("servers/t1", entry("t1"))
+            world.store.set("servers/t2", entry("t2"))
+            await world.start()
+            self.assertEqual({"t1", "t2"}, world.usable())
+            await script(world)
+            self.assertEqual([], world.failures)
+            world.timers.close()
+
+        virtual_loop.run(main())
+
+    def test_draining_and_deleted_targets_are_left_within_a_second(self):
+        async def script(world):
+            world.store.set("servers/t1", entry("t1", "draining"))
+            await asyncio.sleep(0.1)
+            world.store.set("servers/t2", None)
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(), world.usable())
+
+        self.play(script)
+
+    def test_changes_in_quick_succession_take_few_calls(self):
+        async def script(world):
+            before = world.store.calls
+            for number in range(40):
+                world.store.set("servers/t1", entry("t1", born=number))
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(1.0)
+            self.assertLessEqual(world.store.calls - before, 5)
+
+        self.play(script)
+
+    def test_lapsed_target_is_kept_until_it_can_be_back(self):
+        async def script(world):
+            world.store.fail(errors.StoreUnavailable("away"))
+            await asyncio.sleep(8.0)
+            world.store.set("servers/t1", None)
+            world.store.fail(None)
+            await asyncio.sleep(1.5)
+            self.assertEqual({"t1", "t2"}, world.usable())
+            world.store.set("servers/t1", entry("t1"))
+            await asyncio.sleep(3.0)
+            self.assertEqual({"t1", "t2"}, world.usable())
+
+        self.play(script)
+
+    def test_lapsed_target_that_stays_away_is_gone(self):
+        async def script(world):
+            world.store.fail(errors.StoreUnavailable("away"))
+            await asyncio.sleep(8.0)
+            world.store.set("servers/t1", None)
+            world.store.fail(None)
+            await asyncio.sleep(3.0)
+            self.assertEqual({"t2"}, world.usable())
+
+        self.play(script)
+
+    def test_front_that_was_cut_off_alone_keeps_no_lapsed_target(self):
+        async def script(world):
+            world.store.fail(errors.StoreUnavailable("cut off"))
+            await asyncio.sleep(8.0)
+            world.store.set("servers/t1", None)
+            world.others_reach_s = 20.0
+            world.store.fail(None)
+            await asyncio.sleep(1.0)
+            self.assertEqual({"t2"}, world.usable())
+
+        self.play(script)
+
+    def test_draining_target_that_vanishes_in_an_outage_is_gone(self):
+        async def script(world):
+            world.store.set("servers/t1", entry("t1", "draining"))
+            await asyncio.sleep(1.0)
+            world.store.fail(errors.StoreUnavailable("away"))
+            await asyncio.sleep(8.0)
+            world.store.set("servers/t1", None)
+            world.store.fail(None)
+            await asyncio.sleep(1.0)
+            self.assertNotIn("t1", world.table.by_id)
+
+        self.play(script)
+
+    def test_lost_history_is_followed_by_a_new_list(self):
+        async def script(world):
+            world.store.objects.pop("servers/t1")
+            world.store.lose_history()
+            await asyncio.sleep(0.1)
+            self.assertEqual({"t2"}, world.usable())
+
+        self.play(script)
+
+    def test_unreadable_entries_name_no_target(self):
+        async def script(world):
+            good = json.loads(entry("t3"))["spec"]
+            bad = [
+                b"\xff\xfe",
+                b"[]",
+                b'{"spec": null, "status": null}',
+                entry("t3", "retired"),
+                entry("t3", born="5"),
+                entry("t3", info={**good["info"], "slots": "3"}),
+                entry("t3", info={"zone": "a", "slots": 3}),
+                entry("t3", address="nowhere"),
+                entry("t3", address=17),
+                entry("t3", status="ready"),
+            ]
+            for number, value in enumerate(bad):
+                world.store.set(f"servers/bad{number}", value)
+            await asyncio.sleep(2.0)
+            self.assertEqual({"t1", "t2"}, world.usable())
+
+        self.play(script)
+
+    def test_restart_under_the_same_id_starts_anew(self):
+        async def script(world):
+            before = world.table.by_id["t1"]
+            world.store.set("servers/t1", entry("t1", born=6))
+            await asyncio.sleep(1.0)
+            after = world.table.by_id["t1"]
+            self.assertIsNot(before, after)
+            self.assertNotEqual(before.key, after.key)
+
+        self.play(script)
+
+
+class ConfigFollowerTest(unittest.TestCase):
+    """The configuration in force must never go back."""
+
+    def test_only_newer_versions_are_adopted(self):
+        adopted = []
+
+        def decode(value):
+            if not value.isdigit():
+                raise errors.ConfigRejected("not a number")
+            return front_fakes.config(version=int(value))
+
+        follower = config_follower.ConfigFollower(
+            key="config/main",
+            decode=decode,
+            adopt=lambda table: adopted.append(table.version),
+            clock=front_fakes.ManualClock(),
+            rng=random.Random(1),
+            store=None,
+            prefix="config/",
+            log=logs.silent(),
+        )
+        for number, value in enumerate((b"4", b"9", b"x", b"7", b"9", b"11")):
+            follower.changed(
+                stores.StoredObject(
+                    key="config/main", value=value, version=number + 1
+                )
+            )
+        follower.changed(
+            stores.StoredObject(key="config/other", value=b"50", version=9)
+        )
+        self.assertEqual([4, 9, 11], adopted)
