--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -7,6 +7,7 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
+from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
@@ -31,6 +32,7 @@
 
     clock: clocks.Clock
     handler: Handler
+    budget: body_budget.BodyBudget
 
     @property
     def limits(self) -> route_table.CallerLimits:
@@ -64,12 +66,15 @@
             clock=server.clock,
             max_head_bytes=limits.max_head_bytes,
             max_body_bytes=limits.max_body_bytes,
+            budget=server.budget,
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._presence: caller_presence.CallerPresence | None = None
         self._rejection: errors.RequestRejected | None = None
         self._idle_since_s = server.clock.now()
+        # Monotonic time of the last bytes, in seconds.
+        self._heard_s = self._idle_since_s
 
     @property
     def is_busy(self) -> bool:
@@ -85,6 +90,7 @@
         """Called by the loop."""
         if self._rejection is not None:
             return
+        self._heard_s = self._server.clock.now()
         try:
             self._parser.feed(data)
         except errors.RequestRejected as error:
@@ -103,6 +109,7 @@
         """Called by the loop."""
         self._transport = None
         self._leave()
+        self._parser.close()
         self._server.closed(self)
 
     def close_if_idle(self) -> None:
@@ -116,14 +123,21 @@
             return
         limits = self._server.limits
         started_s = self._parser.head_started_s
-        if started_s is not None:
-            if now_s - started_s > limits.head_timeout_s:
-                self._rejection = errors.RequestRejected(
-                    _TIMEOUT, "request not complete in time"
-                )
-                self._next()
-        elif now_s - self._idle_since_s > limits.idle_timeout_s:
-            self._close()
+        if self._parser.reads_body:
+            is_late = now_s - self._heard_s > limits.idle_timeout_s
+        else:
+            is_late = (
+                started_s is not None
+                and now_s - started_s > limits.head_timeout_s
+            )
+        if is_late:
+            self._rejection = errors.RequestRejected(
+                _TIMEOUT, "request not complete in time"
+            )
+            self._next()
+        elif started_s is None:
+            if now_s - self._idle_since_s > limits.idle_timeout_s:
+                self._close()
 
     def _next(self) -> None:
         if self._task is not None or self._transport is None:
@@ -159,6 +173,7 @@
         except Exception as error:
             self._server.failed(error)
             answer = http_answer.HttpAnswer(status=_SERVER_ERROR, headers=[])
+        self._server.budget.release(len(request.body))
         self._task = None
         self._idle_since_s = self._server.clock.now()
         if self._transport is None:
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -6,6 +6,7 @@
 import typing
 
 from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_connection
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import route_table
@@ -26,6 +27,7 @@
         address: Where to listen.
         handler: Answers a request.
         limits: Returns the limits on callers.
+        budget: Memory for the bodies of requests.
         on_error: Receives the failure of a handler.
     """
 
@@ -36,11 +38,13 @@
         address: front_settings.Address,
         handler: caller_connection.Handler,
         limits: Limits,
+        budget: body_budget.BodyBudget,
         on_error: OnError,
     ) -> None:
         self.clock = clock
         self.address = address
         self.handler = handler
+        self.budget = budget
         self.is_stopping = False
         self._limits = limits
         self._on_error = on_error
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -255,9 +255,15 @@
 
     def _note(self, packet: fleet_packet.FleetPacket) -> bool:
         member = self._learn(packet.ip, packet.zone)
-        if member is None or packet.incarnation < member.incarnation:
+        if member is None:
+            return False
+        now_s = self._clock.now()
+        is_older = packet.incarnation < member.incarnation
+        if is_older and now_s - member.heard_s <= ALIVE_S:
             return False
-        if packet.incarnation > member.incarnation:
+        if packet.incarnation != member.incarnation:
+            # The number comes from the host's clock, which may have been
+            # set back; a front that was silent may have a lower one.
             member.incarnation = packet.incarnation
             member.is_leaving = False
         was = member.is_ready, member.is_leaving
@@ -266,7 +272,7 @@
         member.is_leaving = member.is_leaving or packet.is_leaving
         member.config_version = packet.config_version
         member.store_s = packet.store_s
-        member.heard_s = self._clock.now()
+        member.heard_s = now_s
         if was != (member.is_ready, member.is_leaving):
             logs.event(
                 self._log,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -8,6 +8,7 @@
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import config_follower
@@ -104,7 +105,9 @@
         )
         self._table = target_table.TargetTable(clock=self._clock, log=log)
         self._sender = pooled_sender.PooledSender(
-            clock=self._clock, protocol=adapter.protocol
+            clock=self._clock,
+            protocol=adapter.protocol,
+            idle_limit=self._idle_limit,
         )
         self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
         self._forwarder = self._make_forwarder()
@@ -250,12 +253,14 @@
             (settings.directory_address, self._answer_resolve),
             (settings.metrics_address, self._answer_metrics),
         ]
+        budget = body_budget.BodyBudget()
         return [
             caller_server.CallerServer(
                 clock=self._clock,
                 address=address,
                 handler=handler,
                 limits=self._limits,
+                budget=budget,
                 on_error=self._on_error,
             )
             for address, handler in handlers
@@ -336,6 +341,19 @@
         config = self._forwarder.config
         return FIRST_LIMITS if config is None else config.limits
 
+    def _idle_limit(self, service: str) -> int:
+        """Returns how many idle connections to keep to a target."""
+        config = self._forwarder.config
+        caps = {} if config is None else config.connection_caps_by_service
+        cap = caps.get(service)
+        if cap is None:
+            return pooled_sender.MAX_IDLE
+        fronts = len(self._fleet.by_ip) + 1
+        return min(
+            pooled_sender.MAX_IDLE,
+            int(cap * pooled_sender.IDLE_CAP_SHARE / fronts),
+        )
+
     def _sweep(self) -> None:
         self._sender.sweep()
         for server in self._servers:
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
@@ -25,8 +26,10 @@
 # meets such a drop may have run; those that must not run twice go only over
 # connections that were in use a moment ago.
 UNSAFE_IDLE_S = 0.15
-# Idle connections kept for a target.
+# Idle connections kept for a target, and the part of the connections that a
+# target accepts which the idle ones of all fronts may take.
 MAX_IDLE = 2
+IDLE_CAP_SHARE = 0.5
 MAX_ANSWER_BYTES = 64_000_000
 # These statuses promise that a request has not run, so the front passes them
 # on only if the target states it.
@@ -57,12 +60,19 @@
     Args:
         clock: Source of time.
         protocol: Headers of requests and answers.
+        idle_limit: Returns how many idle connections to keep to a target
+            of a service.
     """
 
     def __init__(
-        self, *, clock: clocks.Clock, protocol: wire_protocol.WireProtocol
+        self,
+        *,
+        clock: clocks.Clock,
+        protocol: wire_protocol.WireProtocol,
+        idle_limit: typing.Callable[[str], int],
     ) -> None:
         self._clock = clock
+        self._idle_limit = idle_limit
         self._protocol = protocol
         self._idle_by_key: dict[int, _IdleList] = {}
         self.opened = 0
@@ -163,7 +173,7 @@
             return _ended(outcomes.Outcome.LOST, error)
         terms = self._protocol.target_terms(answer)
         if connection.is_usable:
-            self._keep(target.key, connection, terms.idle_s)
+            self._keep(target, connection, terms.idle_s)
         result = _judged(answer, terms)
         is_over = self._clock.now() > deadline_s - DEADLINE_SLACK_S
         if answer.status == _TIMEOUT and is_over:
@@ -217,15 +227,15 @@
 
     def _keep(
         self,
-        key: int,
+        target: targets.Target,
         connection: client_connection.ClientConnection,
         idle_s: float | None,
     ) -> None:
-        idle = self._idle_by_key.setdefault(key, _IdleList())
+        idle = self._idle_by_key.setdefault(target.key, _IdleList())
         if idle_s is not None:
             idle.idle_s = max(0.0, idle_s - IDLE_MARGIN_S)
         idle.connections.append(connection)
-        if len(idle.connections) > MAX_IDLE:
+        if len(idle.connections) > self._idle_limit(target.record.service):
             idle.connections.pop(0).close()
 
     def _forget(self, key: int) -> None:
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -8,11 +8,13 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
+from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import http_request
 
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+_UNAVAILABLE = 503
 # The parser hands over a field only at its end, so the head is also counted
 # by the bytes fed while no head is complete.
 _FEED_SLACK_BYTES = 65_536
@@ -28,6 +30,8 @@
         clock: Source of time.
         max_head_bytes: Longest head.
         max_body_bytes: Longest body.
+        budget: Memory for bodies; whoever takes a request from
+            ``requests`` gives its part back.
     """
 
     __slots__ = (
@@ -45,6 +49,7 @@
         "_body",
         "_body_bytes",
         "_reads_body",
+        "_budget",
     )
 
     def __init__(
@@ -53,7 +58,9 @@
         clock: clocks.Clock,
         max_head_bytes: int,
         max_body_bytes: int,
+        budget: body_budget.BodyBudget,
     ) -> None:
+        self._budget = budget
         self.requests: collections.deque[http_request.HttpRequest] = (
             collections.deque()
         )
@@ -67,6 +74,18 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
+    def close(self) -> None:
+        """Gives back the memory of what was not taken."""
+        self._budget.release(self._body_bytes)
+        self._body_bytes = 0
+        while self.requests:
+            self._budget.release(len(self.requests.popleft().body))
+
+    @property
+    def reads_body(self) -> bool:
+        """Whether the head of a request is complete and its body is not."""
+        return self._reads_body
+
     @property
     def is_reading(self) -> bool:
         """Whether part of a request has been read."""
@@ -131,7 +150,13 @@
         """Called by the parser with a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
+            self._body_bytes -= len(body)
             raise errors.RequestRejected(_TOO_LARGE, "body too large")
+        if not self._budget.take(len(body)):
+            self._body_bytes -= len(body)
+            raise errors.RequestRejected(
+                _UNAVAILABLE, "no memory for the body now"
+            )
         self._body.append(body)
 
     def on_message_complete(self) -> None:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bench import front_fakes
+from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import route_table
@@ -17,6 +18,7 @@
 
     async def asyncSetUp(self) -> None:
         self.limits = front_fakes.config().limits
+        self.budget = body_budget.BodyBudget(max_bytes=1000)
         self.presences = []
         self.failures: list[Exception] = []
         self.release = asyncio.Event()
@@ -26,6 +28,7 @@
             address=("127.0.0.1", 0),
             handler=self.handle,
             limits=lambda: self.limits,
+            budget=self.budget,
             on_error=self.failures.append,
         )
         await self.server.start()
@@ -101,6 +104,22 @@
         self.server.sweep()
         self.assertIn(b" 408 ", (await self.read_answer())[0])
 
+    async def test_slow_body_is_read_while_it_comes(self):
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=100,
+            head_timeout_s=0.05,
+            idle_timeout_s=15.0,
+        )
+        self.writer.write(
+            b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na"
+        )
+        await asyncio.sleep(0.1)
+        self.server.sweep()
+        self.writer.write(b"b")
+        self.assertEqual(b"/1", (await self.read_answer())[1])
+        self.assertTrue(self.budget.take(1000))
+
     async def test_idle_connection_is_closed_after_the_limit_only(self):
         self.writer.write(GET % b"1")
         await self.read_answer()
