--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -112,7 +112,7 @@
     values = {
         "name": "r-1",
         "host": HOST,
-        "path_prefix": "/work/",
+        "path_prefix": "/orders/",
         "is_idempotent": True,
         "timeout_s": 2.0,
         "objective_s": 1.0,
@@ -139,7 +139,7 @@
 
 
 def request(
-    path: str = "/work/1",
+    path: str = "/orders/1",
     *,
     id: str = "q1",
     deadline_ms: int = 2000,
