End tasks that start while a virtual run ends

Cause: the runner cancels the tasks that exist when the main coroutine returns. A timer of the prober that is due at that moment takes one more step and starts a probe, which nobody cancels; it is collected pending.

Change: the virtual loop cancels until no task is left.

--- a/bench/virtual_loop.py
+++ b/bench/virtual_loop.py
@@ -67,4 +67,19 @@
 def run(main: typing.Coroutine[typing.Any, typing.Any, typing.Any]):
     """Runs a coroutine to its end on a new virtual loop."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main)
+        try:
+            return runner.run(main)
+        finally:
+            runner.run(_cancel_rest())
+
+
+async def _cancel_rest() -> None:
+    """Ends all other tasks.
+
+    A timer that is due at the moment of its cancellation takes one more
+    step, and may start a task that a single round would leave pending.
+    """
+    while rest := asyncio.all_tasks() - {asyncio.current_task()}:
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
