Run the other measures when one fails

Cause: an exception of one measure ended the program, so that RuntimeError of added_latency on a busy machine hid all other figures.

Change: a failed measure is printed with its error, counts as missed and the next one runs.

Result: the new test fails with RuntimeError without the change.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -7,6 +7,7 @@
 import importlib
 import importlib.util
 import sys
+import traceback
 
 import typer
 
@@ -41,12 +42,22 @@
 def run(names: Sequence[str], measures: dict[str, Measure]) -> int:
     """Prints the figures of some measurements.
 
+    A measurement that fails takes none of the others with it.
+
     Returns:
-        The number of figures that miss their bound.
+        The number of figures that miss their bound and of measurements
+        that failed.
     """
     missed = 0
     for name in names:
-        for item in measures[name]():
+        try:
+            figures = measures[name]()
+        except Exception as error:
+            traceback.print_exc()
+            print(f"measure={name} failed={error!r}", flush=True)
+            missed += 1
+            continue
+        for item in figures:
             print(item.line(), flush=True)
             missed += not item.is_met
     return missed
@@ -67,7 +78,7 @@
         )
         raise typer.Exit(2)
     missed = run(names, measures)
-    print(f"{missed} figures miss their bound")
+    print(f"{missed} figures miss their bound or failed")
     if missed:
         raise typer.Exit(1)
 
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -43,6 +43,22 @@
         with contextlib.redirect_stdout(io.StringIO()):
             self.assertEqual(1, measure.run(["one", "two"], measures))
 
+    def test_failed_measure_takes_no_other_with_it(self):
+        """Guards against one failure that hides all other figures."""
+
+        def fail():
+            raise RuntimeError("no answer")
+
+        measures = {"one": fail, "two": lambda: [make(9.0)]}
+        output = io.StringIO()
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(io.StringIO()),
+        ):
+            self.assertEqual(2, measure.run(["one", "two"], measures))
+        self.assertIn("measure=one failed=RuntimeError", output.getvalue())
+        self.assertIn("figure=detection value=9", output.getvalue())
+
     def test_collects_health(self):
         """Guards against measures that are never run."""
         found = measure.collect(["bench.measure_health", "bench.no_such"])
