--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -16,6 +16,7 @@
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
+from fuchsiacourse.front import object_copy
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import repeat_budget
@@ -23,6 +24,7 @@
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import sending
 from fuchsiacourse.front import service_times
+from fuchsiacourse.front import store_relay
 from fuchsiacourse.front import target as targets
 from fuchsiacourse.front import target_record
 from fuchsiacourse.front import target_table
@@ -87,6 +89,7 @@
         seeds=tuple((seed, 8003) for seed in seeds),
         store_address=("10.0.9.9", 9000),
         cores=1.0,
+        link_mbps=100.0,
         is_first_start=True,
         bounds=bounds(),
     )
@@ -161,6 +164,34 @@
     )
 
 
+class DirectRelay:
+    """Relay of a front that always follows the store itself."""
+
+    watches = True
+    is_in_contact = True
+    is_vouched = False
+    is_scout = True
+
+    def source_of(self, copying: store_relay.Copying) -> str | None:
+        """Names no other front."""
+        return None
+
+    async def fetch(
+        self, ip: str, copying: store_relay.Copying
+    ) -> object_copy.CopyPart | None:
+        """Is not called, because no front is named."""
+        raise AssertionError("no front was named")
+
+    def changed(self) -> None:
+        """Tells nobody."""
+
+    def lost(self) -> None:
+        """Tells nobody."""
+
+    def regained(self) -> None:
+        """Tells nobody."""
+
+
 class FakeSender(sending.TargetSender):
     """Targets that behave as a function says.
 
--- /dev/null
+++ b/bench/front_mutations.py
@@ -0,0 +1,232 @@
+"""Switches safeguards of the front off and checks that a test sees it.
+
+Each mutation replaces one piece of source in a copy of the tree and runs the
+test that guards the rule. A test that still passes proves nothing.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import typer
+
+FOLDERS = ("fuchsiacourse", "bench", "tests", "samples", "schema")
+FILES = ("unittest.cfg", "pyproject.toml")
+TEST_TIMEOUT_S = 120.0
+
+
+class Mutation:
+    """A safeguard that is switched off.
+
+    Args:
+        rule: Rule that the safeguard keeps.
+        module: File in the folder of the front.
+        before: Source of the safeguard, found once.
+        after: Source without it.
+        test: Test that must fail.
+    """
+
+    __slots__ = ("rule", "module", "before", "after", "test")
+
+    def __init__(
+        self, *, rule: str, module: str, before: str, after: str, test: str
+    ) -> None:
+        self.rule = rule
+        self.module = module
+        self.before = before
+        self.after = after
+        self.test = test
+
+    def apply(self, root: pathlib.Path) -> None:
+        """Changes the source under a root.
+
+        Raises:
+            ValueError: The source of the safeguard is not found once.
+        """
+        path = root / "fuchsiacourse" / "front" / self.module
+        source = path.read_text(encoding="utf-8")
+        if source.count(self.before) != 1:
+            raise ValueError(f"{self.module}: {self.before!r} not found once")
+        path.write_text(
+            source.replace(self.before, self.after), encoding="utf-8"
+        )
+
+
+MUTATIONS = (
+    Mutation(
+        rule="MIXED: late answers",
+        module="client_connection.py",
+        before="if self._accepts(answer):",
+        after="if True:",
+        test="tests.test_pooled_sender",
+    ),
+    Mutation(
+        rule="MIXED: unsigned answers",
+        module="pooled_sender.py",
+        before="elif answer.is_success and not terms.is_signed:",
+        after="elif False:",
+        test="tests.test_pooled_sender",
+    ),
+    Mutation(
+        rule="UNASKED: ambiguous host",
+        module="request_parser.py",
+        before='if counts[b"host"] != 1:',
+        after="if False:",
+        test="tests.test_request_parser",
+    ),
+    Mutation(
+        rule="TWICE",
+        module="retry_policy.py",
+        before="(outcome.is_not_run or state.is_idempotent)",
+        after="True",
+        test="tests.test_retry_policy",
+    ),
+    Mutation(
+        rule="REFUSED",
+        module="request_run.py",
+        before="if not self._may_have_run:",
+        after="if True:",
+        test="tests.test_request_run",
+    ),
+    Mutation(
+        rule="DENIED",
+        module="forwarder.py",
+        before="if not self.is_config_current():",
+        after="if False:",
+        test="tests.test_request_run",
+    ),
+    Mutation(
+        rule="BUDGET: targets",
+        module="request_run.py",
+        before=(
+            "        used.update(item.target.key for item in"
+            " self._running.values())\n"
+        ),
+        after="",
+        test="tests.test_request_run",
+    ),
+    Mutation(
+        rule="BUDGET: repeats",
+        module="retry_policy.py",
+        before="if state.budget < 1.0:",
+        after="if False:",
+        test="tests.test_retry_policy",
+    ),
+    Mutation(
+        rule="BUDGET: crashes",
+        module="forwarder.py",
+        before="if self.suspects.is_blocked(fingerprint):",
+        after="if False:",
+        test="tests.test_request_run",
+    ),
+    Mutation(
+        rule="GONE",
+        module="request_run.py",
+        before="        return self._route.is_idempotent\n\n    async def",
+        after="        return False\n\n    async def",
+        test="tests.test_request_run",
+    ),
+    Mutation(
+        rule="DRAIN: draining targets",
+        module="target.py",
+        before="return not (self.record.is_draining or self.is_misplaced)",
+        after="return not self.is_misplaced",
+        test="tests.test_target_follower",
+    ),
+    Mutation(
+        rule="DRAIN: silent store",
+        module="store_relay.py",
+        before="PROOF_TIMEOUT_S = 0.5",
+        after="PROOF_TIMEOUT_S = 100.0",
+        test="tests.test_store_relay",
+    ),
+    Mutation(
+        rule="DRAIN: no watcher in contact",
+        module="relay_plan.py",
+        before="proven == 0 and not self.is_starting(now_s)",
+        after="False",
+        test="tests.test_store_relay",
+    ),
+    Mutation(
+        rule="LOST: SIGTERM",
+        module="front_program.py",
+        before="        await self._clock.sleep(SERVE_ON_S)\n",
+        after="",
+        test="tests.test_front_process",
+    ),
+    Mutation(
+        rule="LOST: SIGHUP",
+        module="front_program.py",
+        before=(
+            "        loop.add_signal_handler(signal.SIGHUP,"
+            " self._watch.reload)\n"
+        ),
+        after="",
+        test="tests.test_front_process",
+    ),
+    Mutation(
+        rule="CONFIG",
+        module="config_follower.py",
+        before="if table.version <= self.version:",
+        after="if False:",
+        test="tests.test_target_follower",
+    ),
+    Mutation(
+        rule="FLOOR",
+        module="placement.py",
+        before="RECENT_LOSS = 0.015",
+        after="RECENT_LOSS = 0.0",
+        test="tests.test_placement",
+    ),
+    Mutation(
+        rule="RECOVER: start without the store",
+        module="store_relay.py",
+        before="            peers = self._fleet.heard_members()\n",
+        after="            peers = []\n",
+        test="tests.test_store_relay",
+    ),
+)
+
+
+def survives(mutation: Mutation) -> bool:
+    """Returns whether the test passes without the safeguard."""
+    with tempfile.TemporaryDirectory() as folder:
+        root = pathlib.Path(folder)
+        for name in FOLDERS:
+            shutil.copytree(
+                name,
+                root / name,
+                ignore=shutil.ignore_patterns("__pycache__"),
+            )
+        for name in FILES:
+            shutil.copy(name, root / name)
+        mutation.apply(root)
+        done = subprocess.run(
+            [sys.executable, "-m", "nose2", mutation.test],
+            cwd=root,
+            capture_output=True,
+            timeout=TEST_TIMEOUT_S,
+            check=False,
+        )
+    return done.returncode == 0
+
+
+def main() -> None:
+    """Runs all mutations; exits with 1 if a test sees one not."""
+    survivors = 0
+    for mutation in MUTATIONS:
+        is_missed = survives(mutation)
+        survivors += is_missed
+        verdict = "NOT SEEN" if is_missed else "seen"
+        print(f"{verdict}: {mutation.rule} by {mutation.test}", flush=True)
+    print(f"{survivors} of {len(MUTATIONS)} mutations not seen")
+    if survivors:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/fuchsiacourse/front/config_follower.py
+++ b/fuchsiacourse/front/config_follower.py
@@ -7,6 +7,7 @@
 from fuchsiacourse import errors
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import store_follower
+from fuchsiacourse.front import store_view
 from fuchsiacourse import logs
 from fuchsiacourse import store as stores
 
@@ -50,6 +51,10 @@
         if item.key == self._key and not item.deleted:
             self.offer(item.value, source=f"revision {item.version}")
 
+    def revision_of(self, view: store_view.StoreView) -> int:
+        """Returns the revision of another front's copy."""
+        return view.config_revision
+
     def offer(self, content: bytes, *, source: str) -> None:
         """Puts a configuration in force if it is newer.
 
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -40,6 +40,7 @@
 
 Hear = typing.Callable[[evidences.Evidence, str, bool], None]
 Status = typing.Callable[[], front_status.FrontStatus]
+OnView = typing.Callable[[], None]
 
 
 class Fleet:
@@ -82,6 +83,7 @@
         self._hear: Hear = _ignore
         self._pending: list[evidences.Evidence] = []
         self.rejected_packets = 0
+        self._on_view: OnView = _ignore_view
 
     def start(self, hear: Hear) -> None:
         """Starts to send and to receive.
@@ -98,6 +100,10 @@
         self._timers.every(HEARTBEAT_S, self._beat_near, jitter=0.1)
         self._timers.every(FAR_HEARTBEAT_S, self._beat_far, jitter=0.3)
 
+    def on_view(self, callback: OnView) -> None:
+        """Subscribes to changes of what others know of the store."""
+        self._on_view = callback
+
     def tell(self, evidence: evidences.Evidence) -> None:
         """Tells the other fronts of the region what this one has seen."""
         if not self._pending:
@@ -132,6 +138,10 @@
         self._beat_near()
         self._beat_far()
 
+    def announce_near(self) -> None:
+        """Tells a change of the own state in the own zone at once."""
+        self._beat_near()
+
     def zone_index(self, availability_zone: str) -> int | None:
         """Returns the index of an availability zone, None if unknown."""
         try:
@@ -158,16 +168,25 @@
             and now_s - member.heard_s <= limit_s
         ]
 
+    def zone_members(self) -> list[fleet_member.FleetMember]:
+        """Returns the other fronts of the zone that are heard."""
+        return [m for m in self.heard_members() if m.zone == self._zone]
+
+    def heard_members(self) -> list[fleet_member.FleetMember]:
+        """Returns the other fronts that are heard, the own zone's first."""
+        now_s = self._clock.now()
+        heard = [
+            member
+            for member in self.by_ip.values()
+            if now_s - member.heard_s <= self._limit_s(member)
+        ]
+        heard.sort(key=lambda member: member.zone != self._zone)
+        return heard
+
     def store_s(self) -> float:
         """Returns for how long some front has reached the store, seconds."""
-        now_s = self._clock.now()
         return max(
-            (
-                member.store_s
-                for member in self.by_ip.values()
-                if now_s - member.heard_s <= self._limit_s(member)
-            ),
-            default=0.0,
+            (member.store_s for member in self.heard_members()), default=0.0
         )
 
     def heard_share(self) -> float:
@@ -197,7 +216,7 @@
                 self._datagram.send(self._address(ip), packet)
 
     def _beat_near(self) -> None:
-        self._send_near(self._packet().encode())
+        self._send_near(self._packet(has_view=True).encode())
         now_s = self._clock.now()
         for ip, member in list(self.by_ip.items()):
             last_s = max(member.heard_s, member.known_s)
@@ -205,7 +224,7 @@
                 del self.by_ip[ip]
 
     def _beat_far(self) -> None:
-        self._send_far(self._packet(is_relayed=True))
+        self._send_far(self._packet(is_relayed=True, has_view=True))
 
     def _send_near(self, data: bytes) -> None:
         for member in self.by_ip.values():
@@ -266,6 +285,7 @@
             # set back; a front that was silent may have a lower one.
             member.incarnation = packet.incarnation
             member.is_leaving = False
+            member.view = None
         was = member.is_ready, member.is_leaving
         member.is_ready = packet.is_ready
         # A stop is final for an incarnation; packets may be out of order.
@@ -273,6 +293,11 @@
         member.config_version = packet.config_version
         member.store_s = packet.store_s
         member.heard_s = now_s
+        if packet.view is not None:
+            has_changed = not packet.view.is_like(member.view)
+            member.view = packet.view
+            if has_changed:
+                self._on_view()
         if was != (member.is_ready, member.is_leaving):
             logs.event(
                 self._log,
@@ -293,7 +318,9 @@
                 ip=ip, zone=zone, known_s=self._clock.now()
             )
             if zone == self._zone:
-                self._datagram.send(self._address(ip), self._packet().encode())
+                self._datagram.send(
+                    self._address(ip), self._packet(has_view=True).encode()
+                )
         member.zone = zone
         return member
 
@@ -307,7 +334,9 @@
             if regions[self._zones[member.zone]] == region
             and member.ip != packet.ip
         ]
-        reply = self._packet(members=members[: fleet_packet.MAX_MEMBERS])
+        reply = self._packet(
+            members=members[: fleet_packet.MAX_MEMBERS], has_view=True
+        )
         self._datagram.send(self._address(packet.ip), reply.encode())
 
     def _packet(
@@ -316,6 +345,7 @@
         is_relayed: bool = False,
         is_region_relayed: bool = False,
         asks_members: bool = False,
+        has_view: bool = False,
         evidence: list[evidences.Evidence] | None = None,
         members: list[tuple[str, int]] | None = None,
     ) -> fleet_packet.FleetPacket:
@@ -333,11 +363,16 @@
             asks_members=asks_members,
             evidence=evidence,
             members=members,
+            view=status.view if has_view else None,
         )
 
     def _address(self, ip: str) -> str:
         return f"{ip}:{self._settings.peer_port}"
 
 
+def _ignore_view() -> None:
+    """Drops the news until somebody subscribes."""
+
+
 def _ignore(item: evidences.Evidence, front: str, near: bool) -> None:
     """Drops evidence until the front has started."""
--- a/fuchsiacourse/front/fleet_member.py
+++ b/fuchsiacourse/front/fleet_member.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fuchsiacourse.front import store_view
+
 
 class FleetMember:
     """State of another front.
@@ -21,6 +23,7 @@
         "is_leaving",
         "heard_s",
         "known_s",
+        "view",
     )
 
     def __init__(self, *, ip: str, zone: int, known_s: float) -> None:
@@ -35,3 +38,5 @@
         # Monotonic time of its last packet and of the first word of it.
         self.heard_s = float("-inf")
         self.known_s = known_s
+        # Its contact with the store, None until it is told.
+        self.view: store_view.StoreView | None = None
--- a/fuchsiacourse/front/fleet_packet.py
+++ b/fuchsiacourse/front/fleet_packet.py
@@ -12,6 +12,7 @@
 from fuchsiacourse import errors
 from fuchsiacourse.front import evidence as evidences
 from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import store_view
 
 _MARK = b"F1"
 # Mark, flags, zone, origin, incarnation, configuration, time since the store
@@ -21,11 +22,16 @@
 # fingerprint.
 _EVIDENCE = struct.Struct("<QBBBBHQ")
 _MEMBER = struct.Struct("<4sB")
+# Flags, capacity, revision of the configuration and of the registrations.
+_VIEW = struct.Struct("<BBQQ")
 _READY = 1
 _LEAVING = 2
 _RELAY = 4
 _ASKS_MEMBERS = 8
 _REGION_RELAY = 16
+_HAS_VIEW = 32
+_PROVEN = 1
+_LOST = 2
 _NO_REPORT = 255
 _MAX_BYTE = 254
 _MAX_MS = 65_535
@@ -52,6 +58,7 @@
         asks_members: Whether the receiver answers with its members.
         evidence: What the front has seen.
         members: IP number and zone of fronts.
+        view: Contact with the store; only some packets carry it.
     """
 
     __slots__ = (
@@ -67,6 +74,7 @@
         "asks_members",
         "evidence",
         "members",
+        "view",
     )
 
     def __init__(
@@ -84,6 +92,7 @@
         asks_members: bool = False,
         evidence: list[evidences.Evidence] | None = None,
         members: list[tuple[str, int]] | None = None,
+        view: store_view.StoreView | None = None,
     ) -> None:
         self.ip = ip
         self.zone = zone
@@ -97,12 +106,14 @@
         self.asks_members = asks_members
         self.evidence = evidence or []
         self.members = members or []
+        self.view = view
 
     def encode(self) -> bytes:
         """Returns the bytes of the packet."""
         flags = _READY * self.is_ready | _LEAVING * self.is_leaving
         flags |= _RELAY * self.is_relayed | _ASKS_MEMBERS * self.asks_members
         flags |= _REGION_RELAY * self.is_region_relayed
+        flags |= _HAS_VIEW * (self.view is not None)
         head = _HEAD.pack(
             _MARK,
             flags,
@@ -120,6 +131,8 @@
             _MEMBER.pack(ipaddress.IPv4Address(ip).packed, zone)
             for ip, zone in self.members
         )
+        if self.view is not None:
+            parts.append(_encoded_view(self.view))
         return b"".join(parts)
 
 
@@ -159,6 +172,7 @@
         ip, member_zone = _MEMBER.unpack_from(data, offset)
         listed.append((str(ipaddress.IPv4Address(ip)), member_zone))
         offset += _MEMBER.size
+    view = _view(data, offset) if flags & _HAS_VIEW else None
     return FleetPacket(
         ip=str(ipaddress.IPv4Address(origin)),
         zone=zone,
@@ -172,6 +186,27 @@
         asks_members=bool(flags & _ASKS_MEMBERS),
         evidence=found,
         members=listed,
+        view=view,
+    )
+
+
+def _encoded_view(view: store_view.StoreView) -> bytes:
+    return _VIEW.pack(
+        _PROVEN * view.is_proven | _LOST * view.is_lost,
+        view.capacity,
+        view.config_revision,
+        view.target_revision,
+    )
+
+
+def _view(data: bytes, offset: int) -> store_view.StoreView:
+    flags, capacity, config, targets = _VIEW.unpack_from(data, offset)
+    return store_view.StoreView(
+        is_proven=bool(flags & _PROVEN),
+        is_lost=bool(flags & _LOST),
+        capacity=capacity,
+        config_revision=config,
+        target_revision=targets,
     )
 
 
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -12,6 +12,7 @@
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import config_follower
+from fuchsiacourse.front import copy_exchange
 from fuchsiacourse.front import crash_suspects
 from fuchsiacourse.front import directory as directories
 from fuchsiacourse.front import evidence as evidences
@@ -31,6 +32,7 @@
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import settings_watch
+from fuchsiacourse.front import store_relay
 from fuchsiacourse.front import target_follower
 from fuchsiacourse.front import target_table
 from fuchsiacourse import logs
@@ -47,6 +49,8 @@
 STOP_MARGIN_S = 0.6
 _STOP_POLL_S = 0.05
 METRICS_PATH = "/metrics"
+# Hosts with faster links count as equal, in Mbit/s: the figure is one byte.
+MAX_CAPACITY = 255
 # Limits until a configuration is known.
 FIRST_LIMITS = route_table.CallerLimits(
     max_head_bytes=16_384,
@@ -113,8 +117,11 @@
         self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
         self._forwarder = self._make_forwarder()
         store = adapter.store(settings)
+        self._relay = self._make_relay(store)
         self._configs = self._make_config_follower(store)
         self._targets = self._make_target_follower(store)
+        self._relay.add(self._configs)
+        self._relay.add(self._targets)
         self._servers = self._make_servers()
         self._stopping = asyncio.Event()
 
@@ -149,6 +156,7 @@
         except OSError as error:
             raise errors.SettingsError(f"can't listen: {error}") from error
         self._fleet.start(self._hear)
+        self._relay.start()
         self._timers.spawn(self._configs.run())
         self._timers.spawn(self._targets.run())
         self._timers.every(caller_server.SWEEP_S, self._sweep)
@@ -216,6 +224,19 @@
             log=self._log,
         )
 
+    def _make_relay(self, store: stores.Store) -> store_relay.StoreRelay:
+        settings = self._settings
+        return store_relay.StoreRelay(
+            clock=self._clock,
+            timers=self._timers,
+            ip=settings.ip,
+            capacity=min(MAX_CAPACITY, int(settings.link_mbps)),
+            fleet=self._fleet,
+            store=store,
+            source=copy_exchange.HttpCopySource(port=settings.peer_port),
+            log=self._log,
+        )
+
     def _make_config_follower(
         self, store: stores.Store
     ) -> config_follower.ConfigFollower:
@@ -227,6 +248,7 @@
             rng=self._rng,
             store=store,
             prefix=self._adapter.config_prefix,
+            relay=self._relay,
             log=self._log,
         )
         self._forwarder.is_config_current = lambda: follower.is_current
@@ -244,16 +266,19 @@
             rng=self._rng,
             store=store,
             prefix=self._adapter.target_prefix,
+            relay=self._relay,
             log=self._log,
         )
 
     def _make_servers(self) -> list[caller_server.CallerServer]:
         settings = self._settings
+        copies = copy_exchange.CopyHandler(find=self._relay.find)
         handlers = [
             (settings.front_address, self._forwarder.handle),
             (settings.ready_address, self._answer_ready),
             (settings.directory_address, self._answer_resolve),
             (settings.metrics_address, self._answer_metrics),
+            ((settings.ip, settings.peer_port), copies.handle),
         ]
         budget = body_budget.BodyBudget()
         return [
@@ -306,6 +331,7 @@
             "front_store_reached": float(
                 self._targets.is_current and self._configs.is_current
             ),
+            "front_store_watched": float(self._relay.watches),
             "front_fronts_heard_share": self._fleet.heard_share(),
             "front_packets_rejected": self._fleet.rejected_packets,
             "front_targets": len(targets),
@@ -327,6 +353,7 @@
             is_leaving=self._stopping.is_set(),
             config_version=self._configs.version,
             store_s=store_s,
+            view=self._relay.view(),
         )
 
     def _hear(
--- a/fuchsiacourse/front/front_settings.py
+++ b/fuchsiacourse/front/front_settings.py
@@ -68,12 +68,14 @@
         front_address: Where callers connect.
         ready_address: Where the platform asks whether the front is ready.
         directory_address: Where callers ask for addresses.
-        control_address: Where other fronts ask for state.
-        peer_port: UDP port for the other fronts, the same on each host.
+        control_address: Address that seeds name; nothing is served there.
+        peer_port: UDP and TCP port for the other fronts, the same on each
+            host.
         metrics_address: Where metrics are served, None for nowhere.
         seeds: Control addresses of some hosts; they may be stale.
         store_address: Address of the platform's object API.
         cores: Processor cores of the host, a fraction for a share of one.
+        link_mbps: Bandwidth of the host's link in Mbit/s.
         is_first_start: Whether the whole deployment starts for the first
             time.
         bounds: Promises to the operator.
@@ -94,6 +96,7 @@
         "seeds",
         "store_address",
         "cores",
+        "link_mbps",
         "is_first_start",
         "bounds",
     )
@@ -115,6 +118,7 @@
         seeds: tuple[Address, ...],
         store_address: Address,
         cores: float,
+        link_mbps: float,
         is_first_start: bool,
         bounds: Bounds,
     ) -> None:
@@ -132,6 +136,7 @@
         self.seeds = seeds
         self.store_address = store_address
         self.cores = cores
+        self.link_mbps = link_mbps
         self.is_first_start = is_first_start
         self.bounds = bounds
 
--- a/fuchsiacourse/front/front_status.py
+++ b/fuchsiacourse/front/front_status.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fuchsiacourse.front import store_view
+
 
 class FrontStatus:
     """State of a front.
@@ -12,9 +14,16 @@
         config_version: Version of the configuration in force.
         store_s: Time since which it reaches the store, in seconds; 0 while
             it does not.
+        view: Contact with the store and revisions of the copies.
     """
 
-    __slots__ = ("is_ready", "is_leaving", "config_version", "store_s")
+    __slots__ = (
+        "is_ready",
+        "is_leaving",
+        "config_version",
+        "store_s",
+        "view",
+    )
 
     def __init__(
         self,
@@ -23,8 +32,10 @@
         is_leaving: bool,
         config_version: int,
         store_s: float,
+        view: store_view.StoreView | None = None,
     ) -> None:
         self.is_ready = is_ready
         self.is_leaving = is_leaving
         self.config_version = config_version
         self.store_s = store_s
+        self.view = view
--- /dev/null
+++ b/fuchsiacourse/front/object_copy.py
@@ -0,0 +1,116 @@
+"""Copy of the objects under a prefix of the store."""
+
+from __future__ import annotations
+
+import collections
+
+from fuchsiacourse import store as stores
+
+# Deletions that are remembered; a front that is further behind takes over
+# all objects. A release of the largest service deletes fewer targets.
+MAX_DELETIONS = 1000
+
+
+class CopyPart:
+    """Part of a copy that another front lacks.
+
+    Args:
+        revision: Store-wide revision that the copy has reached.
+        is_whole: Whether the objects are all that there are.
+        objects: Objects; deleted ones only in a part that is not whole.
+    """
+
+    __slots__ = ("revision", "is_whole", "objects")
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        is_whole: bool,
+        objects: list[stores.StoredObject],
+    ) -> None:
+        self.revision = revision
+        self.is_whole = is_whole
+        self.objects = objects
+
+
+class ObjectCopy:
+    """Objects as last heard, with the last deletions."""
+
+    __slots__ = (
+        "by_key",
+        "revision",
+        "changed_revision",
+        "_deleted_by_key",
+        "_first_revision",
+    )
+
+    def __init__(self) -> None:
+        self.by_key: dict[str, stores.StoredObject] = {}
+        # Store-wide revision to go on after.
+        self.revision = 0
+        # Revision of the last change under the prefix, 0 without a copy.
+        self.changed_revision = 0
+        self._deleted_by_key: collections.OrderedDict[
+            str, stores.StoredObject
+        ] = collections.OrderedDict()
+        # All deletions after this revision are remembered.
+        self._first_revision = 0
+
+    def replace(
+        self, revision: int, objects: list[stores.StoredObject]
+    ) -> None:
+        """Takes over a list of all objects as of a revision."""
+        if self.revision == 0:
+            self._first_revision = revision
+        present = {item.key: item for item in objects}
+        for key in set(self.by_key) - set(present):
+            self._delete(key, revision)
+        self.by_key = present
+        newest = max((item.version for item in objects), default=revision)
+        self.changed_revision = max(self.changed_revision, newest)
+        self.revision = revision
+
+    def update(
+        self, revision: int, objects: list[stores.StoredObject]
+    ) -> None:
+        """Takes over changes, in order, up to a revision."""
+        for item in objects:
+            if item.deleted:
+                self._delete(item.key, revision)
+            else:
+                self.by_key[item.key] = item
+                self._deleted_by_key.pop(item.key, None)
+        if objects:
+            self.changed_revision = revision
+        self.revision = revision
+
+    def since(self, revision: int) -> CopyPart:
+        """Returns what has changed after a revision.
+
+        Args:
+            revision: Revision that the other copy has reached, 0 for none.
+        """
+        is_whole = revision < max(1, self._first_revision)
+        objects = list(self.by_key.values())
+        if not is_whole:
+            # Deletions first: a deleted key may have been used again.
+            objects = [
+                item
+                for item in (*self._deleted_by_key.values(), *objects)
+                if item.version > revision
+            ]
+        return CopyPart(
+            revision=self.revision, is_whole=is_whole, objects=objects
+        )
+
+    def _delete(self, key: str, revision: int) -> None:
+        self.by_key.pop(key, None)
+        self._deleted_by_key.pop(key, None)
+        # The time of the deletion, not of the last write.
+        self._deleted_by_key[key] = stores.StoredObject(
+            key=key, value=b"", version=revision, deleted=True
+        )
+        if len(self._deleted_by_key) > MAX_DELETIONS:
+            _, oldest = self._deleted_by_key.popitem(last=False)
+            self._first_revision = max(self._first_revision, oldest.version)
--- /dev/null
+++ b/fuchsiacourse/front/store_relay.py
@@ -0,0 +1,290 @@
+"""Copies of the store's objects that the fronts of a zone share."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
+from fuchsiacourse.front import copy_exchange
+from fuchsiacourse.front import fleet as fleets
+from fuchsiacourse.front import fleet_member
+from fuchsiacourse.front import object_copy
+from fuchsiacourse.front import relay_plan
+from fuchsiacourse.front import store_view
+from fuchsiacourse import logs
+from fuchsiacourse import store as stores
+from fuchsiacourse import timers as timer_services
+
+# Interval at which a front that watches for others asks the store for a sign
+# of life, and the wait for it, in seconds. A watch that the store has given
+# up looks like one without changes; the two together leave the others half
+# of the two seconds that a leaving target allows.
+PROOF_INTERVAL_S = 0.7
+PROOF_TIMEOUT_S = 0.5
+# A watch that was cut is opened again within this time, in seconds; a longer
+# gap ends the contact.
+GAP_S = 0.5
+# A front that has lost the store is not chosen for this time, in seconds.
+LOST_MEMORY_S = 10.0
+# Interval at which silent fronts are noticed, in seconds.
+DECIDE_S = 0.25
+# A front that did not give its copy is not asked for this time, in seconds.
+AVOID_S = 1.0
+
+
+class Copying(abc.ABC):
+    """A copy that the relay keeps up to date."""
+
+    prefix: str
+    copy: object_copy.ObjectCopy
+
+    @property
+    @abc.abstractmethod
+    def lost_s(self) -> float:
+        """Seconds since the store was lost, 0 while it is reached."""
+
+    @abc.abstractmethod
+    def revision_of(self, view: store_view.StoreView) -> int:
+        """Returns the revision of another front's copy."""
+
+    @abc.abstractmethod
+    def wake(self) -> None:
+        """Looks for the source of the copy again."""
+
+    @abc.abstractmethod
+    def vouched(self) -> None:
+        """Notes that a front of the zone vouches for the store."""
+
+    @abc.abstractmethod
+    def interrupt(self) -> None:
+        """Gives up the watch that is waiting."""
+
+
+class StoreRelay:
+    """Decides where the copies of a front come from.
+
+    Args:
+        clock: Source of time.
+        timers: Timer service.
+        ip: IP number of this front.
+        capacity: Bandwidth of the host's link in Mbit/s, at most 255.
+        fleet: The other fronts.
+        store: The platform's store.
+        source: Copies of other fronts.
+        log: Logger.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        timers: timer_services.Timers,
+        ip: str,
+        capacity: int,
+        fleet: fleets.Fleet,
+        store: stores.Store,
+        source: copy_exchange.CopySource,
+        log: typing.Any,
+    ) -> None:
+        self._clock = clock
+        self._timers = timers
+        self._capacity = capacity
+        self._fleet = fleet
+        self._store = store
+        self._source = source
+        self._log = log
+        self._plan = relay_plan.RelayPlan(ip=ip, start_s=clock.now())
+        self._copying: list[Copying] = []
+        self._avoid_until_s_by_ip: dict[str, float] = {}
+        self._lost_until_s = float("-inf")
+        self._silent_until_s = float("-inf")
+        self._has_proof = False
+        self._was_proven = False
+        # Fronts of the zone with proven contact, at the last decision.
+        self._proven: list[fleet_member.FleetMember] = []
+
+    @property
+    def watches(self) -> bool:
+        """Whether this front follows the store itself."""
+        return self._plan.watches
+
+    @property
+    def is_in_contact(self) -> bool:
+        """Whether this front or one that it copies from has contact.
+
+        A front that has just started has read the store a moment ago.
+        """
+        return (
+            self.watches
+            or bool(self._proven)
+            or self._plan.is_starting(self._clock.now())
+        )
+
+    @property
+    def is_vouched(self) -> bool:
+        """Whether another front of the zone proves contact."""
+        return bool(self._proven)
+
+    @property
+    def is_scout(self) -> bool:
+        """Whether others wait for this front's word of a lost store."""
+        return self._plan.is_scout
+
+    def add(self, copying: Copying) -> None:
+        """Adds a copy; the configuration's comes first."""
+        self._copying.append(copying)
+
+    def find(self, prefix: str) -> object_copy.ObjectCopy | None:
+        """Returns the copy under a prefix, None if there is none."""
+        for copying in self._copying:
+            if copying.prefix == prefix and copying.copy.revision > 0:
+                return copying.copy
+        return None
+
+    def start(self) -> None:
+        """Starts to take decisions."""
+        self._fleet.on_view(self.decide)
+        self._timers.every(DECIDE_S, self.decide, jitter=0.1)
+        self._timers.every(PROOF_INTERVAL_S, self._prove, jitter=0.1)
+
+    def view(self) -> store_view.StoreView:
+        """Returns what this front tells of its contact and copies."""
+        revisions = [item.copy.changed_revision for item in self._copying]
+        config, targets = revisions or (0, 0)
+        return store_view.StoreView(
+            is_proven=self._is_proven(),
+            is_lost=self._clock.now()
+            < max(self._lost_until_s, self._silent_until_s),
+            capacity=self._capacity,
+            config_revision=config,
+            target_revision=targets,
+        )
+
+    def changed(self) -> None:
+        """Tells the zone that a copy of this front is newer."""
+        if self._is_proven():
+            self._fleet.announce_near()
+
+    def lost(self) -> None:
+        """Notes that the store was not reached."""
+        self._lost_until_s = self._clock.now() + LOST_MEMORY_S
+        self._has_proof = False
+        self._tell_contact()
+
+    def regained(self) -> None:
+        """Notes that the store was reached again."""
+        self._lost_until_s = float("-inf")
+
+    def decide(self) -> None:
+        """Looks at the other fronts of the zone."""
+        now_s = self._clock.now()
+        peers = self._peers()
+        self._proven = [p for p in peers if relay_plan.is_proven(p)]
+        if self._plan.decide(now_s, self.view(), peers):
+            logs.event(
+                self._log,
+                "store_relay_changed",
+                watches=self.watches,
+                chosen=self._plan.is_chosen,
+                proven_fronts=len(self._proven),
+                heard_fronts=len(peers),
+            )
+            if self._plan.is_chosen:
+                self._timers.spawn(self._prove())
+            for copying in self._copying:
+                copying.wake()
+        if not self.watches and self._proven:
+            for copying in self._copying:
+                copying.vouched()
+        for copying in self._copying:
+            if self.source_of(copying) is not None:
+                copying.wake()
+
+    def source_of(self, copying: Copying) -> str | None:
+        """Returns the IP number of a front with a newer copy, if needed."""
+        if copying.copy.revision == 0 and copying.lost_s > 0.0:
+            # An old copy is better than none.
+            peers = self._fleet.heard_members()
+        elif not self.watches or copying.lost_s > 0.0:
+            peers = self._proven
+        else:
+            return None
+        now_s = self._clock.now()
+        for peer in peers:
+            if (
+                peer.view is not None
+                and copying.revision_of(peer.view) > copying.copy.revision
+                and self._avoid_until_s_by_ip.get(peer.ip, 0.0) <= now_s
+            ):
+                return peer.ip
+        return None
+
+    async def fetch(
+        self, ip: str, copying: Copying
+    ) -> object_copy.CopyPart | None:
+        """Returns what another front knows; None if it gives nothing."""
+        revision = copying.copy.revision
+        try:
+            part = await self._source.fetch(ip, copying.prefix, revision)
+            if part.revision <= revision:
+                raise errors.PeerError(f"{ip} is at {part.revision}")
+            return part
+        except errors.PeerError as error:
+            logs.warning(
+                self._log,
+                "copy_not_given",
+                front=ip,
+                prefix=copying.prefix,
+                revision=revision,
+                error=str(error),
+            )
+            self._avoid_until_s_by_ip[ip] = self._clock.now() + AVOID_S
+            self.decide()
+            return None
+
+    async def _prove(self) -> None:
+        if not (self.watches and self._plan.is_chosen):
+            self._has_proof = False
+            return
+        try:
+            await asyncio.wait_for(self._store.prove(), PROOF_TIMEOUT_S)
+        except (errors.StoreError, TimeoutError) as error:
+            if self._has_proof:
+                logs.warning(self._log, "store_silent", error=repr(error))
+                for copying in self._copying:
+                    copying.interrupt()
+            self._silent_until_s = self._clock.now() + LOST_MEMORY_S
+            self._has_proof = False
+            self._tell_contact()
+            return
+        self._has_proof = True
+        self._tell_contact()
+
+    def _tell_contact(self) -> None:
+        if self._was_proven != self._is_proven():
+            self._was_proven = not self._was_proven
+            logs.event(
+                self._log, "store_contact_told", is_proven=self._was_proven
+            )
+            self._fleet.announce_near()
+
+    def _is_proven(self) -> bool:
+        return (
+            self._has_proof
+            and self.watches
+            and all(
+                item.copy.revision > 0 and item.lost_s <= GAP_S
+                for item in self._copying
+            )
+        )
+
+    def _peers(self) -> list[fleet_member.FleetMember]:
+        now_s = self._clock.now()
+        return [
+            member
+            for member in self._fleet.zone_members()
+            if self._avoid_until_s_by_ip.get(member.ip, 0.0) <= now_s
+        ]
--- /dev/null
+++ b/fuchsiacourse/front/store_view.py
@@ -0,0 +1,47 @@
+"""What a front knows of the platform's store."""
+
+from __future__ import annotations
+
+
+class StoreView:
+    """Contact of a front with the store, and how new its copies are.
+
+    Args:
+        is_proven: Whether it follows the store itself, and the store has
+            answered it within the last moments.
+        is_lost: Whether it has failed to reach the store lately.
+        capacity: Bandwidth of its host's link in Mbit/s, at most 255.
+        config_revision: Store-wide revision of the last change of its copy
+            of the configuration, 0 for no copy.
+        target_revision: The same for its copy of the registrations.
+    """
+
+    __slots__ = (
+        "is_proven",
+        "is_lost",
+        "capacity",
+        "config_revision",
+        "target_revision",
+    )
+
+    def __init__(
+        self,
+        *,
+        is_proven: bool,
+        is_lost: bool,
+        capacity: int,
+        config_revision: int,
+        target_revision: int,
+    ) -> None:
+        self.is_proven = is_proven
+        self.is_lost = is_lost
+        self.capacity = capacity
+        self.config_revision = config_revision
+        self.target_revision = target_revision
+
+    def is_like(self, other: StoreView | None) -> bool:
+        """Returns whether another view says the same."""
+        return other is not None and all(
+            getattr(self, name) == getattr(other, name)
+            for name in self.__slots__
+        )
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -6,6 +6,7 @@
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import store_follower
+from fuchsiacourse.front import store_view
 from fuchsiacourse.front import target_record
 from fuchsiacourse.front import target_table
 from fuchsiacourse import logs
@@ -78,6 +79,10 @@
             logs.warning(self.log, "target_entry_unreadable", error=str(error))
             self._table.remove(_id(item.key), reason="unreadable entry")
 
+    def revision_of(self, view: store_view.StoreView) -> int:
+        """Returns the revision of another front's copy."""
+        return view.target_revision
+
     def regained(self, away_s: float) -> None:
         """Called when the store is reached again."""
         if away_s >= SHORT_OUTAGE_S:
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -20,6 +20,9 @@
 MAX_ANSWER_BYTES = 8_000_000
 
 _BASE = "/fuchsiacourse/objects/"
+_MAY_BE_OLD = "serializable=1"
+# Kind without objects.
+_PROOF_KIND = "front-proofs"
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -64,6 +67,13 @@
         kind = key.partition("/")[0]
         return _decoded(lambda: _stored(kind, _content(answer)))
 
+    async def prove(self) -> None:
+        """Returns when the store has answered a call.
+
+        A read that may be old costs a tenth, and its content is not used.
+        """
+        await self._call("GET", _path(_PROOF_KIND) + "?" + _MAY_BE_OLD)
+
     async def list(self, prefix: str) -> list[store.StoredObject]:
         """Returns all objects of a kind."""
         return (await self._list(prefix)).objects
@@ -134,7 +144,7 @@
     ) -> store.WatchBatch:
         kind = prefix.rstrip("/")
         # A list that may be some seconds old costs a tenth.
-        cheap = "serializable=1" if may_be_old else ""
+        cheap = _MAY_BE_OLD if may_be_old else ""
         objects: list[store.StoredObject] = []
         revision = 0
         after = ""
--- a/fuchsiacourse/platform/settings_file.py
+++ b/fuchsiacourse/platform/settings_file.py
@@ -93,6 +93,7 @@
         store_address=_address(fields["platform.platform.address"]),
         cores=float(fields.get("self.limits.cpu_share", "1"))
         * float(fields.get("self.limits.cores", "1")),
+        link_mbps=float(fields.get("self.limits.link_mbps", "100")),
         is_first_start=fields.get("self.bootstrap") == "true",
         bounds=_bounds(fields),
     )
--- a/fuchsiacourse/store.py
+++ b/fuchsiacourse/store.py
@@ -6,6 +6,8 @@
 
 # Condition on a write: the object must not exist yet.
 CREATE_ONLY = 0
+# Key that is read where only the store's answer counts; none is written.
+_PROOF_KEY = "front-proofs/none"
 
 
 class StoredObject:
@@ -126,6 +128,13 @@
             The changes, or an empty batch after the timeout.
         """
 
+    async def prove(self) -> None:
+        """Returns when the store has answered a call.
+
+        The call may cost less than the others.
+        """
+        await self.get(_PROOF_KEY)
+
     @abc.abstractmethod
     async def hosts(self) -> list[HostRecord]:
         """Returns the list of live and leaving hosts, which lags."""
--- /dev/null
+++ b/tests/test_copy_exchange.py
@@ -0,0 +1,61 @@
+"""Tests of copies between fronts over loopback."""
+
+import unittest
+
+from fuchsiacourse import errors
+from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import caller_server
+from fuchsiacourse.front import copy_exchange
+from fuchsiacourse.front import front_program
+from fuchsiacourse.front import object_copy
+from fuchsiacourse import store as stores
+from fuchsiacourse import system_clock
+
+IP = "127.0.0.1"
+
+
+class CopyExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """A copy must arrive whole, and its absence must be told."""
+
+    async def asyncSetUp(self) -> None:
+        self.copy = object_copy.ObjectCopy()
+        copies = {"servers/": self.copy}
+        self.failures: list[Exception] = []
+        self.server = caller_server.CallerServer(
+            clock=system_clock.SystemClock(),
+            address=(IP, 0),
+            handler=copy_exchange.CopyHandler(find=copies.get).handle,
+            limits=lambda: front_program.FIRST_LIMITS,
+            budget=body_budget.BodyBudget(),
+            on_error=self.failures.append,
+        )
+        await self.server.start()
+        port = self.server.address[1]
+        self.source = copy_exchange.HttpCopySource(port=port)
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop_listening()
+        self.assertEqual([], self.failures)
+
+    async def test_part_of_a_copy_arrives(self):
+        value = '{"n": "ü"}'.encode()
+        self.copy.replace(5, [])
+        self.copy.update(
+            7, [stores.StoredObject(key="servers/a", value=value, version=6)]
+        )
+        part = await self.source.fetch(IP, "servers/", 5)
+        self.assertEqual((7, False), (part.revision, part.is_whole))
+        found = part.objects[0]
+        self.assertEqual(
+            ("servers/a", value, 6, False),
+            (found.key, found.value, found.version, found.deleted),
+        )
+
+    async def test_unknown_copy_is_an_error(self):
+        with self.assertRaises(errors.PeerError):
+            await self.source.fetch(IP, "boxes/", 0)
+
+    async def test_front_that_is_gone_is_an_error(self):
+        self.server.stop_listening()
+        with self.assertRaises(errors.PeerError):
+            await self.source.fetch(IP, "servers/", 0)
--- /dev/null
+++ b/tests/test_store_relay.py
@@ -0,0 +1,366 @@
+"""Tests of the copies that the fronts of a zone share."""
+
+import asyncio
+import random
+import unittest
+
+from bench import fake_datagrams
+from bench import fake_links
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse.front import copy_exchange
+from fuchsiacourse.front import fleet as fleets
+from fuchsiacourse.front import front_status
+from fuchsiacourse.front import store_relay
+from fuchsiacourse.front import target_follower
+from fuchsiacourse.front import target_table
+from fuchsiacourse import logs
+from fuchsiacourse.platform import target_codec
+from fuchsiacourse import store as stores
+from fuchsiacourse import timers as timer_services
+from tests import test_target_follower
+
+# Time that a front has to leave a target, in seconds.
+DRAIN_S = 2.0
+ENTRY = test_target_follower.entry
+IPS = [f"10.0.0.{last}" for last in range(11, 21)]
+
+
+class Line(stores.Store):
+    """Way of one front to the store; it may fail for that front alone."""
+
+    def __init__(self, store: test_target_follower.ScriptedStore) -> None:
+        self.store = store
+        self.failure: Exception | None = None
+        self.is_silent = False
+        self.calls = 0
+        self._ended = asyncio.Event()
+
+    def fail(self, error: Exception | None) -> None:
+        self.failure = error
+        self.cut()
+
+    def cut(self) -> None:
+        """Ends the watch that is waiting."""
+        self._ended.set()
+
+    async def watch(self, prefix, *, after_revision, timeout_s):
+        await self._admit()
+        answer = asyncio.ensure_future(
+            self.store.watch(
+                prefix, after_revision=after_revision, timeout_s=timeout_s
+            )
+        )
+        ended = asyncio.ensure_future(self._ended.wait())
+        await asyncio.wait(
+            (answer, ended), return_when=asyncio.FIRST_COMPLETED
+        )
+        ended.cancel()
+        if self.is_silent:
+            answer.cancel()
+            await asyncio.Event().wait()
+        if not answer.done():
+            answer.cancel()
+            raise self.failure or errors.StoreUnavailable("cut")
+        try:
+            return answer.result()
+        except TimeoutError:
+            return stores.WatchBatch(revision=self.store.revision, objects=[])
+
+    async def prove(self):
+        await self._admit()
+        if self.store.failure is not None:
+            raise self.store.failure
+
+    async def _admit(self):
+        self.calls += 1
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if self.failure is not None:
+            raise self.failure
+        self._ended.clear()
+        await asyncio.sleep(0.005)
+
+    async def get(self, key):
+        raise AssertionError("not used")
+
+    async def list(self, prefix):
+        raise AssertionError("not used")
+
+    async def put(self, key, value, *, if_version):
+        raise AssertionError("fronts write nothing")
+
+    async def delete(self, key, *, if_version):
+        raise AssertionError("fronts write nothing")
+
+    async def hosts(self):
+        raise AssertionError("fronts list no hosts")
+
+
+class Front(copy_exchange.CopySource):
+    """One front: its fleet, relay and follower of targets."""
+
+    def __init__(self, world: "World", ip: str) -> None:
+        self.world = world
+        self.ip = ip
+        clock = virtual_loop.VirtualClock()
+        rng = random.Random(ip)
+        self.timers = timer_services.Timers(
+            clock=clock, rng=rng, on_error=world.failures.append
+        )
+        self.is_up = True
+        self.line = Line(world.store)
+        self.fleet = fleets.Fleet(
+            clock=clock,
+            timers=self.timers,
+            rng=rng,
+            datagram=world.network.endpoint(f"{ip}:7000"),
+            settings=front_fakes.settings(ip, "a", tuple(IPS[:3])),
+            incarnation=1,
+            status=self.status,
+            log=logs.silent(),
+        )
+        self.relay = store_relay.StoreRelay(
+            clock=clock,
+            timers=self.timers,
+            ip=ip,
+            capacity=100,
+            fleet=self.fleet,
+            store=self.line,
+            source=self,
+            log=logs.silent(),
+        )
+        self.table = target_table.TargetTable(clock=clock, log=logs.silent())
+        self.targets = target_follower.TargetFollower(
+            table=self.table,
+            timers=self.timers,
+            decode=target_codec.decode,
+            store_back_s=self.fleet.store_s,
+            clock=clock,
+            rng=rng,
+            store=self.line,
+            prefix="servers/",
+            relay=self.relay,
+            log=logs.silent(),
+        )
+        # The registrations stand for both copies.
+        self.relay.add(self.targets)
+        self.relay.add(self.targets)
+        self.fleet.start(lambda *item: None)
+        self.relay.start()
+        self.timers.spawn(self.targets.run())
+
+    def status(self) -> front_status.FrontStatus:
+        reached_s = self.targets.clock.now() - self.targets.reached_since_s
+        return front_status.FrontStatus(
+            is_ready=self.targets.has_listed,
+            is_leaving=False,
+            config_version=1,
+            store_s=reached_s if self.targets.is_current else 0.0,
+            view=self.relay.view(),
+        )
+
+    async def fetch(self, ip, prefix, after_revision):
+        await asyncio.sleep(0.002)
+        front = self.world.fronts[ip]
+        copy = front.relay.find(prefix)
+        if not front.is_up or copy is None:
+            raise errors.PeerError("no answer")
+        return copy.since(after_revision)
+
+    def stop(self) -> None:
+        self.is_up = False
+        self.timers.close()
+
+    def usable(self) -> set[str]:
+        return {
+            target.record.id
+            for target in self.table.of_service("larder")
+            if target.is_usable
+        }
+
+
+class World:
+    """Fronts of one zone around a store."""
+
+    def __init__(self) -> None:
+        self.failures: list[Exception] = []
+        self.store = test_target_follower.ScriptedStore()
+        links = fake_links.FakeLinks(rng=random.Random(3))
+        self.network = fake_datagrams.FakeDatagrams(links=links)
+        self.fronts: dict[str, Front] = {}
+
+    def start(self, ip: str) -> Front:
+        front = self.fronts[ip] = Front(self, ip)
+        return front
+
+    def watching(self) -> list[str]:
+        return [
+            ip
+            for ip, front in self.fronts.items()
+            if front.is_up and front.relay.watches
+        ]
+
+    def live(self) -> list[Front]:
+        return [front for front in self.fronts.values() if front.is_up]
+
+
+class StoreRelayTest(unittest.TestCase):
+    """Few fronts watch, and yet each leaves a target in time."""
+
+    def play(self, script) -> None:
+        async def main():
+            self.world = world = World()
+            world.store.set("servers/t1", ENTRY("t1"))
+            world.store.set("servers/t2", ENTRY("t2"))
+            for ip in IPS:
+                world.start(ip)
+            await asyncio.sleep(5.0)
+            self.assertEqual(IPS[:2], world.watching())
+            await script(world)
+            self.assertEqual([], world.failures)
+            for front in world.fronts.values():
+                front.timers.close()
+
+        virtual_loop.run(main())
+
+    async def check_drained_in_time(self, world: World, id: str) -> None:
+        """Lets a target drain; each front must leave it in time."""
+        world.store.set(f"servers/{id}", ENTRY(id, "draining"))
+        await asyncio.sleep(DRAIN_S)
+        for front in world.live():
+            self.assertNotIn(id, front.usable(), front.ip)
+
+    def test_all_fronts_follow_and_two_call(self):
+        async def script(world):
+            before = {f.ip: f.line.calls for f in world.live()}
+            await self.check_drained_in_time(world, "t1")
+            world.store.set("servers/t2", None)
+            await asyncio.sleep(DRAIN_S)
+            for front in world.live():
+                self.assertEqual(set(), front.usable(), front.ip)
+                if front.ip not in IPS[:2]:
+                    self.assertEqual(before[front.ip], front.line.calls)
+
+        self.play(script)
+
+    def test_killed_watchers(self):
+        async def script(world):
+            for ip in IPS[:2]:
+                world.fronts[ip].stop()
+            await self.check_drained_in_time(world, "t1")
+            await asyncio.sleep(5.0)
+            self.assertEqual(IPS[2:4], world.watching())
+
+        self.play(script)
+
+    def test_watchers_that_the_store_no_longer_answers(self):
+        async def script(world):
+            for ip in IPS[:2]:
+                world.fronts[ip].line.is_silent = True
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
+
+    def test_store_that_answers_only_one_front(self):
+        async def script(world):
+            for ip in IPS[:-1]:
+                world.fronts[ip].line.is_silent = True
+            world.store.set("servers/t1", ENTRY("t1", "draining"))
+            await asyncio.sleep(DRAIN_S)
+            self.assertEqual({"t2"}, world.fronts[IPS[-1]].usable())
+
+        self.play(script)
+
+    def test_watchers_that_the_store_turns_away(self):
+        async def script(world):
+            for ip in IPS[:2]:
+                world.fronts[ip].line.fail(errors.StoreRefused("503"))
+            await self.check_drained_in_time(world, "t1")
+            await asyncio.sleep(6.0)
+            # The others prove their contact now, and all copy from them.
+            await self.check_drained_in_time(world, "t2")
+            for ip in IPS[2:4]:
+                self.assertIn(ip, world.watching())
+
+        self.play(script)
+
+    def test_watches_that_are_cut_cost_no_contact(self):
+        async def script(world):
+            for ip in IPS[:2]:
+                world.fronts[ip].line.cut()
+            await asyncio.sleep(3.0)
+            self.assertEqual(IPS[:2], world.watching())
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
+
+    def test_store_that_is_away_for_all_and_back(self):
+        async def script(world):
+            for front in world.live():
+                front.line.fail(errors.StoreUnavailable("away"))
+            await asyncio.sleep(6.0)
+            world.store.set("servers/t1", None)
+            for front in world.live():
+                front.line.fail(None)
+            await asyncio.sleep(1.0)
+            for front in world.live():
+                # It may be registered again within two seconds.
+                self.assertEqual({"t1", "t2"}, front.usable(), front.ip)
+                self.assertTrue(front.targets.is_current, front.ip)
+            await asyncio.sleep(2.0)
+            for front in world.live():
+                self.assertEqual({"t2"}, front.usable(), front.ip)
+            await asyncio.sleep(6.0)
+            self.assertEqual(IPS[:2], world.watching())
+
+        self.play(script)
+
+    def test_few_fronts_ask_a_store_that_is_away(self):
+        async def script(world):
+            for front in world.live():
+                front.line.fail(errors.StoreUnavailable("away"))
+            await asyncio.sleep(3.0)
+            before = [front.line.calls for front in world.live()]
+            await asyncio.sleep(6.0)
+            after = [front.line.calls for front in world.live()]
+            calls = [new - old for old, new in zip(before, after)]
+            self.assertGreater(min(calls[:2]), 10)
+            self.assertLessEqual(max(calls[2:]), 6.0 / 1.5)
+            for front in world.live():
+                front.line.fail(None)
+            await asyncio.sleep(1.0)
+            for front in world.live():
+                self.assertTrue(front.targets.is_current, front.ip)
+
+        self.play(script)
+
+    def test_front_that_starts_while_the_store_is_away(self):
+        async def script(world):
+            away = errors.StoreUnavailable("away")
+            for front in world.live():
+                front.line.fail(away)
+            await asyncio.sleep(6.0)
+            front = world.start("10.0.0.99")
+            front.line.fail(away)
+            await asyncio.sleep(1.5)
+            self.assertEqual({"t1", "t2"}, front.usable())
+            self.assertFalse(front.targets.is_current)
+
+        self.play(script)
+
+    def test_front_that_starts_takes_the_newest_copy(self):
+        async def script(world):
+            old = list(world.store.objects.values())
+            world.store.set("servers/t1", ENTRY("t1", "draining"))
+            await asyncio.sleep(1.0)
+            front = world.start("10.0.0.99")
+            front.targets.copy.replace(2, old)
+            front.targets.listed(old)
+            front.targets.has_listed = True
+            await asyncio.sleep(0.5)
+            self.assertEqual({"t2"}, front.usable())
+            self.assertEqual(0, front.line.calls)
+
+        self.play(script)
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -127,6 +127,7 @@
             rng=random.Random(2),
             store=self.store,
             prefix="servers/",
+            relay=front_fakes.DirectRelay(),
             log=logs.silent(),
         )
 
@@ -303,6 +304,7 @@
             rng=random.Random(1),
             store=None,
             prefix="config/",
+            relay=front_fakes.DirectRelay(),
             log=logs.silent(),
         )
         for number, value in enumerate((b"4", b"9", b"x", b"7", b"9", b"11")):
