Pass long bodies on while they arrive

Cause: requests and answers were held whole, which adds the time of a long body twice and takes its memory.

Such a request has one sending; an answer that ends early ends the caller's connection before its last bytes. A caller whose answer came before the end of its body is read on for 2 s, so that the answer is not lost to a reset.

--- a/fuchsiacourse/errors.py
+++ b/fuchsiacourse/errors.py
@@ -75,6 +75,10 @@
     """The call was sent and no complete reply came."""
 
 
+class BodyCutOff(FuchsiacourseError):
+    """A body that is passed on while it arrives has ended early."""
+
+
 class TargetError(FuchsiacourseError):
     """Base of the errors of a call to a target."""
 
--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -3,22 +3,28 @@
 from __future__ import annotations
 
 import collections
+import typing
 
 import httptools
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 
 _FIRST_FINAL = 200
 _BODILESS = frozenset((204, 304))
 
+PassingOn = typing.Callable[[], body_stream.BodyStream]
+
 
 class AnswerParser:
     """Parses answers; informational ones are dropped.
 
     Args:
-        max_bytes: Longest body.
+        max_bytes: Longest body that is read whole.
+        passing_on: How to pass longer bodies on while they arrive, None
+            where all bodies are to be whole.
     """
 
     __slots__ = (
@@ -26,6 +32,8 @@
         "closes",
         "has_begun",
         "_max_bytes",
+        "_passing_on",
+        "_stream",
         "_parser",
         "_headers",
         "_body",
@@ -34,8 +42,10 @@
         "_is_framed",
     )
 
-    def __init__(self, *, max_bytes: int) -> None:
-        # Complete answers, oldest first.
+    def __init__(
+        self, *, max_bytes: int, passing_on: PassingOn | None = None
+    ) -> None:
+        # Answers, oldest first; the last may have a rest to come.
         self.answers: collections.deque[http_answer.HttpAnswer] = (
             collections.deque()
         )
@@ -44,6 +54,8 @@
         # Whether part of an answer has been read.
         self.has_begun = False
         self._max_bytes = max_bytes
+        self._passing_on = passing_on
+        self._stream: body_stream.BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
@@ -58,9 +70,21 @@
         except httptools.HttpParserError as error:
             # Answers before the malformed bytes are whole.
             self.closes = True
+            self.break_off(errors.TargetBadAnswer(str(error)))
             if not self.answers:
                 raise errors.TargetBadAnswer(str(error)) from error
 
+    @property
+    def is_passing_on(self) -> bool:
+        """Whether the rest of an answer is being passed on."""
+        return self._stream is not None
+
+    def break_off(self, error: Exception) -> None:
+        """Ends an answer that is being passed on before it is whole."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.fail(error)
+
     def end(self) -> None:
         """Ends an answer whose length is given by an orderly close."""
         if self._is_head_complete and not self._is_framed:
@@ -93,7 +117,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
+        if self._stream is not None:
+            self._stream.feed(body)
+            return
         self._body_bytes += len(body)
+        if self._is_too_long_to_hold():
+            self._body.append(body)
+            self._begin_stream()
+            return
         if self._body_bytes > self._max_bytes:
             raise errors.TargetBadAnswer("answer too large")
         self._body.append(body)
@@ -105,18 +136,37 @@
             return
         self._complete()
 
+    def _is_too_long_to_hold(self) -> bool:
+        return (
+            self._passing_on is not None
+            and self._body_bytes > body_stream.BUFFERED_BYTES
+        )
+
+    def _begin_stream(self) -> None:
+        assert self._passing_on is not None
+        self._stream = self._passing_on()
+        self._queue()
+
     def _complete(self) -> None:
         self.closes = not self._is_framed or not (
             self._parser.should_keep_alive()
         )
+        if self._stream is None:
+            self._queue()
+        else:
+            stream, self._stream = self._stream, None
+            stream.end()
+        self._reset()
+
+    def _queue(self) -> None:
         self.answers.append(
             http_answer.HttpAnswer(
                 status=self._parser.get_status_code(),
                 headers=self._headers,
                 body=b"".join(self._body),
+                rest=self._stream,
             )
         )
-        self._reset()
 
     def _reset(self) -> None:
         self.has_begun = False
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -8,6 +8,7 @@
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
@@ -19,6 +20,10 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TIMEOUT = 408
 _SERVER_ERROR = 500
+# Time for which the rest of a body is read that nobody takes any more, in
+# seconds: a connection that is closed before is reset, and its caller may
+# lose the answer.
+LINGER_S = 2.0
 _HEAD = b"HEAD"
 
 Handler = typing.Callable[
@@ -67,11 +72,19 @@
             max_head_bytes=limits.max_head_bytes,
             max_body_bytes=limits.max_body_bytes,
             budget=server.budget,
+            on_flow=self._on_flow,
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._presence: caller_presence.CallerPresence | None = None
         self._rejection: errors.RequestRejected | None = None
+        # Long answer that is being passed on.
+        self._answer_rest: body_stream.BodyStream | None = None
+        self._may_write = asyncio.Event()
+        self._may_write.set()
+        self._is_flow_paused = False
+        # Time until which a body without a reader is read, in seconds.
+        self._linger_until_s: float | None = None
         self._idle_since_s = server.clock.now()
         # Monotonic time of the last bytes, in seconds.
         self._heard_s = self._idle_since_s
@@ -95,6 +108,10 @@
             self._parser.feed(data)
         except errors.RequestRejected as error:
             self._rejection = error
+        if self._linger_until_s is not None:
+            if self._rejection is not None or not self._parser.is_reading:
+                self._close()
+            return
         if self._parser.wants_continue and self._transport is not None:
             self._parser.wants_continue = False
             self._transport.write(_CONTINUE)
@@ -108,10 +125,21 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the loop."""
         self._transport = None
+        if self._answer_rest is not None:
+            self._answer_rest.close()
+        self._may_write.set()
         self._leave()
         self._parser.close()
         self._server.closed(self)
 
+    def pause_writing(self) -> None:
+        """Called by the loop when the caller reads too slowly."""
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        """Called by the loop when the caller has caught up."""
+        self._may_write.set()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is under way."""
         if self._task is None and not self._parser.is_reading:
@@ -119,9 +147,18 @@
 
     def close_if_overdue(self, now_s: float) -> None:
         """Closes the connection if the caller is slow or idle for long."""
+        limits = self._server.limits
+        if self._linger_until_s is not None:
+            if now_s > self._linger_until_s:
+                self._close()
+            return
         if self._task is not None:
+            is_silent = now_s - self._heard_s > limits.idle_timeout_s
+            if is_silent and not self._is_flow_paused:
+                self._parser.break_off(
+                    errors.BodyCutOff("the caller sends no more of its body")
+                )
             return
-        limits = self._server.limits
         started_s = self._parser.head_started_s
         if self._parser.reads_body:
             is_late = now_s - self._heard_s > limits.idle_timeout_s
@@ -158,7 +195,16 @@
                 keeps_alive=False,
             )
         queued = len(self._parser.requests)
-        if queued > MAX_QUEUED:
+        if queued > MAX_QUEUED or self._is_flow_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _on_flow(self, is_paused: bool) -> None:
+        self._is_flow_paused = is_paused
+        if self._transport is None:
+            return
+        if is_paused:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -174,19 +220,67 @@
             self._server.failed(error)
             answer = http_answer.HttpAnswer(status=_SERVER_ERROR, headers=[])
         self._server.budget.release(len(request.body))
+        keeps_alive = request.keeps_alive and not self._server.is_stopping
+        rest = request.rest
+        if rest is not None and (rest.has_failed or not rest.is_ended):
+            rest.close()
+            keeps_alive = False
+        await self._answer(request, answer, keeps_alive)
         self._task = None
         self._idle_since_s = self._server.clock.now()
-        if self._transport is None:
-            return
-        keeps_alive = request.keeps_alive and not self._server.is_stopping
-        self._write(
-            answer,
-            keeps_alive=keeps_alive,
-            has_body=request.method != _HEAD,
-        )
         if keeps_alive:
             self._next()
 
+    async def _answer(
+        self,
+        request: http_request.HttpRequest,
+        answer: http_answer.HttpAnswer,
+        keeps_alive: bool,
+    ) -> None:
+        if answer.rest is not None and self._transport is None:
+            answer.rest.close()
+            return
+        if answer.rest is None:
+            self._write(
+                answer,
+                keeps_alive=keeps_alive,
+                has_body=request.method != _HEAD,
+            )
+            return
+        self._answer_rest = answer.rest
+        try:
+            if answer.is_chunked and not request.takes_chunks:
+                # An early end would look complete to such a caller.
+                await _collect(answer)
+                self._write(answer, keeps_alive=keeps_alive)
+            else:
+                await self._pass_on(answer, keeps_alive)
+        except errors.BodyCutOff:
+            # The caller sees an answer that is not whole. The stream has
+            # told the reason to whoever logs it.
+            if self._transport is not None:
+                self._transport.abort()
+        finally:
+            self._answer_rest = None
+
+    async def _pass_on(
+        self, answer: http_answer.HttpAnswer, keeps_alive: bool
+    ) -> None:
+        rest = answer.rest
+        assert rest is not None
+        self._send(answer.encode(keeps_alive=keeps_alive))
+        while part := await rest.read():
+            await rest.wait_for(self._may_write)
+            self._send(body_stream.chunk(part) if answer.is_chunked else part)
+        if answer.is_chunked:
+            self._send(body_stream.chunk(b""))
+        if not keeps_alive:
+            self._end()
+
+    def _send(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
     def _write(
         self,
         answer: http_answer.HttpAnswer,
@@ -194,12 +288,15 @@
         keeps_alive: bool,
         has_body: bool = True,
     ) -> None:
-        if self._transport is None:
-            return
-        self._transport.write(
-            answer.encode(keeps_alive=keeps_alive, has_body=has_body)
-        )
+        self._send(answer.encode(keeps_alive=keeps_alive, has_body=has_body))
         if not keeps_alive:
+            self._end()
+
+    def _end(self) -> None:
+        """Closes the connection, after the rest of an unread body."""
+        if self._rejection is None and self._parser.reads_body:
+            self._linger_until_s = self._server.clock.now() + LINGER_S
+        else:
             self._close()
 
     def _leave(self) -> None:
@@ -209,3 +306,17 @@
     def _close(self) -> None:
         if self._transport is not None:
             self._transport.close()
+
+
+async def _collect(answer: http_answer.HttpAnswer) -> None:
+    """Reads the rest of an answer.
+
+    Raises:
+        BodyCutOff: It has ended early.
+    """
+    assert answer.rest is not None
+    parts = [answer.body]
+    while part := await answer.rest.read():
+        parts.append(part)
+    answer.body = b"".join(parts)
+    answer.rest = None
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -9,6 +9,7 @@
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import answer_parser
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_answer
 
 # A silent peer is noticed by these probes of the operating system, in
@@ -25,17 +26,28 @@
     """One connection to an HTTP server.
 
     Args:
-        max_answer_bytes: Longest body of an answer.
+        max_answer_bytes: Longest body of an answer that is read whole.
+        passes_on: Whether longer bodies are passed on while they arrive.
     """
 
-    def __init__(self, *, max_answer_bytes: int) -> None:
-        self._parser = answer_parser.AnswerParser(max_bytes=max_answer_bytes)
+    def __init__(
+        self, *, max_answer_bytes: int, passes_on: bool = False
+    ) -> None:
+        self._parser = answer_parser.AnswerParser(
+            max_bytes=max_answer_bytes,
+            passing_on=self._begin_stream if passes_on else None,
+        )
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[http_answer.HttpAnswer] | None = None
         self._accepts: Accepts | None = None
         self._is_head = False
         # Whether the server has answered a request out of turn.
         self._is_out_of_step = False
+        self._may_write = asyncio.Event()
+        self._may_write.set()
+        # Called when a long answer has been passed on whole and another
+        # request may be sent.
+        self.when_idle: typing.Callable[[], None] | None = None
         # Whether another request may be sent.
         self.is_usable = False
         # Monotonic time of the last answer, in seconds.
@@ -43,7 +55,11 @@
 
     @classmethod
     async def open(
-        cls, address: tuple[str, int], *, max_answer_bytes: int
+        cls,
+        address: tuple[str, int],
+        *,
+        max_answer_bytes: int,
+        passes_on: bool = False,
     ) -> ClientConnection:
         """Opens a connection.
 
@@ -52,7 +68,10 @@
         """
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(
-            lambda: cls(max_answer_bytes=max_answer_bytes), *address
+            lambda: cls(
+                max_answer_bytes=max_answer_bytes, passes_on=passes_on
+            ),
+            *address,
         )
         return connection
 
@@ -65,7 +84,13 @@
             _watch_silence(transport.get_extra_info("socket"))
 
     async def exchange(
-        self, data: bytes, *, accepts: Accepts, is_head: bool = False
+        self,
+        data: bytes,
+        *,
+        accepts: Accepts,
+        is_head: bool = False,
+        rest: body_stream.BodyStream | None = None,
+        is_chunked: bool = False,
     ) -> http_answer.HttpAnswer:
         """Sends a request and returns its answer.
 
@@ -77,6 +102,8 @@
             accepts: Tells whether an answer belongs to the request; others
                 are late answers to earlier requests and are dropped.
             is_head: Whether the method is HEAD.
+            rest: What follows of the request's body.
+            is_chunked: Whether it goes in chunked coding.
 
         Raises:
             TargetUnreachable: The connection had ended before.
@@ -90,6 +117,9 @@
         self._is_head = is_head
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
+        pump: asyncio.Task[None] | None = None
+        if rest is not None:
+            pump = asyncio.ensure_future(self._pump(rest, is_chunked))
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -97,6 +127,34 @@
             raise
         finally:
             self._waiter = None
+            if pump is not None and not pump.done():
+                # The rest of the body is due before the next request.
+                pump.cancel()
+                self.close()
+
+    async def _pump(
+        self, rest: body_stream.BodyStream, is_chunked: bool
+    ) -> None:
+        try:
+            while part := await rest.read():
+                await self._may_write.wait()
+                self._write(body_stream.chunk(part) if is_chunked else part)
+            if is_chunked:
+                self._write(body_stream.chunk(b""))
+        except errors.BodyCutOff as error:
+            self._fail(errors.TargetUnsure(f"no whole request: {error}"))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and self.is_usable:
+            self._transport.write(data)
+
+    def pause_writing(self) -> None:
+        """Called by the loop when the server reads too slowly."""
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        """Called by the loop when the server has caught up."""
+        self._may_write.set()
 
     def close(self) -> None:
         """Closes the connection at once."""
@@ -106,7 +164,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Called by the loop."""
-        if self._waiter is None:
+        was_passing_on = self._parser.is_passing_on
+        if self._waiter is None and not was_passing_on:
             # Bytes that no request has asked for belong to nobody.
             self.close()
             return
@@ -118,11 +177,13 @@
         if self._is_head:
             self._parser.end_head()
         self._take()
+        if was_passing_on and self._waiter is None:
+            self._after_stream()
 
     def eof_received(self) -> bool:
         """Called by the loop when the server has closed its side."""
         self.is_usable = False
-        if self._waiter is not None:
+        if self._waiter is not None or self._parser.is_passing_on:
             self._parser.end()
             self._take()
         return False
@@ -130,7 +191,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the loop."""
         self.is_usable = False
+        self._may_write.set()
         detail = f"connection lost: {exc!r}"
+        if self._parser.is_passing_on:
+            self._parser.break_off(errors.TargetBadAnswer(detail))
         if self._parser.has_begun:
             self._fail(errors.TargetBadAnswer(detail))
         else:
@@ -140,15 +204,43 @@
         while self._parser.answers:
             answer = self._parser.answers.popleft()
             assert self._accepts is not None
-            if self._accepts(answer):
+            if self._waiter is not None and self._accepts(answer):
                 self._finish(answer)
                 return
+            if answer.rest is not None:
+                answer.rest.close()
             # A late answer to an earlier request; ours comes next.
             self._is_out_of_step = True
 
     def _finish(self, answer: http_answer.HttpAnswer) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(answer)
+        if not self._parser.is_passing_on:
+            self._check_end()
+
+    def _after_stream(self) -> None:
+        """Follows an answer that was passed on while it arrived."""
+        if self._parser.is_passing_on:
+            return
+        self._check_end()
+        if self.is_usable and self.when_idle is not None:
+            self.when_idle()
+        self.when_idle = None
+
+    def _begin_stream(self) -> body_stream.BodyStream:
+        return body_stream.BodyStream(
+            on_flow=self._on_flow, on_close=self.close
+        )
+
+    def _on_flow(self, is_paused: bool) -> None:
+        if self._transport is None:
+            return
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _check_end(self) -> None:
         self.idle_since_s = asyncio.get_running_loop().time()
         is_ahead = bool(self._parser.answers) or self._parser.has_begun
         if self._parser.closes or is_ahead or self._is_out_of_step:
--- a/fuchsiacourse/front/http_answer.py
+++ b/fuchsiacourse/front/http_answer.py
@@ -4,6 +4,7 @@
 
 import http
 
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_request
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -27,15 +28,16 @@
 
 
 class HttpAnswer:
-    """Complete answer.
+    """Answer with a complete head.
 
     Args:
         status: Status code.
         headers: Names in lower case with values, in order.
-        body: Body without transfer coding.
+        body: Body without transfer coding, or its first part.
+        rest: What follows of a long body, None if the body is complete.
     """
 
-    __slots__ = ("status", "headers", "body")
+    __slots__ = ("status", "headers", "body", "rest")
 
     def __init__(
         self,
@@ -43,10 +45,12 @@
         status: int,
         headers: http_request.Headers,
         body: bytes = b"",
+        rest: body_stream.BodyStream | None = None,
     ) -> None:
         self.status = status
         self.headers = headers
         self.body = body
+        self.rest = rest
 
     @property
     def is_success(self) -> bool:
@@ -60,12 +64,20 @@
                 return value
         return None
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the body is sent without a length."""
+        return self.rest is not None and (
+            self.header(b"content-length") is None
+        )
+
     def passed_on(self) -> HttpAnswer:
         """Returns the answer without what concerns one connection."""
         return HttpAnswer(
             status=self.status,
             headers=end_to_end(self.headers),
             body=self.body,
+            rest=self.rest,
         )
 
     def encode(self, *, keeps_alive: bool, has_body: bool = True) -> bytes:
@@ -79,16 +91,21 @@
         for name, value in self.headers:
             if name != b"content-length":
                 lines.append(b"%s: %s\r\n" % (name, value))
-        if self.status not in _NO_BODY:
+        if self.is_chunked:
+            lines.append(b"transfer-encoding: chunked\r\n")
+        elif self.status not in _NO_BODY:
             length = self.header(b"content-length")
-            if has_body or length is None:
+            if self.rest is None and (has_body or length is None):
                 length = b"%d" % len(self.body)
             lines.append(b"content-length: %s\r\n" % length)
         if not keeps_alive:
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
         if has_body and self.status not in _NO_BODY:
-            lines.append(self.body)
+            is_chunked = self.is_chunked
+            lines.append(
+                body_stream.chunk(self.body) if is_chunked else self.body
+            )
         return b"".join(lines)
 
 
--- a/fuchsiacourse/front/http_request.py
+++ b/fuchsiacourse/front/http_request.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+from fuchsiacourse.front import body_stream
+
 Headers = list[tuple[bytes, bytes]]
 
 
 class HttpRequest:
-    """Complete request of a caller.
+    """Request of a caller with a complete head.
 
     Args:
         method: Method in upper case.
         target: Request target as sent, path and query.
         headers: Names in lower case with values, in order.
-        body: Body without transfer coding.
+        body: Body without transfer coding, or its first part.
         received_s: Monotonic time of the first byte, in seconds.
         keeps_alive: Whether the caller may use the connection again.
+        takes_chunks: Whether the caller understands chunked answers.
+        rest: What follows of a long body, None if the body is complete.
     """
 
     __slots__ = (
@@ -24,6 +28,8 @@
         "body",
         "received_s",
         "keeps_alive",
+        "takes_chunks",
+        "rest",
     )
 
     def __init__(
@@ -35,6 +41,8 @@
         body: bytes,
         received_s: float,
         keeps_alive: bool,
+        takes_chunks: bool = True,
+        rest: body_stream.BodyStream | None = None,
     ) -> None:
         self.method = method
         self.target = target
@@ -42,6 +50,20 @@
         self.body = body
         self.received_s = received_s
         self.keeps_alive = keeps_alive
+        self.takes_chunks = takes_chunks
+        self.rest = rest
+
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the body is passed on without a length."""
+        return self.rest is not None and (
+            self.header(b"content-length") is None
+        )
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether part of the body can't be sent again."""
+        return self.rest is not None and self.rest.is_started
 
     @property
     def path(self) -> str:
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -7,6 +7,7 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
@@ -33,6 +34,7 @@
 # target accepts which the idle ones of all fronts may take.
 MAX_IDLE = 2
 IDLE_CAP_SHARE = 0.5
+# Longest answer of the platform's targets that is read whole.
 MAX_ANSWER_BYTES = 64_000_000
 # These statuses promise that a request has not run, so the front passes them
 # on only if the target states it.
@@ -91,6 +93,9 @@
     ) -> sending.SendResult:
         """Sends a request and waits for the answer."""
         max_idle_s = DEFAULT_IDLE_S * 10 if is_idempotent else UNSAFE_IDLE_S
+        if request.rest is not None:
+            # It can't be sent again over another connection.
+            max_idle_s = 0.0
         connection = self._take(target.key, max_idle_s)
         is_reused = connection is not None
         started_s = self._clock.now()
@@ -144,7 +149,9 @@
         self.opened += 1
         return await asyncio.wait_for(
             client_connection.ClientConnection.open(
-                target.record.address, max_answer_bytes=MAX_ANSWER_BYTES
+                target.record.address,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+                passes_on=True,
             ),
             CONNECT_TIMEOUT_S,
         )
@@ -168,6 +175,8 @@
                     self._encode(request, target, left_s),
                     accepts=accepts,
                     is_head=request.method == _HEAD,
+                    rest=request.rest,
+                    is_chunked=request.is_chunked,
                 ),
                 left_s,
             )
@@ -180,7 +189,12 @@
         except errors.TargetUnsure as error:
             return _ended(outcomes.Outcome.LOST, error)
         terms = self._protocol.target_terms(answer)
-        if connection.is_usable:
+        if answer.rest is not None and not answer.rest.is_ended:
+            answer.rest.deadline_s = deadline_s
+            connection.when_idle = lambda: self._keep(
+                target, connection, terms.idle_s
+            )
+        elif connection.is_usable:
             self._keep(target, connection, terms.idle_s)
         result = _judged(answer, terms)
         is_over = self._clock.now() > deadline_s - DEADLINE_SLACK_S
@@ -208,10 +222,18 @@
             request, target_id=target.record.id, left_s=left_s
         ):
             lines.append(b"%s: %s\r\n" % (name, value))
-        if request.body or request.header(b"content-length") is not None:
+        length = request.header(b"content-length")
+        if request.is_chunked:
+            lines.append(b"transfer-encoding: chunked\r\n")
+        elif request.rest is not None:
+            lines.append(b"content-length: %s\r\n" % length)
+        elif request.body or length is not None:
             lines.append(b"content-length: %d\r\n" % len(request.body))
         lines.append(b"\r\n")
-        lines.append(request.body)
+        is_chunked = request.is_chunked
+        lines.append(
+            body_stream.chunk(request.body) if is_chunked else request.body
+        )
         return b"".join(lines)
 
     def _take(
--- a/fuchsiacourse/front/request_events.py
+++ b/fuchsiacourse/front/request_events.py
@@ -5,6 +5,7 @@
 import typing
 
 from fuchsiacourse.front import front_metrics
+from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import sending
 from fuchsiacourse.front import target as targets
@@ -87,6 +88,24 @@
             detail=result.detail,
         )
 
+    def passes_on(
+        self, answer: http_answer.HttpAnswer, target: targets.Target
+    ) -> None:
+        """Tells later how the rest of a long answer has ended."""
+
+        def ended(error: Exception | None) -> None:
+            logs.event(
+                self._log,
+                "answer_passed_on",
+                request_id=self._request_id,
+                target=target.record.id,
+                whole=error is None,
+                error="" if error is None else str(error),
+            )
+
+        if answer.rest is not None:
+            answer.rest.when_ended = ended
+
     def answered(
         self,
         status: int,
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -9,6 +9,7 @@
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_request
 
 _BAD_REQUEST = 400
@@ -23,6 +24,8 @@
 class RequestParser:
     """Parses requests strictly; pipelined ones are queued.
 
+    A request with a long body is queued before the body is complete.
+
     A request whose length is ambiguous is an error, because a target could
     read another request in its body.
 
@@ -32,6 +35,8 @@
         max_body_bytes: Longest body.
         budget: Memory for bodies; whoever takes a request from
             ``requests`` gives its part back.
+        on_flow: Called with True when the caller must pause, with False
+            when it may go on.
     """
 
     __slots__ = (
@@ -48,6 +53,9 @@
         "_fed_bytes",
         "_body",
         "_body_bytes",
+        "_held_bytes",
+        "_stream",
+        "_on_flow",
         "_reads_body",
         "_budget",
     )
@@ -59,8 +67,11 @@
         max_head_bytes: int,
         max_body_bytes: int,
         budget: body_budget.BodyBudget,
+        on_flow: body_stream.Flow,
     ) -> None:
         self._budget = budget
+        self._on_flow = on_flow
+        self._stream: body_stream.BodyStream | None = None
         self.requests: collections.deque[http_request.HttpRequest] = (
             collections.deque()
         )
@@ -76,11 +87,18 @@
 
     def close(self) -> None:
         """Gives back the memory of what was not taken."""
-        self._budget.release(self._body_bytes)
-        self._body_bytes = 0
+        self.break_off(errors.BodyCutOff("the caller has left"))
+        self._budget.release(self._held_bytes)
+        self._held_bytes = 0
         while self.requests:
             self._budget.release(len(self.requests.popleft().body))
 
+    def break_off(self, error: Exception) -> None:
+        """Ends a body that is passed on while it arrives."""
+        if self._stream is not None:
+            self._stream.fail(error)
+            self._end_stream()
+
     @property
     def reads_body(self) -> bool:
         """Whether the head of a request is complete and its body is not."""
@@ -106,6 +124,13 @@
                 raise errors.RequestRejected(
                     _HEADERS_TOO_LARGE, "head too large"
                 )
+        try:
+            self._feed(data)
+        except errors.RequestRejected as error:
+            self.break_off(error)
+            raise
+
+    def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -150,17 +175,44 @@
         """Called by the parser with a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
-            self._body_bytes -= len(body)
             raise errors.RequestRejected(_TOO_LARGE, "body too large")
-        if not self._budget.take(len(body)):
-            self._body_bytes -= len(body)
-            raise errors.RequestRejected(
-                _UNAVAILABLE, "no memory for the body now"
-            )
+        if self._stream is not None:
+            self._stream.feed(body)
+            return
+        self._take(len(body))
         self._body.append(body)
+        if self._body_bytes > body_stream.BUFFERED_BYTES:
+            # What waits in the stream at most.
+            self._take(body_stream.HIGH_BYTES)
+            self._held_bytes -= body_stream.HIGH_BYTES
+            self._stream = body_stream.BodyStream(
+                on_flow=self._on_flow, on_close=_ignore
+            )
+            self._queue()
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a request."""
+        if self._stream is None:
+            self._queue()
+        else:
+            self._stream.end()
+            self._end_stream()
+        self._reset()
+
+    def _take(self, count: int) -> None:
+        if not self._budget.take(count):
+            raise errors.RequestRejected(
+                _UNAVAILABLE, "no memory for the body now"
+            )
+        self._held_bytes += count
+
+    def _end_stream(self) -> None:
+        self._stream = None
+        self._budget.release(body_stream.HIGH_BYTES)
+
+    def _queue(self) -> None:
+        """Adds the request; its body belongs to the queue from now on."""
+        self._held_bytes = 0
         started_s = self.head_started_s
         self.requests.append(
             http_request.HttpRequest(
@@ -172,9 +224,10 @@
                     self._clock.now() if started_s is None else started_s
                 ),
                 keeps_alive=self._parser.should_keep_alive(),
+                takes_chunks=self._parser.get_http_version() == "1.1",
+                rest=self._stream,
             )
         )
-        self._reset()
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
@@ -190,9 +243,14 @@
         self._fed_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._held_bytes = 0
         self._reads_body = False
 
 
+def _ignore() -> None:
+    """Reads on, because the next request follows the body."""
+
+
 def _check_head(target: bytes, headers: http_request.Headers) -> None:
     if not target.startswith(b"/"):
         raise errors.RequestRejected(_BAD_REQUEST, "not a path")
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing
 
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import evidence as evidences
 from fuchsiacourse.front import http_answer
@@ -89,14 +90,21 @@
         # Whether a target may have run the request.
         self._may_have_run = False
         self._last_failure: sending.SendResult | None = None
+        # Long answers that are still arriving.
+        self._rests: list[body_stream.BodyStream] = []
 
     async def answer(self) -> http_answer.HttpAnswer:
         """Returns the final answer."""
+        final: http_answer.HttpAnswer | None = None
         try:
-            return await self._answer()
+            final = await self._answer()
+            return final
         finally:
             for item in list(self._running.values()):
                 self._break_off(item)
+            for rest in self._rests:
+                if final is None or rest is not final.rest:
+                    rest.close()
 
     async def _answer(self) -> http_answer.HttpAnswer:
         if not self._send(evidences.SendKind.FIRST):
@@ -167,11 +175,16 @@
     def _after(
         self, item: running_sending.RunningSending, result: sending.SendResult
     ) -> http_answer.HttpAnswer | None:
+        if result.answer is not None and result.answer.rest is not None:
+            self._rests.append(result.answer.rest)
         if not result.outcome.is_not_run:
             self._may_have_run = True
         step = retry_policy.next_step(result.outcome, self._state())
+        if self._request.is_spent and step is not retry_policy.Step.DELIVER:
+            step = retry_policy.Step.GIVE_UP
         if step is retry_policy.Step.DELIVER:
             assert result.answer is not None
+            self._events.passes_on(result.answer, item.target)
             return self._log_answer(
                 result.answer.passed_on(), "answered", item.target
             )
@@ -225,6 +238,7 @@
         """Whether the next sending may be followed by another."""
         return (
             self._route.is_idempotent
+            and self._request.rest is None
             and self._targets_in_use() + 1 < self._route.max_targets
             and self._front.budget.left(self._service) >= 1.0
         )
@@ -311,8 +325,10 @@
             if item.target not in self._arrived:
                 self._arrived.append(item.target)
             self._front.book.late(item.target, item.kind)
-            if len(self._running) == 1 and retry_policy.may_hedge(
-                self._state()
+            if (
+                len(self._running) == 1
+                and not self._request.is_spent
+                and retry_policy.may_hedge(self._state())
             ):
                 self._send(
                     evidences.SendKind.REPEAT,
@@ -321,7 +337,8 @@
 
     def _break_off(self, item: running_sending.RunningSending) -> None:
         del self._running[item.task]
-        item.task.cancel()
+        if not item.task.cancel():
+            self._drop_result(item.task)
         self._front.book.ended(
             item.target,
             outcomes.Outcome.CANCELLED,
@@ -331,6 +348,11 @@
             fingerprint=self._fingerprint,
         )
 
+    def _drop_result(self, task: asyncio.Task[sending.SendResult]) -> None:
+        answer = task.result().answer
+        if answer is not None and answer.rest is not None:
+            self._rests.append(answer.rest)
+
     def _timed_out(self) -> http_answer.HttpAnswer:
         return self._log_answer(
             self._front.own_answer(
--- /dev/null
+++ b/tests/test_body_stream.py
@@ -0,0 +1,382 @@
+"""Tests of long bodies that are passed on while they arrive."""
+
+import asyncio
+import unittest
+
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import body_stream
+from fuchsiacourse.front import caller_server
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import outcome
+from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import request_run
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.platform import wire_headers
+from fuchsiacourse import system_clock
+from tests import test_pooled_sender
+
+IP = "127.0.0.1"
+# Several times what is held, not a multiple of any buffer.
+LENGTH = 3_000_001
+BODY = bytes(number % 251 for number in range(LENGTH))
+OK = b"HTTP/1.1 200 OK\r\nX-Fuchsiacourse-Response-Signature: s\r\n"
+
+
+class BodyStreamTest(unittest.TestCase):
+    """The end of a body must be told as it is."""
+
+    def setUp(self) -> None:
+        self.flows: list[bool] = []
+        self.closed = 0
+
+    def stream(self) -> body_stream.BodyStream:
+        return body_stream.BodyStream(
+            on_flow=self.flows.append, on_close=self.note_close
+        )
+
+    def note_close(self) -> None:
+        self.closed += 1
+
+    def test_parts_come_in_order_and_end(self):
+        async def main():
+            stream = self.stream()
+            stream.feed(b"a")
+            stream.feed(b"b")
+            stream.end()
+            return [await stream.read() for _ in range(3)]
+
+        self.assertEqual([b"a", b"b", b""], virtual_loop.run(main()))
+        self.assertEqual(0, self.closed)
+
+    def test_early_end_comes_after_the_parts(self):
+        async def main():
+            stream = self.stream()
+            stream.feed(b"a")
+            stream.fail(errors.TargetBadAnswer("reset"))
+            self.assertEqual(b"a", await stream.read())
+            with self.assertRaises(errors.BodyCutOff):
+                await stream.read()
+
+        virtual_loop.run(main())
+
+    def test_sender_pauses_while_much_waits(self):
+        async def main():
+            stream = self.stream()
+            stream.feed(b"x" * body_stream.HIGH_BYTES)
+            self.assertEqual([], self.flows)
+            stream.feed(b"x")
+            self.assertEqual([True], self.flows)
+            await stream.read()
+            self.assertEqual([True, False], self.flows)
+
+        virtual_loop.run(main())
+
+    def test_reader_gives_up_at_the_deadline(self):
+        async def main():
+            stream = self.stream()
+            ends: list[Exception | None] = []
+            stream.when_ended = ends.append
+            stream.deadline_s = asyncio.get_running_loop().time() + 2.0
+            with self.assertRaises(errors.BodyCutOff):
+                await stream.read()
+            self.assertEqual(1, len(ends))
+            self.assertIsNotNone(ends[0])
+
+        virtual_loop.run(main())
+        self.assertEqual(1, self.closed)
+
+
+class LongBodyTest(unittest.IsolatedAsyncioTestCase):
+    """A caller, the connections of a front and a target on loopback."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = system_clock.SystemClock()
+        self.sender = pooled_sender.PooledSender(
+            clock=self.clock,
+            protocol=wire_headers.WireHeaders(),
+            idle_limit=lambda service: 2,
+        )
+        self.failures: list[Exception] = []
+        self.results: list[outcome.Outcome] = []
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.accepted = 0
+        self.tasks: set[asyncio.Task] = set()
+        self.budget = body_budget.BodyBudget(max_bytes=2_000_000)
+        self.serve = self.echo_length
+        target = await asyncio.start_server(self.accept, IP, 0, limit=2**20)
+        self.target_server = target
+        address = target.sockets[0].getsockname()
+        self.target = targets.Target(
+            record=front_fakes.record("t1", address=address), now_s=0.0
+        )
+        self.front = caller_server.CallerServer(
+            clock=self.clock,
+            address=(IP, 0),
+            handler=self.handle,
+            limits=lambda: route_table.CallerLimits(
+                max_head_bytes=4096,
+                max_body_bytes=10_000_000,
+                head_timeout_s=3.0,
+                idle_timeout_s=0.3,
+            ),
+            budget=self.budget,
+            on_error=self.failures.append,
+        )
+        await self.front.start()
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.front.address, limit=2**23
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        self.front.stop_listening()
+        self.front.close_idle()
+        self.sender.close()
+        self.target_server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.assertEqual([], self.failures)
+
+    async def accept(self, reader, writer) -> None:
+        self.accepted += 1
+        self.tasks.add(asyncio.current_task())
+        try:
+            while True:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                await self.serve(reader, writer)
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            # The front has closed the connection, or the test is over.
+            self.bodies.append(b"cut")
+        finally:
+            writer.close()
+
+    async def handle(self, request, presence) -> http_answer.HttpAnswer:
+        result = await self.sender.send(
+            self.target,
+            request,
+            request_id="q1",
+            deadline_s=self.clock.now() + 1.0,
+            is_idempotent=True,
+        )
+        self.results.append(result.outcome)
+        if result.answer is None:
+            return http_answer.HttpAnswer(status=502, headers=[])
+        return result.answer.passed_on()
+
+    async def echo_length(self, reader, writer) -> None:
+        """Reads a body in chunks or with a length and tells its length."""
+        head = self.heads[-1].lower()
+        if b"transfer-encoding: chunked" in head:
+            parts = []
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                parts.append(await reader.readexactly(size))
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+            body = b"".join(parts)
+        else:
+            length = int(head.split(b"content-length: ")[1].split()[0])
+            body = await reader.readexactly(length)
+        self.bodies.append(body)
+        text = b"%d" % len(body)
+        writer.write(test_pooled_sender.answer("q1", text))
+
+    def post(self, framing: str) -> None:
+        self.writer.write(
+            f"POST /a HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n".encode()
+        )
+
+    async def read_head(self) -> bytes:
+        return (await self.reader.readuntil(b"\r\n\r\n")).lower()
+
+    async def test_long_request_with_a_length(self):
+        self.post(f"Content-Length: {LENGTH}")
+        self.writer.write(BODY)
+        self.assertIn(b" 200 ", await self.read_head())
+        self.assertEqual([BODY], self.bodies)
+        self.assertIn(b"content-length: %d" % LENGTH, self.heads[0].lower())
+        # All memory is given back.
+        self.assertTrue(self.budget.take(2_000_000))
+
+    async def test_long_request_in_chunks_and_another(self):
+        self.post("Transfer-Encoding: chunked")
+        for start in range(0, LENGTH, 70_000):
+            self.writer.write(body_stream.chunk(BODY[start : start + 70_000]))
+        self.writer.write(body_stream.chunk(b""))
+        self.assertIn(b" 200 ", await self.read_head())
+        self.assertEqual(b"%d" % LENGTH, await self.reader.readexactly(7))
+        self.post("Content-Length: 2")
+        self.writer.write(b"ab")
+        self.assertIn(b" 200 ", await self.read_head())
+        self.assertEqual([BODY, b"ab"], self.bodies)
+
+    async def test_request_starts_before_its_body_is_whole(self):
+        self.post(f"Content-Length: {LENGTH}")
+        self.writer.write(BODY[:400_000])
+        while not self.heads:
+            await asyncio.sleep(0.01)
+        self.writer.write(BODY[400_000:])
+        self.assertIn(b" 200 ", await self.read_head())
+
+    async def test_caller_that_leaves_in_its_body(self):
+        self.post(f"Content-Length: {LENGTH}")
+        self.writer.write(BODY[:400_000])
+        while not self.heads:
+            await asyncio.sleep(0.01)
+        self.writer.close()
+        while not self.results:
+            await asyncio.sleep(0.01)
+        self.assertEqual([outcome.Outcome.LOST], self.results)
+        while not self.bodies:
+            await asyncio.sleep(0.01)
+        self.assertEqual([b"cut"], self.bodies)
+
+    async def test_caller_that_stops_in_its_body(self):
+        self.post(f"Content-Length: {LENGTH}")
+        self.writer.write(BODY[:400_000])
+        while not self.results:
+            await asyncio.sleep(0.1)
+            self.front.sweep()
+        self.assertEqual([outcome.Outcome.LOST], self.results)
+
+    async def test_early_answer_is_delivered_and_the_rest_dropped(self):
+        async def refuse(reader, writer):
+            writer.write(test_pooled_sender.answer("q1", b"no"))
+            await asyncio.sleep(5.0)
+
+        self.serve = refuse
+        self.post(f"Content-Length: {LENGTH}")
+        self.writer.write(BODY[:400_000])
+        head = await self.read_head()
+        self.assertIn(b"connection: close", head)
+        self.assertEqual(b"no", await self.reader.readexactly(2))
+        self.writer.write(BODY[400_000:])
+        self.assertEqual(b"", await self.reader.read())
+
+    async def test_no_memory_for_a_long_body(self):
+        self.budget.take(1_600_000)
+        self.post(f"Content-Length: {LENGTH}")
+        self.writer.write(BODY[:400_000])
+        self.assertIn(b" 503 ", await self.read_head())
+        self.assertEqual([], self.heads)
+
+    async def test_long_answer_with_a_length(self):
+        async def serve(reader, writer):
+            writer.write(test_pooled_sender.answer("q1", BODY))
+
+        self.serve = serve
+        for _ in range(2):
+            self.post("Content-Length: 0")
+            head = await self.read_head()
+            self.assertIn(b"content-length: %d" % LENGTH, head)
+            body = await self.reader.readexactly(LENGTH)
+            self.assertEqual(BODY, body)
+        # The second one came over the same connection.
+        self.assertEqual(1, self.accepted)
+
+    async def test_long_answer_that_ends_with_its_connection(self):
+        async def serve(reader, writer):
+            writer.write(OK + b"X-Fuchsiacourse-Request-Id: q1\r\n\r\n" + BODY)
+            await writer.drain()
+            raise OSError("closes")
+
+        self.serve = serve
+        self.post("Content-Length: 0")
+        self.assertIn(b"transfer-encoding: chunked", await self.read_head())
+        parts = []
+        while size := int(await self.reader.readuntil(b"\r\n"), 16):
+            parts.append(await self.reader.readexactly(size))
+            await self.reader.readexactly(2)
+        self.assertEqual(BODY, b"".join(parts))
+
+    async def check_cut(self, cut) -> None:
+        """A long answer that ends early must not look complete."""
+        self.serve = cut
+        self.post("Content-Length: 0")
+        await self.read_head()
+        with self.assertRaises((asyncio.IncompleteReadError, OSError)):
+            if cut.__name__ == "cut_unframed":
+                while size := int(await self.reader.readuntil(b"\r\n"), 16):
+                    await self.reader.readexactly(size + 2)
+            else:
+                await self.reader.readexactly(LENGTH)
+
+    async def test_long_answer_that_is_cut(self):
+        async def cut_framed(reader, writer):
+            writer.write(test_pooled_sender.answer("q1", BODY)[:1_000_000])
+            await writer.drain()
+            raise OSError("closes")
+
+        await self.check_cut(cut_framed)
+
+    async def test_long_answer_without_length_that_is_reset(self):
+        async def cut_unframed(reader, writer):
+            head = OK + b"X-Fuchsiacourse-Request-Id: q1\r\n\r\n"
+            writer.write(head + BODY[:1_000_000])
+            await writer.drain()
+            await asyncio.sleep(0.2)
+            test_pooled_sender.reset(writer)
+
+        await self.check_cut(cut_unframed)
+
+    async def test_long_answer_that_stalls_ends_at_the_deadline(self):
+        async def cut_framed(reader, writer):
+            writer.write(test_pooled_sender.answer("q1", BODY)[:1_000_000])
+            await asyncio.sleep(9.0)
+
+        started_s = self.clock.now()
+        await self.check_cut(cut_framed)
+        self.assertLess(self.clock.now() - started_s, 3.0)
+
+    async def test_caller_that_leaves_in_a_long_answer(self):
+        ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            writer.write(test_pooled_sender.answer("q1", BODY * 10))
+            try:
+                await writer.drain()
+                await reader.read()
+            finally:
+                ended.set()
+
+        self.serve = serve
+        self.post("Content-Length: 0")
+        await self.read_head()
+        self.writer.close()
+        # A target works on for half a second at most.
+        await asyncio.wait_for(ended.wait(), 0.5)
+
+
+class LongBodyRunTest(unittest.TestCase):
+    """A body that was sent in part can't be sent again."""
+
+    def test_spent_request_has_one_sending(self):
+        async def main():
+            def behave(target, count):
+                request.rest.is_started = True
+                return 0.01, front_fakes.result(outcome.Outcome.LOST)
+
+            sender = front_fakes.FakeSender(behave)
+            front = front_fakes.forwarder(
+                sender, front_fakes.record("t1"), front_fakes.record("t2")
+            )
+            front.config = front_fakes.config(front_fakes.route())
+            request = front_fakes.request()
+            request.rest = body_stream.BodyStream(
+                on_flow=lambda is_paused: None, on_close=lambda: None
+            )
+            presence = request_run.caller_presence.CallerPresence()
+            answer = await front.handle(request, presence)
+            self.assertEqual(502, answer.status)
+            self.assertEqual(1, len(sender.sent_ids))
+
+        virtual_loop.run(main())
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -16,7 +16,9 @@
     def setUp(self) -> None:
         self.clock = front_fakes.ManualClock()
         self.budget = body_budget.BodyBudget(max_bytes=8000)
+        self.flows: list[bool] = []
         self.parser = request_parser.RequestParser(
+            on_flow=self.flows.append,
             clock=self.clock,
             max_head_bytes=1000,
             max_body_bytes=5000,
