Try idle targets while fewer than the floor are in use

Change: up to a fifth of the requests that may be repeated go to the least suspect idle target of the region while fewer than the floor and a margin of a tenth were in use within 1.7 s.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -288,6 +288,7 @@
             availability_zone="a",
             regions_by_zone=ZONES,
             times=times,
+            bounds=bounds(),
         ),
         book=evidence_book.EvidenceBook(
             clock=used,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -205,6 +205,7 @@
                 availability_zone=settings.availability_zone,
                 regions_by_zone=settings.regions_by_zone,
                 times=times,
+                bounds=settings.bounds,
             ),
             book=evidence_book.EvidenceBook(
                 clock=self._clock,
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -12,6 +12,7 @@
 import typing
 
 from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target as targets
 
@@ -35,6 +36,17 @@
 # wins: all stay in use, and what is known of them is equally fresh.
 RECENT_LOSS = 0.015
 RECENT_S = 2.0
+# A target counts as in use for this time after a request, in seconds; the
+# operator's floor is counted over two.
+IN_USE_S = 1.7
+# Part of the targets kept in use beyond the floor, because some that are in
+# use now leave or are cut off before they get the next request.
+FLOOR_MARGIN = 0.1
+# Share of the requests that may go to an idle target for the floor's sake.
+TRIAL_SHARE = 0.2
+# A target that is more likely sick than this is not tried; the estimate of
+# one that failed is below it some six seconds later.
+TRIAL_SICKNESS = 0.6
 # Fronts that choose at the same moment choose different targets.
 _TIE_LOSS = 0.004
 
@@ -48,9 +60,10 @@
         availability_zone: Zone of the front.
         regions_by_zone: Region of each availability zone.
         times: Usual times of the services.
+        bounds: Promises to the operator, the floor among them.
     """
 
-    __slots__ = ("_clock", "_rng", "_zone", "_regions", "_times")
+    __slots__ = ("_clock", "_rng", "_zone", "_regions", "_times", "_bounds")
 
     def __init__(
         self,
@@ -60,12 +73,14 @@
         availability_zone: str,
         regions_by_zone: dict[str, str],
         times: service_times.ServiceTimes,
+        bounds: front_settings.Bounds,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._zone = availability_zone
         self._regions = regions_by_zone
         self._times = times
+        self._bounds = bounds
 
     def choose(
         self,
@@ -85,6 +100,10 @@
         """
         usable = [item for item in candidates if item.is_usable]
         others = [item for item in usable if item not in avoid]
+        if is_repeatable and not avoid:
+            trial = self._trial(usable)
+            if trial is not None:
+                return trial
         best, lowest = None, 0.0
         for item in others or usable:
             loss = self.loss(
@@ -98,6 +117,38 @@
                 best, lowest = item, loss
         return best
 
+    def _trial(self, usable: list[targets.Target]) -> targets.Target | None:
+        """Returns an idle target to try while too few are in use.
+
+        Load answered here: a light one, which a few targets serve while
+        those that were suspected once get nothing and stay suspected.
+        """
+        if self._rng.random() >= TRIAL_SHARE:
+            return None
+        now_s = self._clock.now()
+        # What the fronts of other regions use is not known here.
+        near = [item for item in usable if self._is_in_region(item)]
+        idle = [item for item in near if now_s - item.used_s > IN_USE_S]
+        floor = self._bounds.floor_share + FLOOR_MARGIN
+        if len(near) - len(idle) >= floor * len(near):
+            return None
+        idle = [
+            item
+            for item in idle
+            if item.sickness(now_s) < TRIAL_SICKNESS
+            and item.load.in_flight(now_s) < item.record.slots
+        ]
+        return min(
+            idle,
+            key=lambda item: item.sickness(now_s)
+            + _TIE_LOSS * self._rng.random(),
+            default=None,
+        )
+
+    def _is_in_region(self, target: targets.Target) -> bool:
+        zone = target.record.availability_zone
+        return self._regions.get(zone) == self._regions.get(self._zone)
+
     def _recent_loss(self, target: targets.Target) -> float:
         idle_s = self._clock.now() - target.used_s
         return RECENT_LOSS * max(0.0, 1.0 - idle_s / RECENT_S)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -24,6 +24,7 @@
             availability_zone="a",
             regions_by_zone=front_fakes.ZONES,
             times=times,
+            bounds=front_fakes.bounds(),
         )
 
     def target(self, id: str, zone: str = "a", **changes) -> targets.Target:
@@ -107,6 +108,42 @@
             counts[chosen.record.id] += 1
         self.assertEqual({10}, set(counts.values()))
 
+    def used_under_light_load(self, *, is_repeatable: bool) -> set[str]:
+        """Returns the targets used in two seconds, some once suspected."""
+        found = [self.target(f"t{number}") for number in range(10)]
+        for target in found[:5]:
+            target.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        self.clock.now_s += 15.0
+        for target in found[5:]:
+            target.health.observe(outcome.Outcome.ANSWERED, self.clock.now())
+        used = set()
+        for _ in range(60):
+            chosen = self.choose(*found, is_repeatable=is_repeatable)
+            chosen.used_s = self.clock.now()
+            used.add(chosen.record.id)
+            self.clock.now_s += 2.0 / 60
+        return used
+
+    def test_once_suspected_targets_are_tried_for_the_floor(self):
+        used = self.used_under_light_load(is_repeatable=True)
+        self.assertGreaterEqual(len(used), 7)
+
+    def test_request_that_runs_once_is_no_trial(self):
+        used = self.used_under_light_load(is_repeatable=False)
+        self.assertEqual({f"t{number}" for number in range(5, 10)}, used)
+
+    def test_few_requests_are_trials(self):
+        sick = [self.target(f"s{number}") for number in range(9)]
+        well = self.target("well")
+        for target in sick:
+            target.health.observe(outcome.Outcome.FAILED, self.clock.now())
+        self.clock.now_s += 15.0
+        count = sum(
+            self.choose(well, *sick, is_repeatable=True) is not well
+            for _ in range(1000)
+        )
+        self.assertLess(count, 1000 * 0.25)
+
     def test_no_equal_target_is_left_unused(self):
         found = [self.target(f"t{number}") for number in range(10)]
         used = set()
