Soak fronts as processes with faults from outside

Cause: the soak on virtual time has no real sockets, signals or starts.

Change: bench.fault_soak starts six fronts, the stand-in of the store, ten targets and twelve callers on loopback, plays 17 kinds of faults that overlap (kills, pauses, stops, reloads, store away, slow, cut and without history, targets that fail, hang, reset, cut, mix and add answers, leave and crash, links delayed, silenced, cut one way and reset, routes moved and added) and checks the promises from what callers and targets see. The stand-in of the store ends its held watches when it closes, which removes the tracebacks at the end of its tests.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 30
 MEASURE ?= all
 
-.PHONY: setup run test lint format proto schema measure soak slopes mutations clean
+.PHONY: setup run test lint format proto schema measure soak faults slopes mutations clean
 
 setup: $(VENV)/.installed
 
@@ -41,6 +41,9 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seed $(SEED) --wall-seconds $(SECONDS)
 
+faults: setup
+	$(BIN)/python -m bench.fault_soak --seed $(SEED) --seconds $(SECONDS)
+
 mutations: setup
 	$(BIN)/python -m bench.front_mutations
 
--- /dev/null
+++ b/bench/fault_ledger.py
@@ -0,0 +1,171 @@
+"""Checks the promises of fronts from what callers and targets see."""
+
+from __future__ import annotations
+
+import collections
+import time
+
+# Time after a fault in which a host's bounds do not hold, in seconds.
+STABILITY_S = 3.0
+# Time in which a target must be left and a configuration be in force.
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+# Reading and scheduling on a busy machine, in seconds.
+SLACK_S = 0.5
+PROMISES = frozenset((408, 421, 429, 503))
+MAX_BROKEN = 50
+
+
+class Sent:
+    """A request that a caller has sent."""
+
+    __slots__ = ("front", "path", "body", "is_safe", "at_s", "status")
+
+    def __init__(
+        self, *, front: str, path: str, body: bytes, is_safe: bool, at_s: float
+    ) -> None:
+        self.front = front
+        self.path = path
+        self.body = body
+        self.is_safe = is_safe
+        self.at_s = at_s
+        self.status: int | None = None
+
+
+class FaultLedger:
+    """What was sent, run and answered, and the faults meanwhile."""
+
+    def __init__(self) -> None:
+        self.sent_by_id: dict[str, Sent] = {}
+        self.runs_by_id: collections.Counter[str] = collections.Counter()
+        self.services_by_path: dict[str, set[str]] = {}
+        self.moved_at_s_by_service: dict[tuple[str, str], float] = {}
+        self.checked: collections.Counter[str] = collections.Counter()
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.broken: list[str] = []
+        self._fault_until_s: dict[str, float] = {}
+        self._planned_until_s: dict[str, float] = {}
+
+    def fault(
+        self, place: str, for_s: float = 0.0, *, is_planned: bool = False
+    ) -> None:
+        """Notes a fault of a front or of ``store`` until some time.
+
+        Planned work excuses a front from bounds of time, not from cutting
+        requests off.
+        """
+        by_place = self._planned_until_s if is_planned else self._fault_until_s
+        until_s = time.monotonic() + for_s
+        by_place[place] = max(by_place.get(place, 0.0), until_s)
+
+    def is_in_touch(self, front: str) -> bool:
+        """Returns whether bounds of time hold for a front now."""
+        since_s = time.monotonic() - STABILITY_S - SLACK_S
+        return all(
+            by_place.get(place, 0.0) < since_s
+            for place in (front, "store")
+            for by_place in (self._fault_until_s, self._planned_until_s)
+        )
+
+    def sent(self, id: str, sent: Sent) -> None:
+        """Notes a request before it is written."""
+        self.sent_by_id[id] = sent
+
+    def ran(
+        self,
+        id: str,
+        *,
+        service: str,
+        path: str,
+        body: bytes,
+        draining_s: float | None,
+    ) -> None:
+        """Notes that a target has begun to work on a request.
+
+        Args:
+            id: Request id.
+            service: Service of the target.
+            path: Path as the target has read it.
+            body: Body as the target has read it.
+            draining_s: Monotonic time at which the store took the target's
+                word that it leaves, None if it stays.
+        """
+        sent = self.sent_by_id.get(id)
+        if sent is None or (sent.path, sent.body) != (path, body):
+            self._break(f"UNASKED: {id} {path}")
+            return
+        self.runs_by_id[id] += 1
+        self.checked["run"] += 1
+        if not sent.is_safe and self.runs_by_id[id] > 1:
+            self._break(f"TWICE: {id} ran {self.runs_by_id[id]} times")
+        if not sent.is_safe and sent.status in PROMISES:
+            self._break(f"REFUSED: {id} runs after {sent.status}")
+        self._check_route(id, sent, service)
+        if draining_s is None:
+            return
+        late_s = time.monotonic() - draining_s
+        if late_s > DRAIN_S + SLACK_S and self.is_in_touch(sent.front):
+            self._break(f"DRAIN: {id} {late_s:.2f} s late by {sent.front}")
+        self.checked["drain"] += 1
+
+    def answered(
+        self, id: str, status: int, *, is_whole: bool, is_signed: bool
+    ) -> None:
+        """Notes the answer of a request.
+
+        Args:
+            id: Request id.
+            status: Status of the answer.
+            is_whole: Whether the body is the one that belongs to the id.
+            is_signed: Whether a target has signed it.
+        """
+        sent = self.sent_by_id[id]
+        sent.status = status
+        self.checked[f"answer {status}"] += 1
+        if status == 200 and not (is_whole and is_signed):
+            self._break(f"MIXED: {id} whole={is_whole} signed={is_signed}")
+        if status in PROMISES and not sent.is_safe and self.runs_by_id[id] > 0:
+            self._break(f"REFUSED: {id} ran and got {status}")
+
+    def cut_off(self, id: str) -> None:
+        """Notes that a connection has ended without an answer."""
+        sent = self.sent_by_id[id]
+        self.checked["cut off"] += 1
+        if not self.runs_by_id[id]:
+            # It has crossed the front's close of an idle connection.
+            return
+        since_s = sent.at_s - STABILITY_S
+        if self._fault_until_s.get(sent.front, 0.0) < since_s:
+            self._break(f"LOST: {id} cut off by {sent.front}")
+
+    def missing_route(self, front: str, path: str, known_s: float) -> None:
+        """Notes a 404 for a route that the store has taken long ago."""
+        age_s = time.monotonic() - known_s
+        if age_s > CONFIG_S + SLACK_S and self.is_in_touch(front):
+            self._break(f"CONFIG: 404 for {path} by {front}, {age_s:.2f} s")
+
+    def ended_by_itself(self, front: str, code: int) -> None:
+        """Notes a front that ended without a signal."""
+        self._break(f"fault: {front} ended with {code}")
+
+    def not_recovered(self, share: float) -> None:
+        """Notes that callers are not served after the faults."""
+        self._break(f"RECOVER: {share:.2f} of the requests served")
+
+    def _check_route(self, id: str, sent: Sent, service: str) -> None:
+        if service not in self.services_by_path[sent.path.split("/")[1]]:
+            self._break(f"ROUTE: {id} {sent.path} run by {service}")
+        moved_s = self.moved_at_s_by_service.get(
+            (sent.path.split("/")[1], service)
+        )
+        if moved_s is None:
+            return
+        self.checked["moved route"] += 1
+        if sent.at_s > moved_s + CONFIG_S + SLACK_S and self.is_in_touch(
+            sent.front
+        ):
+            self._break(f"CONFIG: {id} run by {service}, which it left")
+
+    def _break(self, text: str) -> None:
+        if len(self.broken) < MAX_BROKEN:
+            self.broken.append(text)
--- /dev/null
+++ b/bench/fault_soak.py
@@ -0,0 +1,303 @@
+"""Randomized soak of fronts as processes, with faults from outside.
+
+A run starts fronts, a store, targets and callers on loopback, plays faults
+that overlap, and checks the promises meanwhile. The seed decides the faults;
+processes are scheduled by the machine, so a run does not repeat exactly.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+import tempfile
+import time
+
+import typer
+
+from bench import fault_callers
+from bench import fault_target
+from bench import fault_world
+
+START_TIMEOUT_S = 30.0
+CALLERS = 12
+# Time in which callers must be served again, in seconds.
+RECOVER_S = 15.0
+RECOVERED_SHARE = 0.9
+# Time over which the share is taken at the end, in seconds.
+LAST_S = 3.0
+
+
+class FaultSoak:
+    """One run.
+
+    Args:
+        world: What faults are played on.
+        seconds: Time with faults.
+    """
+
+    def __init__(
+        self, *, world: fault_world.FaultWorld, seconds: float
+    ) -> None:
+        self._world = world
+        self._rng = world.rng
+        self._ledger = world.ledger
+        self._seconds = seconds
+        self._tasks: set[asyncio.Task] = set()
+        self._kinds = {
+            "kill": self._kill,
+            "kill_all": self._kill_all,
+            "pause": self._pause,
+            "stop": self._stop,
+            "rolling_restart": self._rolling_restart,
+            "reload": self._reload,
+            "store_away": self._store_away,
+            "store_slow": self._store_slow,
+            "store_history": self._store_history,
+            "store_cut": self._store_cut,
+            "store_resets": self._store_resets,
+            "target_mode": self._target_mode,
+            "target_link": self._target_link,
+            "target_leaves": self._target_leaves,
+            "target_crashes": self._target_crashes,
+            "route_moves": self._route_moves,
+            "route_added": self._route_added,
+        }
+
+    async def run(self) -> None:
+        """Plays the faults, then waits for the recovery."""
+        callers = fault_callers.FaultCallers(world=self._world, count=CALLERS)
+        await self._world.start()
+        try:
+            await self._wait_served(callers)
+            end_s = time.monotonic() + self._seconds
+            while time.monotonic() < end_s:
+                name = self._rng.choice(list(self._kinds))
+                self._ledger.faults[name] += 1
+                self._spawn(self._kinds[name]())
+                await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+            await asyncio.gather(*self._tasks)
+            await self._recover(callers)
+            await callers.stop()
+        finally:
+            await self._world.stop()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+
+    async def _wait_served(self, callers: fault_callers.FaultCallers) -> None:
+        callers.start()
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while callers.served_share(time.monotonic() - 0.5) < RECOVERED_SHARE:
+            if time.monotonic() > deadline_s:
+                self._ledger.not_recovered(callers.served_share(0.0))
+                return
+            await asyncio.sleep(0.1)
+
+    async def _recover(self, callers: fault_callers.FaultCallers) -> None:
+        deadline_s = time.monotonic() + RECOVER_S + LAST_S
+        while True:
+            await asyncio.sleep(LAST_S)
+            share = callers.served_share(time.monotonic() - LAST_S)
+            if share >= RECOVERED_SHARE:
+                return
+            if time.monotonic() > deadline_s:
+                self._ledger.not_recovered(share)
+                return
+
+    def _front(self) -> fault_world.FaultFront:
+        return self._rng.choice(self._world.fronts)
+
+    def _target(self) -> fault_target.FaultTarget:
+        return self._rng.choice(list(self._world.targets_by_id.values()))
+
+    async def _kill(self) -> None:
+        self._end(self._front(), signal.SIGKILL)
+
+    async def _kill_all(self) -> None:
+        if self._rng.random() < 0.3:
+            for front in self._world.fronts:
+                self._end(front, signal.SIGKILL)
+
+    def _end(self, front: fault_world.FaultFront, number: int) -> None:
+        # Until the process has started again.
+        is_planned = number == signal.SIGTERM
+        self._ledger.fault(front.ip, 1.0, is_planned=is_planned)
+        front.signal(number)
+
+    async def _pause(self) -> None:
+        front = self._front()
+        length_s = self._rng.uniform(0.3, 4.0)
+        self._ledger.fault(front.ip, length_s)
+        front.signal(signal.SIGSTOP)
+        await asyncio.sleep(length_s)
+        self._ledger.fault(front.ip)
+        front.signal(signal.SIGCONT)
+
+    async def _stop(self) -> None:
+        await self._stop_one(self._front())
+
+    async def _stop_one(self, front: fault_world.FaultFront) -> None:
+        process = front.process
+        if process is None or not front.is_up:
+            return
+        self._ledger.fault(front.ip, fault_world.STOP_S, is_planned=True)
+        front.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), fault_world.STOP_S)
+        except TimeoutError:
+            self._ledger.checked["killed after the time for a stop"] += 1
+            front.signal(signal.SIGKILL)
+
+    async def _rolling_restart(self) -> None:
+        for front in self._rng.sample(self._world.fronts, 3):
+            await self._stop_one(front)
+
+    async def _reload(self) -> None:
+        front = self._front()
+        front.repeat_share = self._rng.uniform(0.2, 0.4)
+        front.write_settings()
+        front.signal(signal.SIGHUP)
+
+    async def _store_away(self) -> None:
+        await self._store_fault("outage", True, False)
+
+    async def _store_slow(self) -> None:
+        await self._store_fault("delay_s", self._rng.uniform(0.1, 1.0), 0.0)
+
+    async def _store_fault(self, name: str, value, healed) -> None:
+        length_s = self._rng.uniform(0.5, 5.0)
+        self._ledger.fault("store", length_s)
+        setattr(self._world.model.faults, name, value)
+        await asyncio.sleep(length_s)
+        self._ledger.fault("store")
+        setattr(self._world.model.faults, name, healed)
+
+    async def _store_history(self) -> None:
+        self._ledger.fault("store")
+        for number in range(70):
+            self._world.put("fillers/one", b'{"spec": %d}' % number)
+
+    async def _store_cut(self) -> None:
+        fronts = self._rng.sample(self._world.fronts, self._rng.randint(1, 3))
+        length_s = self._rng.uniform(0.5, 5.0)
+        for front in fronts:
+            self._ledger.fault(front.ip, length_s)
+            front.store.silence(
+                to_server=self._rng.random() < 0.7, to_client=True
+            )
+        await asyncio.sleep(length_s)
+        for front in fronts:
+            self._ledger.fault(front.ip)
+            front.store.heal()
+
+    async def _store_resets(self) -> None:
+        front = self._front()
+        self._ledger.fault(front.ip)
+        front.store.reset_all()
+
+    async def _target_mode(self) -> None:
+        target = self._target()
+        target.mode = self._rng.choice(list(fault_target.Mode))
+        await asyncio.sleep(self._rng.uniform(1.0, 6.0))
+        target.mode = fault_target.Mode.WELL
+
+    async def _target_link(self) -> None:
+        proxy = self._target().proxy
+        kind = self._rng.randrange(4)
+        if kind == 0:
+            proxy.delay_s = self._rng.uniform(0.05, 0.5)
+        elif kind == 1:
+            proxy.silence(to_server=False)
+        elif kind == 2:
+            proxy.refuses = True
+            proxy.reset_all()
+        else:
+            proxy.silence()
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        proxy.heal()
+
+    async def _target_leaves(self) -> None:
+        target = self._target()
+        if target.draining_s is not None:
+            return
+        await self._world.add_target(target.service)
+        target.draining_s = time.monotonic()
+        self._world.put(f"servers/{target.id}", target.registration())
+        await asyncio.sleep(self._rng.uniform(4.0, 8.0))
+        await self._world.remove_target(target)
+
+    async def _target_crashes(self) -> None:
+        target = self._target()
+        if target.draining_s is not None:
+            return
+        await target.stop()
+        await asyncio.sleep(self._rng.uniform(0.5, 4.5))
+        await self._world.remove_target(target)
+        await self._world.add_target(target.service)
+
+    async def _route_moves(self) -> None:
+        route = self._rng.choice(list(self._world.service_by_route))
+        self._world.set_route(route, self._rng.choice(fault_world.SERVICES))
+
+    async def _route_added(self) -> None:
+        kind = self._rng.choice(("safe", "unsafe"))
+        number = len(self._world.service_by_route)
+        self._world.set_route(
+            f"{kind}-{number}", self._rng.choice(fault_world.SERVICES)
+        )
+
+
+def play(seed: int, seconds: float) -> fault_world.FaultWorld:
+    """Plays a run; the logs of a broken one are kept.
+
+    Args:
+        seed: Seed of the faults.
+        seconds: Time with faults.
+    """
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"fault-soak-{seed}-"))
+
+    async def main() -> fault_world.FaultWorld:
+        world = fault_world.FaultWorld(folder=folder, rng=random.Random(seed))
+        await FaultSoak(world=world, seconds=seconds).run()
+        return world
+
+    world = asyncio.run(main())
+    if not world.ledger.broken:
+        for path in folder.iterdir():
+            path.unlink()
+        folder.rmdir()
+    return world
+
+
+def main(seed: int = 1, seeds: int = 1, seconds: float = 30.0) -> None:
+    """Plays runs with successive seeds; exits with 1 if a promise broke.
+
+    Args:
+        seed: First seed.
+        seeds: Number of runs.
+        seconds: Time with faults in each run.
+    """
+    bad = []
+    for number in range(seed, seed + seeds):
+        world = play(number, seconds)
+        ledger = world.ledger
+        print(
+            f"seed={number} checked={dict(ledger.checked)}"
+            f" faults={dict(ledger.faults)} broken={len(ledger.broken)}",
+            flush=True,
+        )
+        for text in ledger.broken:
+            print(f"  {text}", flush=True)
+        if ledger.broken:
+            bad.append(number)
+            print(f"  logs in {world.folder}", flush=True)
+    print(f"{seeds} runs, broken: {bad}")
+    if bad:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/fault_target.py
@@ -0,0 +1,185 @@
+"""Target of the fault soak, over HTTP on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import hashlib
+import json
+import random
+import time
+
+from bench import fault_ledger
+from bench import fault_proxy
+
+WORK_S = 0.05
+SLOW_S = 1.5
+_PREFIX = "x-fuchsiacourse-"
+
+
+class Mode(enum.Enum):
+    """How a target behaves."""
+
+    WELL = "well"
+    FAILS = "fails"
+    SLOW = "slow"
+    HANGS = "hangs"
+    RESETS = "resets"
+    CUTS = "cuts"
+    DECLINES = "declines"
+    MIXES = "mixes"
+    ADDS = "adds"
+
+
+def body_for(id: str, sent: bytes) -> bytes:
+    """Returns the body of the answer to a request; some are long."""
+    digest = hashlib.sha256(id.encode() + sent).digest()
+    return digest * (20_000 if digest[0] < 8 else 3)
+
+
+class FaultTarget:
+    """A target behind a proxy.
+
+    Args:
+        id: Id in the registration.
+        service: Service that it belongs to.
+        availability_zone: Its zone.
+        ip: Where it and its proxy listen.
+        ledger: Receives what it runs.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        id: str,
+        service: str,
+        availability_zone: str,
+        ip: str,
+        ledger: fault_ledger.FaultLedger,
+        rng: random.Random,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.availability_zone = availability_zone
+        self.mode = Mode.WELL
+        # Monotonic time at which the store took its word that it leaves.
+        self.draining_s: float | None = None
+        self._ip = ip
+        self._ledger = ledger
+        self._rng = rng
+        self._born_ms = int(time.time() * 1000)
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.proxy = fault_proxy.FaultProxy(ip=ip, server=(ip, 0))
+
+    async def start(self) -> None:
+        """Starts the target and its proxy."""
+        self._server = await asyncio.start_server(self._serve, self._ip, 0)
+        self.proxy.server = self._server.sockets[0].getsockname()[:2]
+        await self.proxy.start()
+
+    async def stop(self) -> None:
+        """Ends the target and its proxy; connections are reset."""
+        if self._server is not None:
+            self._server.close()
+        await self.proxy.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def registration(self) -> bytes:
+        """Returns the object that the target writes into the store."""
+        spec = {
+            "address": "%s:%d" % self.proxy.address,
+            "born": self._born_ms,
+            "info": {
+                "service": self.service,
+                "zone": self.availability_zone,
+                "slots": 8,
+                "version": "v1",
+            },
+            "status": {
+                "state": "ready" if self.draining_s is None else "draining",
+                "sequence": 1,
+                "cold_remaining_ms": 0,
+            },
+        }
+        return json.dumps({"spec": spec, "status": None}).encode()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The front has closed the connection, or the target ends.
+            writer.transport.abort()
+        finally:
+            writer.close()
+            self._tasks.discard(task)
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        fields = {}
+        for line in head[1:]:
+            name, _, value = line.partition(": ")
+            fields[name.lower()] = value
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        id = fields.get(_PREFIX + "request-id", "")
+        expected = fields.get(_PREFIX + "expected-instance", self.id)
+        if expected != self.id:
+            writer.write(_answer(421, id, b"", "Not-Executed: 1"))
+            return True
+        if self.mode is Mode.DECLINES and self._rng.random() < 0.5:
+            writer.write(_answer(503, id, b"", "Not-Executed: 1"))
+            return True
+        self._ledger.ran(
+            id,
+            service=self.service,
+            path=head[0].split()[1],
+            body=body,
+            draining_s=self.draining_s,
+        )
+        return await self._run(id, body_for(id, body), writer)
+
+    async def _run(
+        self, id: str, body: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        mode = self.mode
+        if mode is Mode.FAILS:
+            writer.write(_answer(500, id, b"failed"))
+            return True
+        await asyncio.sleep(
+            {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, WORK_S)
+        )
+        signed = _answer(200, id, body)
+        if mode is Mode.RESETS:
+            writer.transport.abort()
+            return False
+        if mode is Mode.CUTS:
+            writer.write(signed[: len(signed) // 2])
+            return False
+        if mode is Mode.MIXES:
+            # A late answer to an earlier request comes first.
+            writer.write(_answer(200, f"{id}-old", b"other"))
+        writer.write(signed)
+        if mode is Mode.ADDS:
+            writer.write(b"more bytes")
+        return True
+
+
+def _answer(status: int, id: str, body: bytes, extra: str = "") -> bytes:
+    lines = [
+        f"HTTP/1.1 {status} Status",
+        f"Content-Length: {len(body)}",
+        f"{_PREFIX}request-id: {id}",
+    ]
+    lines.append(_PREFIX + (extra or "response-signature: s"))
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- /dev/null
+++ b/bench/fault_world.py
@@ -0,0 +1,270 @@
+"""Fronts as processes, with a store, targets and callers around them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import uvicorn
+
+from bench import fault_ledger
+from bench import fault_proxy
+from bench import fault_target
+from bench import local_fleet
+from fuchsiacourse.platform import objects_app
+from fuchsiacourse.platform import settings_file
+from fuchsiacourse import platform_model
+from fuchsiacourse import system_clock
+
+FRONT_PORT = 8100
+READY_PORT = 8101
+DIRECTORY_PORT = 8102
+CONTROL_PORT = 8103
+PEER_PORT = 8104
+ZONES = ("a", "a", "a", "a", "b", "b")
+SERVICES = ("larder", "dispatch")
+TARGETS = 5
+STOP_S = 6.0
+RESTART_S = 0.3
+HOST = "soak.example"
+_LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1_000_000,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+class FaultFront:
+    """A front as a process, and its proxy to the store."""
+
+    def __init__(
+        self, *, ip: str, zone: str, store: tuple[str, int], world: FaultWorld
+    ) -> None:
+        self.ip = ip
+        self.zone = zone
+        self.world = world
+        self.store = fault_proxy.FaultProxy(ip=ip, server=store)
+        self.repeat_share = 0.3
+        self.settings = world.folder / f"{ip}.conf"
+        self.process: asyncio.subprocess.Process | None = None
+        # Signal that the process was given for its end.
+        self.ending: int | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the process runs and was not told to end."""
+        return (
+            self.process is not None
+            and self.process.returncode is None
+            and self.ending is None
+        )
+
+    async def run(self) -> None:
+        """Starts the process, and again after each end."""
+        await self.store.start()
+        self.write_settings()
+        while True:
+            log_path = self.world.folder / f"{self.ip}.log"
+            with log_path.open("ab") as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "fuchsiacourse.front",
+                    stdout=log,
+                    stderr=log,
+                    env={
+                        **os.environ,
+                        settings_file.PATH_VARIABLE: str(self.settings),
+                    },
+                )
+            self.ending = None
+            self.world.ledger.fault(self.ip)
+            code = await self.process.wait()
+            is_stop = self.ending == signal.SIGTERM and code == 0
+            if self.ending != signal.SIGKILL and not is_stop:
+                self.world.ledger.ended_by_itself(self.ip, code)
+            await asyncio.sleep(RESTART_S)
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process, if it runs."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.ending = self.ending or number
+        if number == signal.SIGKILL:
+            self.ending = number
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    def write_settings(self) -> None:
+        """Writes the settings file, as the platform does."""
+        address = "%s:%d" % self.store.address
+        seeds = ",".join(
+            f"{ip}:{CONTROL_PORT}" for ip in self.world.front_ips[:3]
+        )
+        lines = [
+            f"self.node=front-{self.ip}",
+            f"self.ip={self.ip}",
+            f"self.zone={self.zone}",
+            "self.region=east",
+            "self.bootstrap=false",
+            "self.limits.cpu_share=1",
+            "self.limits.link_mbps=100",
+            f"network.listen.front={self.ip}:{FRONT_PORT}",
+            f"network.listen.ready={self.ip}:{READY_PORT}",
+            f"network.listen.directory={self.ip}:{DIRECTORY_PORT}",
+            f"network.listen.control={self.ip}:{CONTROL_PORT}",
+            f"network.internal_ports={PEER_PORT},{PEER_PORT}",
+            f"network.seeds={seeds}",
+            "network.zones.a=east",
+            "network.zones.b=east",
+            f"platform.platform.address={address}",
+            f"terms.bounds.grace_s={STOP_S:g}",
+            f"terms.bounds.retry_budget_ratio={self.repeat_share:g}",
+            "terms.bounds.retry_budget_extra=60",
+        ]
+        self.settings.write_text("\n".join(lines), encoding="utf-8")
+
+
+class FaultWorld:
+    """Everything that a run of the fault soak consists of.
+
+    Args:
+        folder: Where settings and logs are written.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, *, folder: pathlib.Path, rng: random.Random) -> None:
+        self.folder = folder
+        self.rng = rng
+        self.ledger = fault_ledger.FaultLedger()
+        self._network = f"{local_fleet.network_of_process()}.77"
+        self.front_ips = [
+            f"{self._network}.{10 + number}" for number in range(len(ZONES))
+        ]
+        clock = system_clock.SystemClock()
+        self.model = platform_model.PlatformModel(
+            clock=clock, history_limit=60
+        )
+        self._app = objects_app.ObjectsApp(model=self.model, clock=clock)
+        self.fronts: list[FaultFront] = []
+        self.targets_by_id: dict[str, fault_target.FaultTarget] = {}
+        # Monotonic time at which each route was taken by the store.
+        self.known_s_by_route: dict[str, float] = {}
+        self.service_by_route: dict[str, str] = {}
+        self._version = 0
+        self._target_count = 0
+        self._tasks: list[asyncio.Task] = []
+        self._server: uvicorn.Server | None = None
+
+    async def start(self) -> None:
+        """Starts the store, the targets and the fronts."""
+        self._server = uvicorn.Server(
+            uvicorn.Config(
+                self._app.asgi,
+                host=f"{self._network}.1",
+                port=0,
+                lifespan="off",
+                log_config=None,
+                timeout_graceful_shutdown=0,
+            )
+        )
+        self._tasks.append(asyncio.ensure_future(self._server._serve()))
+        while not self._server.started:
+            await asyncio.sleep(0.01)
+        store = self._server.servers[0].sockets[0].getsockname()
+        for service in SERVICES:
+            self.set_route(f"safe-{service}", service)
+            self.set_route(f"unsafe-{service}", service)
+            for _ in range(TARGETS):
+                await self.add_target(service)
+        for ip, zone in zip(self.front_ips, ZONES):
+            front = FaultFront(ip=ip, zone=zone, store=store, world=self)
+            self.fronts.append(front)
+            self._tasks.append(asyncio.ensure_future(front.run()))
+
+    async def stop(self) -> None:
+        """Ends all processes that were started, by their ids."""
+        for front in self.fronts:
+            front.signal(signal.SIGCONT)
+            front.signal(signal.SIGKILL)
+        for front in self.fronts:
+            if front.process is not None:
+                await front.process.wait()
+            await front.store.close()
+        for target in list(self.targets_by_id.values()):
+            await target.stop()
+        self._app.close()
+        assert self._server is not None
+        self._server.should_exit = True
+        for task in self._tasks[1:]:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes an object, as the operator or a target does."""
+        self.model.table.put(key, value, if_version=None)
+
+    def set_route(self, route: str, service: str) -> None:
+        """Adds a route or gives it to another service."""
+        now_s = time.monotonic()
+        before = self.service_by_route.get(route)
+        moved = self.ledger.moved_at_s_by_service
+        if before not in (None, service):
+            moved[route, before] = now_s
+        moved.pop((route, service), None)
+        self.service_by_route[route] = service
+        self.known_s_by_route.setdefault(route, now_s)
+        self.ledger.services_by_path.setdefault(route, set()).add(service)
+        self._version += self.rng.randint(1, 5)
+        paths = [
+            {
+                "name": name,
+                "path_prefix": f"/{name}/",
+                "kind": "safe" if name.startswith("safe") else "unsafe",
+                "timeout_ms": 2500,
+                "target_latency_ms": 500,
+                "service": used,
+                "max_attempts": 3,
+            }
+            for name, used in self.service_by_route.items()
+        ]
+        spec = {
+            "version": f"r{self._version}",
+            "services": [],
+            "limits": _LIMITS,
+            "hosts": [{"host": HOST, "paths": paths}],
+        }
+        self.put(
+            "config/main", json.dumps({"spec": spec, "status": None}).encode()
+        )
+
+    async def add_target(self, service: str) -> None:
+        """Starts a target and registers it."""
+        self._target_count += 1
+        target = fault_target.FaultTarget(
+            id=f"i-{self._target_count}",
+            service=service,
+            availability_zone="ab"[self._target_count % 2],
+            ip=f"{self._network}.{100 + self._target_count % 100}",
+            ledger=self.ledger,
+            rng=self.rng,
+        )
+        await target.start()
+        self.targets_by_id[target.id] = target
+        self.put(f"servers/{target.id}", target.registration())
+
+    async def remove_target(self, target: fault_target.FaultTarget) -> None:
+        """Ends a target and its registration."""
+        if self.targets_by_id.pop(target.id, None) is None:
+            return
+        await target.stop()
+        self.model.table.delete(f"servers/{target.id}", if_version=None)
--- a/fuchsiacourse/platform/objects_app.py
+++ b/fuchsiacourse/platform/objects_app.py
@@ -64,11 +64,14 @@
         if not self.model.table.covers(after):
             raise falcon.HTTPGone(title="this history is gone")
         wait_ms = req.get_param_as_int("wait_ms", default=0)
-        batch = await self.model.wait_for_change(
-            f"{kind}/",
-            after_revision=after,
-            timeout_s=min(wait_ms, MAX_WAIT_MS) / _MS,
+        waiting = asyncio.ensure_future(
+            self.model.wait_for_change(
+                f"{kind}/",
+                after_revision=after,
+                timeout_s=min(wait_ms, MAX_WAIT_MS) / _MS,
+            )
         )
+        batch = await self._before_close(waiting)
         if not self.model.table.covers(after):
             raise falcon.HTTPGone(title="this history is gone")
         resp.media = {
@@ -200,6 +203,21 @@
             "as_of": self.model.table.revision,
         }
 
+    async def _before_close(
+        self, waiting: asyncio.Future[store.WatchBatch]
+    ) -> store.WatchBatch:
+        closing = asyncio.ensure_future(self._closing.wait())
+        try:
+            await asyncio.wait(
+                (waiting, closing), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not waiting.done():
+                raise falcon.HTTPServiceUnavailable(title="closing")
+            return waiting.result()
+        finally:
+            waiting.cancel()
+            closing.cancel()
+
     async def _admit(self, name: str, *, is_write: bool) -> None:
         if self.model.faults.delay_s > 0:
             await self._clock.sleep(self.model.faults.delay_s)
