--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -86,17 +86,18 @@
                 return
             id = self._next_id()
             route = self._rng.choice(list(self._world.service_by_route))
+            body = self._rng.randbytes(self._rng.choice((0, 9, 400_000)))
             sent = fault_ledger.Sent(
                 front=front.ip,
                 path=f"/{route}/{id}",
-                body=self._rng.randbytes(self._rng.choice((0, 9, 400_000))),
+                body=body,
                 is_safe=route.startswith("safe"),
                 at_s=time.monotonic(),
             )
             self._world.ledger.sent(id, sent)
             try:
                 keeps_alive = await asyncio.wait_for(
-                    self._exchange(id, route, sent, reader, writer),
+                    self._exchange(id, route, sent, body, reader, writer),
                     ANSWER_TIMEOUT_S,
                 )
             except (asyncio.IncompleteReadError, OSError):
@@ -116,6 +117,7 @@
         id: str,
         route: str,
         sent: fault_ledger.Sent,
+        body: bytes,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
@@ -123,16 +125,16 @@
             f"POST {sent.path} HTTP/1.1\r\nHost: {fault_world.HOST}\r\n"
             f"X-Fuchsiacourse-Request-Id: {id}\r\n"
             f"X-Fuchsiacourse-Request-Deadline: {DEADLINE_MS}\r\n"
-            f"Content-Length: {len(sent.body)}\r\n\r\n".encode() + sent.body
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body
         )
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
         status = int(head.split()[1])
         length = int(head.split("content-length: ")[1].split()[0])
-        body = await reader.readexactly(length)
+        got = await reader.readexactly(length)
         self._world.ledger.answered(
             id,
             status,
-            is_whole=body == fault_target.body_for(id, sent.body),
+            is_whole=got == fault_target.body_for(id, body),
             is_signed="response-signature" in head,
         )
         if status == 404:
--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -17,6 +17,7 @@
 import typer
 
 from bench import fault_callers
+from bench import fault_ledger
 from bench import fault_target
 from bench import fault_world
 
@@ -25,6 +26,10 @@
 # Time in which callers must be served again, in seconds.
 RECOVER_S = 15.0
 RECOVERED_SHARE = 0.9
+# A wait that ends this much late means that the machine is too busy for
+# bounds of time, in seconds.
+LAG_S = 0.2
+LAG_CHECK_S = 0.05
 # Time over which the share is taken at the end, in seconds.
 LAST_S = 3.0
 
@@ -69,6 +74,7 @@
         """Plays the faults, then waits for the recovery."""
         callers = fault_callers.FaultCallers(world=self._world, count=CALLERS)
         await self._world.start()
+        watch = asyncio.ensure_future(self._watch_machine())
         try:
             await self._wait_served(callers)
             end_s = time.monotonic() + self._seconds
@@ -81,8 +87,17 @@
             await self._recover(callers)
             await callers.stop()
         finally:
+            watch.cancel()
             await self._world.stop()
 
+    async def _watch_machine(self) -> None:
+        while True:
+            due_s = time.monotonic() + LAG_CHECK_S
+            await asyncio.sleep(LAG_CHECK_S)
+            if time.monotonic() > due_s + LAG_S:
+                self._ledger.faults["machine is busy"] += 1
+                self._ledger.fault(fault_ledger.MACHINE)
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
--- /dev/null
+++ b/tests/test_fault_ledger.py
@@ -0,0 +1,120 @@
+"""Tests of the checks of the fault soak."""
+
+import time
+import unittest
+
+from bench import fault_ledger
+
+FRONT = "10.0.0.1"
+
+
+class FaultLedgerTest(unittest.TestCase):
+    """Each broken promise must be seen, and nothing that is allowed."""
+
+    def setUp(self) -> None:
+        self.ledger = fault_ledger.FaultLedger()
+        self.ledger.services_by_path["unsafe-x"] = {"larder"}
+
+    def send(self, id: str = "q1", *, is_safe: bool = False) -> None:
+        self.ledger.sent(
+            id,
+            fault_ledger.Sent(
+                front=FRONT,
+                path=f"/unsafe-x/{id}",
+                body=b"b",
+                is_safe=is_safe,
+                at_s=time.monotonic(),
+            ),
+        )
+
+    def run_at_target(self, id: str = "q1", **changes) -> None:
+        values = {
+            "service": "larder",
+            "path": f"/unsafe-x/{id}",
+            "body": b"b",
+            "draining_s": None,
+        }
+        self.ledger.ran(id, **{**values, **changes})
+
+    def assert_broken(self, *rules: str) -> None:
+        found = [text.partition(":")[0] for text in self.ledger.broken]
+        self.assertEqual(list(rules), found)
+
+    def test_good_request(self):
+        self.send()
+        self.run_at_target()
+        self.ledger.answered("q1", 200, is_whole=True, is_signed=True)
+        self.assert_broken()
+
+    def test_second_run(self):
+        self.send()
+        self.run_at_target()
+        self.run_at_target()
+        self.assert_broken("TWICE")
+
+    def test_second_run_of_a_safe_request_is_allowed(self):
+        self.send(is_safe=True)
+        self.run_at_target()
+        self.run_at_target()
+        self.assert_broken()
+
+    def test_refusal_before_and_after_the_run(self):
+        self.send("q1")
+        self.run_at_target("q1")
+        self.ledger.answered("q1", 503, is_whole=False, is_signed=False)
+        self.send("q2")
+        self.ledger.answered("q2", 503, is_whole=False, is_signed=False)
+        self.run_at_target("q2")
+        self.assert_broken("REFUSED", "REFUSED")
+
+    def test_changed_and_unknown_requests(self):
+        self.send()
+        self.run_at_target(body=b"other")
+        self.run_at_target("q9")
+        self.assert_broken("UNASKED", "UNASKED")
+
+    def test_wrong_service(self):
+        self.send()
+        self.run_at_target(service="dispatch")
+        self.assert_broken("ROUTE")
+
+    def test_mixed_answer(self):
+        self.send()
+        self.ledger.answered("q1", 200, is_whole=False, is_signed=True)
+        self.assert_broken("MIXED")
+
+    def test_late_run_at_a_leaving_target(self):
+        long_ago_s = time.monotonic() - 5.0
+        self.send("q1")
+        self.run_at_target("q1", draining_s=long_ago_s)
+        self.assert_broken("DRAIN")
+        self.ledger.fault(FRONT)
+        self.send("q2")
+        self.run_at_target("q2", draining_s=long_ago_s)
+        self.assert_broken("DRAIN")
+
+    def test_cut_off_request(self):
+        self.send("q1")
+        self.run_at_target("q1")
+        # Planned work and the store are no excuse.
+        self.ledger.fault(FRONT, is_planned=True)
+        self.ledger.fault("store")
+        self.ledger.cut_off("q1")
+        self.assert_broken("LOST")
+
+    def test_cut_off_request_at_a_killed_front_or_before_its_run(self):
+        self.send("q1")
+        self.ledger.cut_off("q1")
+        self.ledger.fault(FRONT)
+        self.send("q2")
+        self.run_at_target("q2")
+        self.ledger.cut_off("q2")
+        self.assert_broken()
+
+    def test_old_configuration(self):
+        long_ago_s = time.monotonic() - 5.0
+        self.ledger.missing_route(FRONT, "/unsafe-x/q1", long_ago_s)
+        self.ledger.moved_at_s_by_service["unsafe-x", "larder"] = long_ago_s
+        self.send()
+        self.run_at_target()
+        self.assert_broken("CONFIG", "CONFIG")
--- /dev/null
+++ b/tests/test_fault_proxy.py
@@ -0,0 +1,71 @@
+"""Tests of the proxy that the fault soak puts between processes."""
+
+import asyncio
+import unittest
+
+from bench import fault_proxy
+
+IP = "127.0.0.1"
+
+
+class FaultProxyTest(unittest.IsolatedAsyncioTestCase):
+    """A fault must hold what it says, and nothing after it has healed."""
+
+    async def asyncSetUp(self) -> None:
+        async def echo(reader, writer):
+            try:
+                while data := await reader.read(100):
+                    writer.write(data)
+            except OSError:
+                # The proxy has reset the connection.
+                writer.transport.abort()
+            writer.close()
+
+        self.server = await asyncio.start_server(echo, IP, 0)
+        address = self.server.sockets[0].getsockname()
+        self.proxy = fault_proxy.FaultProxy(ip=IP, server=address)
+        await self.proxy.start()
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.proxy.address
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        await self.proxy.close()
+        self.server.close()
+
+    async def echoed(self, data: bytes, wait_s: float = 1.0) -> bytes:
+        self.writer.write(data)
+        return await asyncio.wait_for(
+            self.reader.readexactly(len(data)), wait_s
+        )
+
+    async def test_bytes_pass(self):
+        self.assertEqual(b"abc", await self.echoed(b"abc"))
+
+    async def test_cut_in_one_direction_holds_bytes_until_it_heals(self):
+        self.proxy.silence(to_server=False)
+        with self.assertRaises(TimeoutError):
+            await self.echoed(b"abc", 0.2)
+        self.proxy.heal()
+        self.assertEqual(b"abc", await self.reader.readexactly(3))
+
+    async def test_delay(self):
+        self.proxy.delay_s = 0.15
+        begin_s = asyncio.get_running_loop().time()
+        await self.echoed(b"abc")
+        took_s = asyncio.get_running_loop().time() - begin_s
+        self.assertGreaterEqual(took_s, 0.3)
+
+    async def test_reset(self):
+        await self.echoed(b"abc")
+        self.proxy.reset_all()
+        with self.assertRaises(OSError):
+            await self.reader.readexactly(1)
+
+    async def test_refused_connections(self):
+        self.proxy.refuses = True
+        reader, writer = await asyncio.open_connection(*self.proxy.address)
+        with self.assertRaises((OSError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+        writer.close()
