Take a list of the store for news of deletions

Cause: a front told the revision of its newest object after a list. A neighbour with an older list did not ask for the difference if it was a deletion alone, and kept a target that was gone. Found by reading.

Change: a list counts as news up to its own revision.

Result: test_list_may_bring_a_deletion fails without the change.

--- a/fuchsiacourse/front/object_copy.py
+++ b/fuchsiacourse/front/object_copy.py
@@ -49,7 +49,8 @@
         self.by_key: dict[str, stores.StoredObject] = {}
         # Store-wide revision to go on after.
         self.revision = 0
-        # Revision of the last change under the prefix, 0 without a copy.
+        # Revision of the last change under the prefix, or of the list that
+        # may have brought one; 0 without a copy.
         self.changed_revision = 0
         self._deleted_by_key: collections.OrderedDict[
             str, stores.StoredObject
@@ -67,8 +68,9 @@
         for key in set(self.by_key) - set(present):
             self._delete(key, revision)
         self.by_key = present
-        newest = max((item.version for item in objects), default=revision)
-        self.changed_revision = max(self.changed_revision, newest)
+        # Not that of the newest object: the last change may have been a
+        # deletion, which a list does not show.
+        self.changed_revision = max(self.changed_revision, revision)
         self.revision = revision
 
     def update(
--- a/tests/test_object_copy.py
+++ b/tests/test_object_copy.py
@@ -50,9 +50,17 @@
 
     def test_watch_without_changes_is_no_news(self):
         self.copy.update(19, [])
-        self.assertEqual(8, self.copy.changed_revision)
+        self.assertEqual(10, self.copy.changed_revision)
         self.assertEqual(19, self.copy.since(12).revision)
 
+    def test_list_may_bring_a_deletion(self):
+        older = object_copy.ObjectCopy()
+        older.replace(9, [item("a", 3), item("b", 8), item("c", 5)])
+        self.assertGreater(self.copy.changed_revision, older.revision)
+        part = self.copy.since(older.revision)
+        self.assertTrue(part.is_whole)
+        self.assertEqual([("a", False), ("b", False)], told(part))
+
     def test_forgotten_deletions_give_all_objects(self):
         for number in range(object_copy.MAX_DELETIONS + 1):
             self.copy.update(
