Drop a long late answer without closing its connection

Cause: a late answer to an earlier request that is passed on while it arrives was given up, which closes the connection under the request that waits for its own answer. Found by reading.

Result: test_long_late_answer_is_dropped fails without the change.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -17,6 +17,7 @@
     "bench.measure_health",
     "bench.measure_queue",
     "bench.measure_latency",
+    "bench.measure_fronts",
 )
 ALL = "all"
 
--- /dev/null
+++ b/bench/measure_fronts.py
@@ -0,0 +1,240 @@
+"""Measures how fast fronts leave a sick target, and how often a well one.
+
+Fronts of one zone run on virtual time with their real decisions; what they
+tell each other arrives a millisecond later. Traffic is that of the service
+with the longest work at glenmorach-gw, in one region.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import statistics
+
+from bench import figure
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import evidence_book
+from fuchsiacourse.front import forwarder as forwarders
+from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import sending
+from fuchsiacourse.front import target as targets
+
+FRONTS = 12
+TARGETS = 8
+RATE_PER_S = 10.7
+WORK_S = 0.48
+WORK_SPREAD = 0.5
+TAIL_SHARE = 0.03
+TAIL_FACTOR = 7.0
+ERROR_SHARE = 0.012
+# Share of the requests that a sick target spoils.
+SICK_FAILS = 0.85
+SLOW_FACTOR = 5.0
+HANG_S = 60.0
+TELL_S = 0.001
+ONSET_S = 20.0
+WATCH_S = 15.0
+POLL_S = 0.01
+SEEDS = 12
+CALM_S = 300.0
+MEDIAN_BOUND_S = 1.0
+P95_BOUND_S = 3.0
+# Wrong avoidances in a million target-seconds.
+CALM_BOUND = 1.0
+_OK = 200
+
+OUTCOMES_BY_FAULT = {
+    "fails": outcomes.Outcome.FAILED,
+    "resets": outcomes.Outcome.LOST,
+    "spoils": outcomes.Outcome.BAD_ANSWER,
+    "hangs": None,
+    "slow": None,
+}
+
+
+class FrontWorld:
+    """Fronts and targets, one of which may turn sick.
+
+    Args:
+        seed: Seed of the arrivals and of the work.
+    """
+
+    def __init__(self, *, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self.sick_id = ""
+        self.fault = ""
+        records = [
+            front_fakes.record(
+                f"t{number}", availability_zone="ab"[number % 2]
+            )
+            for number in range(TARGETS)
+        ]
+        sender = front_fakes.FakeSender(self._behave)
+        self.fronts = [
+            front_fakes.forwarder(
+                sender,
+                *records,
+                seed=seed * FRONTS + number,
+                tell=self._teller(number),
+            )
+            for number in range(FRONTS)
+        ]
+        config = front_fakes.config(
+            front_fakes.route(timeout_s=4.0, objective_s=1.5)
+        )
+        for front in self.fronts:
+            front.config = config
+        self._tasks: set[asyncio.Task] = set()
+
+    async def send(self, for_s: float) -> None:
+        """Sends requests for a time, whatever is answered."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + for_s
+        number = 0
+        while loop.time() < end_s:
+            await asyncio.sleep(self._rng.expovariate(RATE_PER_S))
+            number += 1
+            request = front_fakes.request(
+                f"/orders/{number}", deadline_ms=4000, received_s=loop.time()
+            )
+            task = asyncio.ensure_future(
+                self._rng.choice(self.fronts).handle(
+                    request, caller_presence.CallerPresence()
+                )
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def suspecting(self, id: str) -> int:
+        """Returns how many fronts hold a target to be sick."""
+        now_s = asyncio.get_running_loop().time()
+        return sum(
+            front.table.by_id[id].health.probability(now_s)
+            >= evidence_book.SICK
+            for front in self.fronts
+        )
+
+    def _teller(self, number: int) -> evidence_book.Tell:
+        def tell(evidence: evidences.Evidence) -> None:
+            loop = asyncio.get_running_loop()
+            for other, front in enumerate(self.fronts):
+                if other != number:
+                    loop.call_later(
+                        TELL_S, _hear, front, evidence, f"10.0.0.{number}"
+                    )
+
+        return tell
+
+    def _behave(
+        self, target: targets.Target, count: int
+    ) -> tuple[float, sending.SendResult]:
+        work_s = WORK_S * self._rng.lognormvariate(0.0, WORK_SPREAD)
+        if self._rng.random() < TAIL_SHARE:
+            work_s *= TAIL_FACTOR
+        if target.record.id == self.sick_id:
+            if self.fault == "slow":
+                return work_s * SLOW_FACTOR, front_fakes.answered()
+            if self._rng.random() < SICK_FAILS:
+                outcome = OUTCOMES_BY_FAULT[self.fault]
+                if outcome is None:
+                    return HANG_S, front_fakes.answered()
+                return 0.001, front_fakes.result(outcome, 500)
+        if self._rng.random() < ERROR_SHARE:
+            return work_s, front_fakes.result(outcomes.Outcome.FAILED, 500)
+        return work_s, front_fakes.answered()
+
+
+def _hear(
+    front: forwarders.Forwarder, evidence: evidences.Evidence, ip: str
+) -> None:
+    front.book.heard(evidence, front=ip, is_same_zone=True)
+
+
+def time_to_leave(fault: str, seed: int) -> float:
+    """Returns the time until all fronts hold a sick target to be so.
+
+    Args:
+        fault: How the target is sick.
+        seed: Seed of the run.
+
+    Returns:
+        Seconds, ``WATCH_S`` if it does not happen in that time.
+    """
+
+    async def main() -> float:
+        world = FrontWorld(seed=seed)
+        loop = asyncio.get_running_loop()
+        sending_all = asyncio.ensure_future(world.send(ONSET_S + WATCH_S))
+        await asyncio.sleep(ONSET_S)
+        world.fault, world.sick_id = fault, f"t{seed % TARGETS}"
+        begin_s = loop.time()
+        while loop.time() - begin_s < WATCH_S:
+            if world.suspecting(world.sick_id) == FRONTS:
+                break
+            await asyncio.sleep(POLL_S)
+        sending_all.cancel()
+        return loop.time() - begin_s
+
+    return virtual_loop.run(main())
+
+
+def wrong_avoidances(seed: int) -> float:
+    """Returns the target-seconds in which a front avoids a well target."""
+
+    async def main() -> float:
+        world = FrontWorld(seed=seed)
+        sending_all = asyncio.ensure_future(world.send(CALM_S))
+        avoided = 0
+        for _ in range(int(CALM_S / POLL_S)):
+            await asyncio.sleep(POLL_S)
+            for number in range(TARGETS):
+                avoided += world.suspecting(f"t{number}")
+        sending_all.cancel()
+        return avoided * POLL_S
+
+    return virtual_loop.run(main())
+
+
+def front_detection() -> list[figure.Figure]:
+    """Measures the time until a sick target is out of use everywhere."""
+    found = []
+    for fault in OUTCOMES_BY_FAULT:
+        times = sorted(time_to_leave(fault, seed) for seed in range(SEEDS))
+        found += [
+            figure.Figure(
+                name=f"front_detection_{fault}_median",
+                value=statistics.median(times),
+                unit="s",
+                bound=MEDIAN_BOUND_S,
+            ),
+            figure.Figure(
+                name=f"front_detection_{fault}_p95",
+                value=times[int(0.95 * (SEEDS - 1) + 0.5)],
+                unit="s",
+                bound=P95_BOUND_S,
+            ),
+        ]
+    return found
+
+
+def front_wrong_avoidance() -> list[figure.Figure]:
+    """Measures how often fronts avoid well targets on calm load."""
+    avoided_s = wrong_avoidances(1)
+    watched_s = CALM_S * TARGETS * FRONTS
+    return [
+        figure.Figure(
+            name="front_wrong_avoidance",
+            value=avoided_s / watched_s * 1e6,
+            unit="s/Ms",
+            bound=CALM_BOUND,
+        )
+    ]
+
+
+MEASURES = {
+    "front_detection": front_detection,
+    "front_wrong_avoidance": front_wrong_avoidance,
+}
--- a/fuchsiacourse/front/body_stream.py
+++ b/fuchsiacourse/front/body_stream.py
@@ -93,15 +93,19 @@
         """Notes that the body has ended early."""
         self._finish(error)
 
-    def close(self) -> None:
-        """Gives up reading."""
-        if self._is_closed:
-            return
+    def discard(self) -> None:
+        """Drops what has come and what follows; the sender goes on."""
         self._is_closed = True
         self._parts.clear()
         self._bytes = 0
         self._arrived.set()
         self._go_on()
+
+    def close(self) -> None:
+        """Gives up reading, and tells the sender."""
+        if self._is_closed:
+            return
+        self.discard()
         if not self._is_ended:
             self._on_close()
             self._finish(errors.BodyCutOff("the reader has given up"))
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -208,7 +208,7 @@
                 self._finish(answer)
                 return
             if answer.rest is not None:
-                answer.rest.close()
+                answer.rest.discard()
             # A late answer to an earlier request; ours comes next.
             self._is_out_of_step = True
 
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -283,6 +283,16 @@
         # The second one came over the same connection.
         self.assertEqual(1, self.accepted)
 
+    async def test_long_late_answer_is_dropped(self):
+        async def serve(reader, writer):
+            writer.write(test_pooled_sender.answer("q0", BODY))
+            writer.write(test_pooled_sender.answer("q1", b"ours"))
+
+        self.serve = serve
+        self.post("Content-Length: 0")
+        self.assertIn(b" 200 ", await self.read_head())
+        self.assertEqual(b"ours", await self.reader.readexactly(4))
+
     async def test_long_answer_that_ends_with_its_connection(self):
         async def serve(reader, writer):
             writer.write(OK + b"X-Fuchsiacourse-Request-Id: q1\r\n\r\n" + BODY)
