--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -319,7 +319,9 @@
     def _note_late(self) -> None:
         now_s = self._front.clock.now()
         for item in list(self._running.values()):
-            if item.is_late or now_s - item.started_s < self._late_s:
+            # The same sum as in the wait: a difference may be a rounding
+            # error smaller, and the run would wait for nothing.
+            if item.is_late or now_s < item.started_s + self._late_s:
                 continue
             item.is_late = True
             if item.target not in self._arrived:
@@ -349,6 +351,8 @@
         )
 
     def _drop_result(self, task: asyncio.Task[sending.SendResult]) -> None:
+        if task.cancelled():
+            return
         answer = task.result().answer
         if answer is not None and answer.rest is not None:
             self._rests.append(answer.rest)
