Ignore SIGHUP while a front loads its modules

A reload that came before the handler was installed, while the modules were loaded, ended the process.

Change: SIGHUP is ignored from the first line of the program on; the settings are read after it.

Result: test_reload_while_the_modules_are_loaded fails without the change (ended with -1).

--- a/fuchsiacourse/front/__main__.py
+++ b/fuchsiacourse/front/__main__.py
@@ -5,15 +5,20 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
-from fuchsiacourse import errors
-from fuchsiacourse.front import front_program
-from fuchsiacourse.front import log_sink
-from fuchsiacourse.front import settings_watch
-from fuchsiacourse import logs
-from fuchsiacourse.platform import platform_adapter
-from fuchsiacourse.platform import settings_file
+# Before the imports below, which take most of the start: a SIGHUP would end
+# the process until its handler is installed. The settings are read later.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from fuchsiacourse import errors  # noqa: E402
+from fuchsiacourse.front import front_program  # noqa: E402
+from fuchsiacourse.front import log_sink  # noqa: E402
+from fuchsiacourse.front import settings_watch  # noqa: E402
+from fuchsiacourse import logs  # noqa: E402
+from fuchsiacourse.platform import platform_adapter  # noqa: E402
+from fuchsiacourse.platform import settings_file  # noqa: E402
 
 EXIT_BAD_INPUT = 2
 
--- a/tests/test_front_process.py
+++ b/tests/test_front_process.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -234,6 +235,27 @@
         self.assertEqual([], self.runs)
 
 
+class FrontStartTest(unittest.TestCase):
+    """A process that starts must survive what may come at any time."""
+
+    def test_reload_while_the_modules_are_loaded(self):
+        # Seed 307 of the fault soak: the front ended with SIGHUP.
+        script = (
+            "import runpy, signal, sys\n"
+            "class Finder:\n"
+            "    def find_spec(self, name, path=None, target=None):\n"
+            "        if name == 'fuchsiacourse.front.front_program':\n"
+            "            signal.raise_signal(signal.SIGHUP)\n"
+            "            sys.exit(7)\n"
+            "sys.meta_path.insert(0, Finder())\n"
+            "runpy.run_module('fuchsiacourse.front', run_name='__main__')\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script], timeout=START_S, check=False
+        )
+        self.assertEqual(7, done.returncode)
+
+
 def _free_ports(count: int) -> list[int]:
     """Returns ports that nothing uses, different from each other."""
     sockets = [socket.socket() for _ in range(count)]
