Tell a caller that waits in vain from a connection that ends in the soak

Change: an answer that is not whole in twice its time breaks the promise while the bounds of time hold, as for the other bounds of time. A connection that ends without an answer is checked as before.

--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -105,7 +105,7 @@
                 self._note(False)
                 return
             except TimeoutError:
-                self._world.ledger.cut_off(id)
+                self._world.ledger.unanswered(id)
                 self._note(False)
                 return
             if not keeps_alive:
--- a/bench/fault_ledger.py
+++ b/bench/fault_ledger.py
@@ -152,6 +152,16 @@
         if self._fault_until_s.get(sent.front, 0.0) < since_s:
             self._break(f"LOST: {id} cut off by {sent.front}")
 
+    def unanswered(self, id: str) -> None:
+        """Notes that an answer has not come whole in twice its time.
+
+        Unlike a connection that has ended, that depends on the machine.
+        """
+        sent = self.sent_by_id[id]
+        self.checked["unanswered"] += 1
+        if self.is_in_touch(sent.front):
+            self._break(f"LOST: {id} not answered by {sent.front}")
+
     def missing_route(self, front: str, path: str, known_s: float) -> None:
         """Notes a 404 for a route that the store has taken long ago."""
         age_s = time.monotonic() - known_s
--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -111,6 +111,18 @@
         self.ledger.cut_off("q2")
         self.assert_broken()
 
+    def test_unanswered_request(self):
+        self.send("q1")
+        self.ledger.unanswered("q1")
+        self.assert_broken("LOST")
+
+    def test_unanswered_request_on_a_busy_machine(self):
+        # Seed 411: the answer had been passed on whole, 4.1 s late.
+        self.ledger.fault(fault_ledger.MACHINE)
+        self.send("q1")
+        self.ledger.unanswered("q1")
+        self.assert_broken()
+
     def test_old_configuration(self):
         long_ago_s = time.monotonic() - 5.0
         self.ledger.missing_route(FRONT, "/unsafe-x/q1", long_ago_s)
