Split the run of a request, give the soak a clock, name its figures

The soak uses the product's clock, and callers have their own randomness, so that their draws do not change the faults of a seed. No test was dropped.

--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 
 from bench import fault_ledger
 from bench import fault_target
@@ -12,6 +11,8 @@
 
 ANSWER_TIMEOUT_S = 6.0
 DEADLINE_MS = 3000
+# None, a short one, and one that is passed on while it arrives.
+BODY_BYTES = (0, 9, 400_000)
 PAUSE_S = 0.08
 # Requests on a connection before a new one is opened.
 MOST_ON_CONNECTION = 60
@@ -23,11 +24,14 @@
     Args:
         world: Fronts, targets and routes.
         count: Callers that send at the same time.
+        rng: Source of randomness, not that of the faults.
     """
 
-    def __init__(self, *, world: fault_world.FaultWorld, count: int) -> None:
+    def __init__(
+        self, *, world: fault_world.FaultWorld, count: int, rng: random.Random
+    ) -> None:
         self._world = world
-        self._rng = random.Random(world.rng.random())
+        self._rng = rng
         self._count = count
         self._ids = 0
         self._tasks: list[asyncio.Task] = []
@@ -86,13 +90,13 @@
                 return
             id = self._next_id()
             route = self._rng.choice(list(self._world.service_by_route))
-            body = self._rng.randbytes(self._rng.choice((0, 9, 400_000)))
+            body = self._rng.randbytes(self._rng.choice(BODY_BYTES))
             sent = fault_ledger.Sent(
                 front=front.ip,
                 path=f"/{route}/{id}",
                 body=body,
                 is_safe=route.startswith("safe"),
-                at_s=time.monotonic(),
+                at_s=self._world.clock.now(),
             )
             self._world.ledger.sent(id, sent)
             try:
@@ -149,4 +153,4 @@
         return f"{self._rng.getrandbits(32):08x}{self._ids:08x}"
 
     def _note(self, is_served: bool) -> None:
-        self.results.append((time.monotonic(), is_served))
+        self.results.append((self._world.clock.now(), is_served))
--- a/bench/fault_ledger.py
+++ b/bench/fault_ledger.py
@@ -4,7 +4,8 @@
 
 import collections
 import hashlib
-import time
+
+from fuchsiacourse import clock as clocks
 
 # Time after a fault in which a host's bounds do not hold, in seconds.
 STABILITY_S = 3.0
@@ -44,9 +45,14 @@
 
 
 class FaultLedger:
-    """What was sent, run and answered, and the faults meanwhile."""
+    """What was sent, run and answered, and the faults meanwhile.
+
+    Args:
+        clock: Source of time.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        self._clock = clock
         self.sent_by_id: dict[str, Sent] = {}
         self.runs_by_id: collections.Counter[str] = collections.Counter()
         self.services_by_path: dict[str, set[str]] = {}
@@ -66,12 +72,12 @@
         requests off.
         """
         by_place = self._planned_until_s if is_planned else self._fault_until_s
-        until_s = time.monotonic() + for_s
+        until_s = self._clock.now() + for_s
         by_place[place] = max(by_place.get(place, 0.0), until_s)
 
     def is_in_touch(self, front: str) -> bool:
         """Returns whether bounds of time hold for a front now."""
-        since_s = time.monotonic() - STABILITY_S - SLACK_S
+        since_s = self._clock.now() - STABILITY_S - SLACK_S
         return all(
             by_place.get(place, 0.0) < since_s
             for place in (front, "store", MACHINE)
@@ -117,7 +123,7 @@
         self._check_route(id, sent, service)
         if draining_s is None:
             return
-        late_s = time.monotonic() - draining_s
+        late_s = self._clock.now() - draining_s
         if late_s > DRAIN_S + SLACK_S and self.is_in_touch(sent.front):
             self._break(f"DRAIN: {id} {late_s:.2f} s late by {sent.front}")
         self.checked["drain"] += 1
@@ -164,7 +170,7 @@
 
     def missing_route(self, front: str, path: str, known_s: float) -> None:
         """Notes a 404 for a route that the store has taken long ago."""
-        age_s = time.monotonic() - known_s
+        age_s = self._clock.now() - known_s
         if age_s > CONFIG_S + SLACK_S and self.is_in_touch(front):
             self._break(f"CONFIG: 404 for {path} by {front}, {age_s:.2f} s")
 
--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -12,7 +12,6 @@
 import random
 import signal
 import tempfile
-import time
 
 import typer
 
@@ -23,6 +22,27 @@
 
 START_TIMEOUT_S = 30.0
 CALLERS = 12
+# Ranges of times in seconds: between the starts of two faults, of a pause of
+# a process, of a fault of the store, of a target's behaviour and of its link,
+# of the work that a leaving target still does, and until a crashed target's
+# registration lapses (three heartbeats).
+STEP_S = (0.2, 1.5)
+PAUSE_S = (0.3, 4.0)
+STORE_FAULT_S = (0.5, 5.0)
+STORE_DELAY_S = (0.1, 1.0)
+MODE_S = (1.0, 6.0)
+LINK_FAULT_S = (0.5, 4.0)
+LINK_DELAY_S = (0.05, 0.5)
+LEAVING_S = (4.0, 8.0)
+LAPSE_S = (0.5, 4.5)
+# Share of the turns of "kill_all" that kill; more leave little to see.
+KILL_ALL_SHARE = 0.3
+# Share of the cuts from the store that hold back both directions.
+BOTH_WAYS_SHARE = 0.7
+# Fronts that one rolling restart restarts.
+ROLLING = 3
+# Share of the requests whose repeats the operator allows.
+REPEAT_SHARE = (0.2, 0.4)
 # Time in which callers must be served again, in seconds.
 RECOVER_S = 15.0
 RECOVERED_SHARE = 0.9
@@ -40,13 +60,20 @@
     Args:
         world: What faults are played on.
         seconds: Time with faults.
+        caller_rng: Source of the callers' randomness.
     """
 
     def __init__(
-        self, *, world: fault_world.FaultWorld, seconds: float
+        self,
+        *,
+        world: fault_world.FaultWorld,
+        seconds: float,
+        caller_rng: random.Random,
     ) -> None:
         self._world = world
+        self._clock = world.clock
         self._rng = world.rng
+        self._caller_rng = caller_rng
         self._ledger = world.ledger
         self._seconds = seconds
         self._tasks: set[asyncio.Task] = set()
@@ -72,17 +99,19 @@
 
     async def run(self) -> None:
         """Plays the faults, then waits for the recovery."""
-        callers = fault_callers.FaultCallers(world=self._world, count=CALLERS)
+        callers = fault_callers.FaultCallers(
+            world=self._world, count=CALLERS, rng=self._caller_rng
+        )
         await self._world.start()
         watch = asyncio.ensure_future(self._watch_machine())
         try:
             await self._wait_served(callers)
-            end_s = time.monotonic() + self._seconds
-            while time.monotonic() < end_s:
+            end_s = self._clock.now() + self._seconds
+            while self._clock.now() < end_s:
                 name = self._rng.choice(list(self._kinds))
                 self._ledger.faults[name] += 1
                 self._spawn(self._kinds[name]())
-                await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+                await asyncio.sleep(self._rng.uniform(*STEP_S))
             await asyncio.gather(*self._tasks)
             await self._recover(callers)
             await callers.stop()
@@ -92,9 +121,9 @@
 
     async def _watch_machine(self) -> None:
         while True:
-            due_s = time.monotonic() + LAG_CHECK_S
+            due_s = self._clock.now() + LAG_CHECK_S
             await asyncio.sleep(LAG_CHECK_S)
-            if time.monotonic() > due_s + LAG_S:
+            if self._clock.now() > due_s + LAG_S:
                 self._ledger.faults["machine is busy"] += 1
                 self._ledger.fault(fault_ledger.MACHINE)
 
@@ -104,21 +133,21 @@
 
     async def _wait_served(self, callers: fault_callers.FaultCallers) -> None:
         callers.start()
-        deadline_s = time.monotonic() + START_TIMEOUT_S
-        while callers.served_share(time.monotonic() - 0.5) < RECOVERED_SHARE:
-            if time.monotonic() > deadline_s:
+        deadline_s = self._clock.now() + START_TIMEOUT_S
+        while callers.served_share(self._clock.now() - 0.5) < RECOVERED_SHARE:
+            if self._clock.now() > deadline_s:
                 self._ledger.not_recovered(callers.served_share(0.0))
                 return
             await asyncio.sleep(0.1)
 
     async def _recover(self, callers: fault_callers.FaultCallers) -> None:
-        deadline_s = time.monotonic() + RECOVER_S + LAST_S
+        deadline_s = self._clock.now() + RECOVER_S + LAST_S
         while True:
             await asyncio.sleep(LAST_S)
-            share = callers.served_share(time.monotonic() - LAST_S)
+            share = callers.served_share(self._clock.now() - LAST_S)
             if share >= RECOVERED_SHARE:
                 return
-            if time.monotonic() > deadline_s:
+            if self._clock.now() > deadline_s:
                 self._ledger.not_recovered(share)
                 return
 
@@ -132,7 +161,7 @@
         self._end(self._front(), signal.SIGKILL)
 
     async def _kill_all(self) -> None:
-        if self._rng.random() < 0.3:
+        if self._rng.random() < KILL_ALL_SHARE:
             for front in self._world.fronts:
                 self._end(front, signal.SIGKILL)
 
@@ -144,7 +173,7 @@
 
     async def _pause(self) -> None:
         front = self._front()
-        length_s = self._rng.uniform(0.3, 4.0)
+        length_s = self._rng.uniform(*PAUSE_S)
         self._ledger.fault(front.ip, length_s)
         front.signal(signal.SIGSTOP)
         await asyncio.sleep(length_s)
@@ -167,12 +196,12 @@
             front.signal(signal.SIGKILL)
 
     async def _rolling_restart(self) -> None:
-        for front in self._rng.sample(self._world.fronts, 3):
+        for front in self._rng.sample(self._world.fronts, ROLLING):
             await self._stop_one(front)
 
     async def _reload(self) -> None:
         front = self._front()
-        front.repeat_share = self._rng.uniform(0.2, 0.4)
+        front.repeat_share = self._rng.uniform(*REPEAT_SHARE)
         front.write_settings()
         front.signal(signal.SIGHUP)
 
@@ -180,10 +209,12 @@
         await self._store_fault("outage", True, False)
 
     async def _store_slow(self) -> None:
-        await self._store_fault("delay_s", self._rng.uniform(0.1, 1.0), 0.0)
+        await self._store_fault(
+            "delay_s", self._rng.uniform(*STORE_DELAY_S), 0.0
+        )
 
     async def _store_fault(self, name: str, value, healed) -> None:
-        length_s = self._rng.uniform(0.5, 5.0)
+        length_s = self._rng.uniform(*STORE_FAULT_S)
         self._ledger.fault("store", length_s)
         setattr(self._world.model.faults, name, value)
         await asyncio.sleep(length_s)
@@ -192,16 +223,16 @@
 
     async def _store_history(self) -> None:
         self._ledger.fault("store")
-        for number in range(70):
+        for number in range(fault_world.HISTORY + 10):
             self._world.put("fillers/one", b'{"spec": %d}' % number)
 
     async def _store_cut(self) -> None:
         fronts = self._rng.sample(self._world.fronts, self._rng.randint(1, 3))
-        length_s = self._rng.uniform(0.5, 5.0)
+        length_s = self._rng.uniform(*STORE_FAULT_S)
         for front in fronts:
             self._ledger.fault(front.ip, length_s)
             front.store.silence(
-                to_server=self._rng.random() < 0.7, to_client=True
+                to_server=self._rng.random() < BOTH_WAYS_SHARE, to_client=True
             )
         await asyncio.sleep(length_s)
         for front in fronts:
@@ -216,14 +247,14 @@
     async def _target_mode(self) -> None:
         target = self._target()
         target.mode = self._rng.choice(list(fault_target.Mode))
-        await asyncio.sleep(self._rng.uniform(1.0, 6.0))
+        await asyncio.sleep(self._rng.uniform(*MODE_S))
         target.mode = fault_target.Mode.WELL
 
     async def _target_link(self) -> None:
         proxy = self._target().proxy
         kind = self._rng.randrange(4)
         if kind == 0:
-            proxy.delay_s = self._rng.uniform(0.05, 0.5)
+            proxy.delay_s = self._rng.uniform(*LINK_DELAY_S)
         elif kind == 1:
             proxy.silence(to_server=False)
         elif kind == 2:
@@ -231,7 +262,7 @@
             proxy.reset_all()
         else:
             proxy.silence()
-        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        await asyncio.sleep(self._rng.uniform(*LINK_FAULT_S))
         proxy.heal()
 
     async def _target_leaves(self) -> None:
@@ -239,9 +270,9 @@
         if target.draining_s is not None:
             return
         await self._world.add_target(target.service)
-        target.draining_s = time.monotonic()
+        target.draining_s = self._clock.now()
         self._world.put(f"servers/{target.id}", target.registration())
-        await asyncio.sleep(self._rng.uniform(4.0, 8.0))
+        await asyncio.sleep(self._rng.uniform(*LEAVING_S))
         await self._world.remove_target(target)
 
     async def _target_crashes(self) -> None:
@@ -249,7 +280,7 @@
         if target.draining_s is not None:
             return
         await target.stop()
-        await asyncio.sleep(self._rng.uniform(0.5, 4.5))
+        await asyncio.sleep(self._rng.uniform(*LAPSE_S))
         await self._world.remove_target(target)
         await self._world.add_target(target.service)
 
@@ -276,7 +307,12 @@
 
     async def main() -> fault_world.FaultWorld:
         world = fault_world.FaultWorld(folder=folder, rng=random.Random(seed))
-        await FaultSoak(world=world, seconds=seconds).run()
+        await FaultSoak(
+            world=world,
+            seconds=seconds,
+            # Draws of the callers must not change the faults of a seed.
+            caller_rng=random.Random(f"callers {seed}"),
+        ).run()
         return world
 
     world = asyncio.run(main())
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -7,13 +7,18 @@
 import hashlib
 import json
 import random
-import time
 
 from bench import fault_ledger
 from bench import fault_proxy
+from fuchsiacourse import clock as clocks
 
 WORK_S = 0.05
 SLOW_S = 1.5
+# Digests in a body: a long one is passed on while it arrives.
+SHORT = 3
+LONG = 20_000
+# Answers with long bodies, of 256.
+LONG_OF_256 = 8
 _PREFIX = "x-fuchsiacourse-"
 
 
@@ -34,7 +39,7 @@
 def body_for(id: str, sent: bytes) -> bytes:
     """Returns the body of the answer to a request; some are long."""
     digest = hashlib.sha256(id.encode() + sent).digest()
-    return digest * (20_000 if digest[0] < 8 else 3)
+    return digest * (LONG if digest[0] < LONG_OF_256 else SHORT)
 
 
 class FaultTarget:
@@ -46,6 +51,7 @@
         availability_zone: Its zone.
         ip: Where it and its proxy listen.
         ledger: Receives what it runs.
+        clock: Source of time.
         rng: Source of randomness.
     """
 
@@ -57,6 +63,7 @@
         availability_zone: str,
         ip: str,
         ledger: fault_ledger.FaultLedger,
+        clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self.id = id
@@ -68,7 +75,7 @@
         self._ip = ip
         self._ledger = ledger
         self._rng = rng
-        self._born_ms = int(time.time() * 1000)
+        self._born_ms = int(clock.wall() * 1000)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self.proxy = fault_proxy.FaultProxy(ip=ip, server=(ip, 0))
--- a/bench/fault_world.py
+++ b/bench/fault_world.py
@@ -10,7 +10,6 @@
 import random
 import signal
 import sys
-import time
 
 import uvicorn
 
@@ -33,6 +32,8 @@
 TARGETS = 5
 STOP_S = 6.0
 RESTART_S = 0.3
+# Changes that a watch can go back, fewer than one fault of history writes.
+HISTORY = 60
 HOST = "soak.example"
 _LIMITS = {
     "max_header_bytes": 16384,
@@ -150,16 +151,16 @@
     def __init__(self, *, folder: pathlib.Path, rng: random.Random) -> None:
         self.folder = folder
         self.rng = rng
-        self.ledger = fault_ledger.FaultLedger()
+        self.clock = system_clock.SystemClock()
+        self.ledger = fault_ledger.FaultLedger(clock=self.clock)
         self._network = f"{local_fleet.network_of_process()}.77"
         self.front_ips = [
             f"{self._network}.{10 + number}" for number in range(len(ZONES))
         ]
-        clock = system_clock.SystemClock()
         self.model = platform_model.PlatformModel(
-            clock=clock, history_limit=60
+            clock=self.clock, history_limit=HISTORY
         )
-        self._app = objects_app.ObjectsApp(model=self.model, clock=clock)
+        self._app = objects_app.ObjectsApp(model=self.model, clock=self.clock)
         self.fronts: list[FaultFront] = []
         self.targets_by_id: dict[str, fault_target.FaultTarget] = {}
         # Monotonic time at which each route was taken by the store.
@@ -220,7 +221,7 @@
 
     def set_route(self, route: str, service: str) -> None:
         """Adds a route or gives it to another service."""
-        now_s = time.monotonic()
+        now_s = self.clock.now()
         before = self.service_by_route.get(route)
         moved = self.ledger.moved_at_s_by_service
         if before not in (None, service):
@@ -261,6 +262,7 @@
             availability_zone="ab"[self._target_count % 2],
             ip=f"{self._network}.{100 + self._target_count % 100}",
             ledger=self.ledger,
+            clock=self.clock,
             rng=self.rng,
         )
         await target.start()
--- a/bench/floor_decider.py
+++ b/bench/floor_decider.py
@@ -14,6 +14,7 @@
 from fuchsiacourse import health as healths
 from fuchsiacourse import invariants as invariant_checks
 from fuchsiacourse import logs
+from fuchsiacourse import score as scores
 from fuchsiacourse import service_file
 from fuchsiacourse import shard as shards
 from fuchsiacourse import store as stores
@@ -70,10 +71,10 @@
         super().__init__(shard=shard, false_ejections_per_target_s=1e-6)
         self._is_unhealthy = is_unhealthy
 
-    def score(self, row: target_row.TargetRow, now: float) -> detectors.Score:
+    def score(self, row: target_row.TargetRow, now: float) -> scores.Score:
         """Returns a score far over the threshold, or none."""
         value = 100.0 if self._is_unhealthy(row.id) else 0.0
-        return detectors.Score(value=value, reason="latency", kind="")
+        return scores.Score(value=value, reason="latency", kind="")
 
     def finished(
         self, row, attempt, outcome, now, *, shifts_limits=True
--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -107,8 +107,8 @@
     ),
     Mutation(
         rule="REFUSED",
-        module="request_run.py",
-        before="if not self._may_have_run:",
+        module="final_answers.py",
+        before="if not may_have_run:",
         after="if True:",
         test="tests.test_request_run",
     ),
--- a/fuchsiacourse/detector.py
+++ b/fuchsiacourse/detector.py
@@ -14,6 +14,7 @@
 
 from fuchsiacourse import evidence
 from fuchsiacourse import likelihood
+from fuchsiacourse import score as scores
 from fuchsiacourse import service_file
 from fuchsiacourse import shard as shards
 from fuchsiacourse import target_row
@@ -56,24 +57,7 @@
 )
 
 
-class Score:
-    """The strongest evidence against a target.
-
-    Args:
-        value: Sum of log-likelihood ratios.
-        reason: ``latency`` or ``errors``.
-        kind: Request kind, or ALL_KINDS.
-    """
-
-    __slots__ = ("value", "reason", "kind")
-
-    def __init__(self, *, value: float, reason: str, kind: str) -> None:
-        self.value = value
-        self.reason = reason
-        self.kind = kind
-
-
-_NO_SCORE = Score(value=0.0, reason="", kind=ALL_KINDS)
+_NO_SCORE = scores.Score(value=0.0, reason="", kind=ALL_KINDS)
 
 
 class Detector:
@@ -106,7 +90,7 @@
         steps_per_s = 2.0 * max(1.0, self._rate_per_s)
         return math.log(tests * steps_per_s / self._bound)
 
-    def score(self, row: target_row.TargetRow, now: float) -> Score:
+    def score(self, row: target_row.TargetRow, now: float) -> scores.Score:
         """Returns the highest score of a target."""
         best = _NO_SCORE
         for kind, kept in row.evidence_by_kind.items():
@@ -114,11 +98,11 @@
                 continue
             self._decay(kept, now)
             if kept.error_score > best.value:
-                best = Score(
+                best = scores.Score(
                     value=kept.error_score, reason="errors", kind=kind
                 )
             if kept.latency_score > best.value:
-                best = Score(
+                best = scores.Score(
                     value=kept.latency_score, reason="latency", kind=kind
                 )
         return best
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -8,10 +8,10 @@
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import evidence as evidences
+from fuchsiacourse.front import final_answers
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import outcome as outcomes
-from fuchsiacourse.front import pooled_sender
 from fuchsiacourse.front import request_events
 from fuchsiacourse.front import retry_policy
 from fuchsiacourse.front import route as routes
@@ -30,12 +30,6 @@
 # Time until a request that its targets have declined is offered to them again,
 # in seconds; a full queue needs some of the usual time to get shorter.
 DECLINED_PAUSE_S = 0.03
-# A refusal whose cause is a lack of room asks the caller to wait this long.
-RETRY_AFTER_S = 0.5
-
-_BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-_TIMEOUT = 504
 
 
 class RequestRun:
@@ -64,7 +58,7 @@
     ) -> None:
         self._front = front
         self._request = request
-        self._terms = terms
+        self._request_id = terms.request_id
         self._route = route
         self._service = service
         self._fingerprint = fingerprint
@@ -75,6 +69,13 @@
             route=route,
             service=service,
         )
+        self._answers = final_answers.FinalAnswers(
+            front=front,
+            request=request,
+            terms=terms,
+            service=service,
+            events=self._events,
+        )
         self._presence = presence
         wait_s = route.timeout_s
         if terms.deadline_s is not None:
@@ -108,27 +109,26 @@
 
     async def _answer(self) -> http_answer.HttpAnswer:
         if not self._send(evidences.SendKind.FIRST):
-            return self._refused("no target is known")
+            return self._answers.refused("no target is known", self._sendings)
         while self._running or self._offer_at_s is not None:
             now_s = self._front.clock.now()
             if now_s >= self._deadline_s:
-                return self._timed_out()
+                return self._answers.timed_out(self._sendings)
             await self._wait(now_s)
             if self._presence.has_left and (
                 self._ends_with_caller or not self._running
             ):
-                return self._log_answer(
-                    self._front.own_answer(
-                        self._terms, _TIMEOUT, "the caller has left"
-                    ),
-                    "caller left",
-                )
+                return self._answers.caller_left(self._sendings)
             final = self._take_finished()
             if final is not None:
                 return final
             self._note_late()
             self._offer_again()
-        return self._given_up()
+        return self._answers.given_up(
+            self._last_failure,
+            may_have_run=self._may_have_run,
+            sendings=self._sendings,
+        )
 
     @property
     def _ends_with_caller(self) -> bool:
@@ -184,9 +184,8 @@
             step = retry_policy.Step.GIVE_UP
         if step is retry_policy.Step.DELIVER:
             assert result.answer is not None
-            self._events.passes_on(result.answer, item.target)
-            return self._log_answer(
-                result.answer.passed_on(), "answered", item.target
+            return self._answers.answered(
+                result.answer, item.target, self._sendings
             )
         if (
             self._last_failure is None
@@ -284,7 +283,7 @@
             front.sender.send(
                 target,
                 self._request,
-                request_id=self._terms.request_id,
+                request_id=self._request_id,
                 deadline_s=self._deadline_s,
                 is_idempotent=self._route.is_idempotent,
             )
@@ -356,65 +355,3 @@
         answer = task.result().answer
         if answer is not None and answer.rest is not None:
             self._rests.append(answer.rest)
-
-    def _timed_out(self) -> http_answer.HttpAnswer:
-        return self._log_answer(
-            self._front.own_answer(
-                self._terms, _TIMEOUT, "no answer in time; it may have run"
-            ),
-            "deadline passed",
-        )
-
-    def _given_up(self) -> http_answer.HttpAnswer:
-        failure = self._last_failure
-        if not self._may_have_run:
-            return self._refused("no target has taken the request")
-        if (
-            failure is not None
-            and failure.answer is not None
-            and failure.outcome
-            in (outcomes.Outcome.FAILED, outcomes.Outcome.TIMED_OUT)
-            and failure.answer.status not in pooled_sender.PROMISES
-        ):
-            return self._log_answer(
-                failure.answer.passed_on(), "failed at the target"
-            )
-        if (
-            failure is not None
-            and failure.outcome is outcomes.Outcome.TIMED_OUT
-        ):
-            return self._timed_out()
-        return self._log_answer(
-            self._front.own_answer(
-                self._terms, _BAD_GATEWAY, "no whole answer; it may have run"
-            ),
-            "no whole answer",
-        )
-
-    def _refused(self, reason: str) -> http_answer.HttpAnswer:
-        return self._log_answer(
-            self._front.own_answer(
-                self._terms,
-                _UNAVAILABLE,
-                reason,
-                retry_after_s=RETRY_AFTER_S,
-            ),
-            reason,
-        )
-
-    def _log_answer(
-        self,
-        answer: http_answer.HttpAnswer,
-        cause: str,
-        target: targets.Target | None = None,
-    ) -> http_answer.HttpAnswer:
-        took_s = self._front.clock.now() - self._request.received_s
-        self._events.answered(
-            answer.status,
-            cause=cause,
-            target=target,
-            sendings=self._sendings,
-            took_s=took_s,
-            repeats_left=self._front.budget.left(self._service),
-        )
-        return answer
--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -1,9 +1,9 @@
 """Tests of the checks of the fault soak."""
 
-import time
 import unittest
 
 from bench import fault_ledger
+from bench import front_fakes
 
 FRONT = "10.0.0.1"
 
@@ -12,7 +12,8 @@
     """Each broken promise must be seen, and nothing that is allowed."""
 
     def setUp(self) -> None:
-        self.ledger = fault_ledger.FaultLedger()
+        self.clock = front_fakes.ManualClock()
+        self.ledger = fault_ledger.FaultLedger(clock=self.clock)
         self.ledger.services_by_path["unsafe-x"] = {"larder"}
 
     def send(self, id: str = "q1", *, is_safe: bool = False) -> None:
@@ -23,7 +24,7 @@
                 path=f"/unsafe-x/{id}",
                 body=b"b",
                 is_safe=is_safe,
-                at_s=time.monotonic(),
+                at_s=self.clock.now(),
             ),
         )
 
@@ -84,7 +85,7 @@
         self.assert_broken("MIXED")
 
     def test_late_run_at_a_leaving_target(self):
-        long_ago_s = time.monotonic() - 5.0
+        long_ago_s = self.clock.now() - 5.0
         self.send("q1")
         self.run_at_target("q1", draining_s=long_ago_s)
         self.assert_broken("DRAIN")
@@ -124,7 +125,7 @@
         self.assert_broken()
 
     def test_old_configuration(self):
-        long_ago_s = time.monotonic() - 5.0
+        long_ago_s = self.clock.now() - 5.0
         self.ledger.missing_route(FRONT, "/unsafe-x/q1", long_ago_s)
         self.ledger.moved_at_s_by_service["unsafe-x", "larder"] = long_ago_s
         self.send()
