Log each request that a front rejects, and whether answers are signed

Cause: unknown yet.

Change: request_rejected names the request, the limits that its connection applied, and version and age of the configuration; front_rejections_total counts by status and reason; sending_ended tells whether the target has signed the answer and whether this names its request. No decision changes.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -19,6 +19,7 @@
 from fuchsiacourse.front import object_copy
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import placement
+from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import repeat_budget
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import route_table
@@ -249,6 +250,21 @@
     return result(outcomes.Outcome.ANSWERED, _OK)
 
 
+def rejections(
+    *,
+    clock: clocks.Clock | None = None,
+    metrics: front_metrics.FrontMetrics | None = None,
+    log: typing.Any = None,
+) -> rejection_log.RejectionLog:
+    """Returns a receiver of rejected requests, silent without a logger."""
+    return rejection_log.RejectionLog(
+        clock=clock or ManualClock(),
+        protocol=wire_headers.WireHeaders(),
+        metrics=metrics or front_metrics.FrontMetrics(gauges=dict),
+        log=logs.silent() if log is None else log,
+    )
+
+
 def forwarder(
     sender: sending.TargetSender,
     *records: target_record.TargetRecord,
@@ -260,6 +276,7 @@
     """Returns a forwarder of a front in zone ``a``."""
     used = virtual_loop.VirtualClock() if clock is None else clock
     log = logs.silent()
+    metrics = front_metrics.FrontMetrics(gauges=dict)
     rng = random.Random(seed)
     table = target_table.TargetTable(clock=used, log=log)
     times = service_times.ServiceTimes()
@@ -304,6 +321,7 @@
         times=times,
         suspects=suspects,
         sender=sender,
-        metrics=front_metrics.FrontMetrics(gauges=dict),
+        rejections=rejections(clock=used, metrics=metrics),
+        metrics=metrics,
         log=log,
     )
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -53,6 +53,16 @@
     def closed(self, connection: CallerConnection) -> None:
         """Notes the end of a connection."""
 
+    def rejected(
+        self,
+        request: http_request.HttpRequest,
+        rejection: errors.RequestRejected,
+        *,
+        served: int,
+        limits: route_table.CallerLimits,
+    ) -> None:
+        """Notes a request that the connection has rejected."""
+
     def failed(self, error: Exception) -> None:
         """Notes a failure of the handler."""
 
@@ -66,7 +76,10 @@
 
     def __init__(self, *, server: Server) -> None:
         self._server = server
-        limits = server.limits
+        # Limits that the parser applies.
+        self._limits = limits = server.limits
+        # Requests that were read whole.
+        self._served = 0
         self._parser = request_parser.RequestParser(
             clock=server.clock,
             max_head_bytes=limits.max_head_bytes,
@@ -181,11 +194,18 @@
             return
         if self._parser.requests:
             request = self._parser.requests.popleft()
+            self._served += 1
             self._presence = caller_presence.CallerPresence()
             self._task = asyncio.get_running_loop().create_task(
                 self._serve(request, self._presence)
             )
         elif self._rejection is not None:
+            self._server.rejected(
+                self._parser.partial,
+                self._rejection,
+                served=self._served,
+                limits=self._limits,
+            )
             self._write(
                 http_answer.HttpAnswer(
                     status=self._rejection.status,
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -6,9 +6,12 @@
 import typing
 
 from fuchsiacourse import clock as clocks
+from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_connection
 from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import route_table
 
 _BACKLOG = 1024
@@ -28,6 +31,7 @@
         handler: Answers a request.
         limits: Returns the limits on callers.
         budget: Memory for the bodies of requests.
+        rejections: Receives the requests that are rejected.
         on_error: Receives the failure of a handler.
     """
 
@@ -39,6 +43,7 @@
         handler: caller_connection.Handler,
         limits: Limits,
         budget: body_budget.BodyBudget,
+        rejections: rejection_log.RejectionLog,
         on_error: OnError,
     ) -> None:
         self.clock = clock
@@ -47,6 +52,7 @@
         self.budget = budget
         self.is_stopping = False
         self._limits = limits
+        self._rejections = rejections
         self._on_error = on_error
         self._connections: set[caller_connection.CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -102,6 +108,25 @@
         """Notes the end of a connection."""
         self._connections.discard(connection)
 
+    def rejected(
+        self,
+        request: http_request.HttpRequest,
+        rejection: errors.RequestRejected,
+        *,
+        served: int,
+        limits: route_table.CallerLimits,
+    ) -> None:
+        """Notes a request that a connection has rejected."""
+        self._rejections.rejected(
+            request,
+            rejection.status,
+            str(rejection),
+            port=self.address[1],
+            served=served,
+            max_head_bytes=limits.max_head_bytes,
+            max_body_bytes=limits.max_body_bytes,
+        )
+
     def failed(self, error: Exception) -> None:
         """Notes a failure of the handler."""
         self._on_error(error)
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -13,6 +13,7 @@
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import placement
+from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import repeat_budget
 from fuchsiacourse.front import request_run
 from fuchsiacourse.front import route_table
@@ -47,6 +48,7 @@
         times: Usual times of the services.
         suspects: Requests that crash targets.
         sender: Sends requests to targets.
+        rejections: Receives the requests that are rejected.
         metrics: Metrics of the front.
         log: Logger.
     """
@@ -64,6 +66,7 @@
         times: service_times.ServiceTimes,
         suspects: crash_suspects.CrashSuspects,
         sender: sending.TargetSender,
+        rejections: rejection_log.RejectionLog,
         metrics: front_metrics.FrontMetrics,
         log: typing.Any,
     ) -> None:
@@ -77,6 +80,7 @@
         self.times = times
         self.suspects = suspects
         self.sender = sender
+        self._rejections = rejections
         self.metrics = metrics
         self.log = log
         self.in_flight = 0
@@ -99,12 +103,12 @@
         if self.config is None:
             return self._refuse(terms, request, "no configuration yet")
         if not terms.request_id:
-            return self.own_answer(terms, _BAD_REQUEST, "no request id")
+            return self._reject(terms, request, _BAD_REQUEST, "no request id")
         route = self.config.find(request.host, request.path)
         if route is None:
             if not self.is_config_current():
                 return self._refuse(terms, request, "configuration is old")
-            return self.own_answer(terms, _NOT_FOUND, "no such route")
+            return self._reject(terms, request, _NOT_FOUND, "no such route")
         if self.in_flight >= MAX_IN_FLIGHT:
             return self._refuse(terms, request, "too many requests in flight")
         fingerprint = crash_suspects.fingerprint_of(request)
@@ -142,6 +146,16 @@
             body=detail.encode() + b"\n",
         )
 
+    def _reject(
+        self,
+        terms: wire_protocol.CallerTerms,
+        request: http_request.HttpRequest,
+        status: int,
+        reason: str,
+    ) -> http_answer.HttpAnswer:
+        self._rejections.rejected(request, status, reason)
+        return self.own_answer(terms, status, reason)
+
     def _refuse(
         self,
         terms: wire_protocol.CallerTerms,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -28,6 +28,7 @@
 from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import repeat_budget
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
@@ -115,6 +116,12 @@
             idle_limit=self._idle_limit,
         )
         self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
+        self._rejections = rejection_log.RejectionLog(
+            clock=self._clock,
+            protocol=adapter.protocol,
+            metrics=self._metrics,
+            log=log,
+        )
         self._forwarder = self._make_forwarder()
         store = adapter.store(settings)
         self._relay = self._make_relay(store)
@@ -221,6 +228,7 @@
             times=times,
             suspects=suspects,
             sender=self._sender,
+            rejections=self._rejections,
             metrics=self._metrics,
             log=self._log,
         )
@@ -289,6 +297,7 @@
                 handler=handler,
                 limits=self._limits,
                 budget=budget,
+                rejections=self._rejections,
                 on_error=self._on_error,
             )
             for address, handler in handlers
@@ -366,6 +375,7 @@
 
     def _adopt(self, table: route_table.RouteTable) -> None:
         self._forwarder.config = table
+        self._rejections.adopted(table)
 
     def _limits(self) -> route_table.CallerLimits:
         config = self._forwarder.config
--- /dev/null
+++ b/fuchsiacourse/front/rejection_log.py
@@ -0,0 +1,99 @@
+"""Tells which requests the front itself has rejected as improper."""
+
+from __future__ import annotations
+
+import typing
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import front_metrics
+from fuchsiacourse.front import http_request
+from fuchsiacourse.front import route_table
+from fuchsiacourse.front import wire_protocol
+from fuchsiacourse import logs
+
+# Longest part of a path on a line, in characters.
+MAX_PATH = 80
+
+
+class RejectionLog:
+    """Log lines and metrics of rejected requests.
+
+    Args:
+        clock: Source of time.
+        protocol: Headers of requests.
+        metrics: Metrics of the front.
+        log: Logger.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_protocol",
+        "_metrics",
+        "_log",
+        "_config",
+        "_config_since_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        protocol: wire_protocol.WireProtocol,
+        metrics: front_metrics.FrontMetrics,
+        log: typing.Any,
+    ) -> None:
+        self._clock = clock
+        self._protocol = protocol
+        self._metrics = metrics
+        self._log = log
+        self._config: route_table.RouteTable | None = None
+        # Monotonic time since which the configuration is in force, in seconds.
+        self._config_since_s = clock.now()
+
+    def adopted(self, config: route_table.RouteTable) -> None:
+        """Notes the configuration in force."""
+        self._config = config
+        self._config_since_s = self._clock.now()
+
+    def rejected(
+        self,
+        request: http_request.HttpRequest,
+        status: int,
+        reason: str,
+        *,
+        port: int | None = None,
+        served: int | None = None,
+        max_head_bytes: int | None = None,
+        max_body_bytes: int | None = None,
+    ) -> None:
+        """Tells a rejection and what it was based on.
+
+        Args:
+            request: The request, or the part of it that was read.
+            status: Status of the answer.
+            reason: Why it was rejected.
+            port: Port that it came to, None if it was read whole.
+            served: Requests that were read before on the connection.
+            max_head_bytes: Limit that the connection applied to the head.
+            max_body_bytes: Limit that it applied to the body.
+        """
+        self._metrics.count(
+            "front_rejections_total", status=str(status), reason=reason
+        )
+        config = self._config
+        logs.event(
+            self._log,
+            "request_rejected",
+            request_id=self._protocol.caller_terms(request).request_id,
+            method=request.method.decode("latin-1"),
+            host=request.host,
+            path=request.path[:MAX_PATH],
+            status=status,
+            reason=reason,
+            port=port,
+            served=served,
+            max_head_bytes=max_head_bytes,
+            max_body_bytes=max_body_bytes,
+            config_version=None if config is None else config.version,
+            config_age_s=round(self._clock.now() - self._config_since_s, 2),
+        )
--- a/fuchsiacourse/front/request_events.py
+++ b/fuchsiacourse/front/request_events.py
@@ -71,7 +71,12 @@
         *,
         took_s: float,
     ) -> None:
-        """Tells the end of a sending."""
+        """Tells the end of a sending.
+
+        Of an answer it tells whether the target has signed it and whether it
+        names the request that it belongs to.
+        """
+        terms = result.terms
         self._metrics.count(
             "front_sendings_total",
             service=self._service,
@@ -84,6 +89,8 @@
             target=target.record.id,
             outcome=result.outcome.name,
             status=None if result.answer is None else result.answer.status,
+            signed=None if terms is None else terms.is_signed,
+            named=None if terms is None else bool(terms.request_id),
             took_ms=int(took_s * 1000.0),
             detail=result.detail,
         )
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -104,6 +104,18 @@
         """Whether the head of a request is complete and its body is not."""
         return self._reads_body
 
+    @property
+    def partial(self) -> http_request.HttpRequest:
+        """The part of a request that has been read, for the logs."""
+        return http_request.HttpRequest(
+            method=b"",
+            target=self._target,
+            headers=self._headers,
+            body=b"",
+            received_s=self.head_started_s or self._clock.now(),
+            keeps_alive=False,
+        )
+
     @property
     def is_reading(self) -> bool:
         """Whether part of a request has been read."""
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -125,6 +125,7 @@
                 idle_timeout_s=0.3,
             ),
             budget=self.budget,
+            rejections=front_fakes.rejections(),
             on_error=self.failures.append,
         )
         await self.front.start()
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -29,6 +29,7 @@
             handler=self.handle,
             limits=lambda: self.limits,
             budget=self.budget,
+            rejections=front_fakes.rejections(),
             on_error=self.failures.append,
         )
         await self.server.start()
--- a/tests/test_copy_exchange.py
+++ b/tests/test_copy_exchange.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bench import front_fakes
 from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_server
@@ -27,6 +28,7 @@
             handler=copy_exchange.CopyHandler(find=copies.get).handle,
             limits=lambda: front_program.FIRST_LIMITS,
             budget=body_budget.BodyBudget(),
+            rejections=front_fakes.rejections(),
             on_error=self.failures.append,
         )
         await self.server.start()
