Look up the limits on callers when a request begins

Callers on kept connections got 413 or 431 for requests that the configuration in force allowed: after its limits had been raised, or on a connection that was opened before the first configuration was known.

Cause: a connection copied the limits into its parser when it was opened.

Change: the parser asks for the limits at the first byte of each request. A request that has begun under larger limits keeps them, and one that exceeds the limits it has begun with is measured by those in force too.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -66,11 +66,9 @@
 
     def __init__(self, *, server: Server) -> None:
         self._server = server
-        limits = server.limits
         self._parser = request_parser.RequestParser(
             clock=server.clock,
-            max_head_bytes=limits.max_head_bytes,
-            max_body_bytes=limits.max_body_bytes,
+            limits=lambda: server.limits,
             budget=server.budget,
             on_flow=self._on_flow,
         )
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import typing
 
 import httptools
 
@@ -11,6 +12,7 @@
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_request
+from fuchsiacourse.front import route_table
 
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
@@ -20,6 +22,8 @@
 # by the bytes fed while no head is complete.
 _FEED_SLACK_BYTES = 65_536
 
+Limits = typing.Callable[[], route_table.CallerLimits]
+
 
 class RequestParser:
     """Parses requests strictly; pipelined ones are queued.
@@ -31,8 +35,8 @@
 
     Args:
         clock: Source of time.
-        max_head_bytes: Longest head.
-        max_body_bytes: Longest body.
+        limits: Returns the limits in force; those at the first byte of a
+            request hold for it, or later ones if they allow more.
         budget: Memory for bodies; whoever takes a request from
             ``requests`` gives its part back.
         on_flow: Called with True when the caller must pause, with False
@@ -44,8 +48,8 @@
         "wants_continue",
         "head_started_s",
         "_clock",
-        "_max_head_bytes",
-        "_max_body_bytes",
+        "_limits_now",
+        "_limits",
         "_parser",
         "_target",
         "_headers",
@@ -64,8 +68,7 @@
         self,
         *,
         clock: clocks.Clock,
-        max_head_bytes: int,
-        max_body_bytes: int,
+        limits: Limits,
         budget: body_budget.BodyBudget,
         on_flow: body_stream.Flow,
     ) -> None:
@@ -80,9 +83,9 @@
         # Time of the first byte of a request that is not yet complete.
         self.head_started_s: float | None = None
         self._clock = clock
-        self._max_head_bytes = max_head_bytes
-        self._max_body_bytes = max_body_bytes
+        self._limits_now = limits
         self._parser = httptools.HttpRequestParser(self)
+        self._limits = limits()
         self._reset()
 
     def close(self) -> None:
@@ -119,8 +122,9 @@
             self.head_started_s = self._clock.now()
         if not self._reads_body:
             self._fed_bytes += len(data)
-            limit = self._max_head_bytes + _FEED_SLACK_BYTES
-            if self._fed_bytes > limit + self._max_body_bytes:
+            limits = self._limits_now()
+            limit = limits.max_head_bytes + _FEED_SLACK_BYTES
+            if self._fed_bytes > limit + limits.max_body_bytes:
                 raise errors.RequestRejected(
                     _HEADERS_TOO_LARGE, "head too large"
                 )
@@ -148,6 +152,7 @@
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a request."""
         self._reset()
+        self._limits = self._limits_now()
         self.head_started_s = self._clock.now()
 
     def on_url(self, url: bytes) -> None:
@@ -166,16 +171,14 @@
         self._reads_body = True
         for name, value in self._headers:
             if name == b"content-length":
-                if int(value) > self._max_body_bytes:
-                    raise errors.RequestRejected(_TOO_LARGE, "body too large")
+                self._check_body(int(value))
             elif name == b"expect" and value.lower() == b"100-continue":
                 self.wants_continue = True
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes > self._max_body_bytes:
-            raise errors.RequestRejected(_TOO_LARGE, "body too large")
+        self._check_body(self._body_bytes)
         if self._stream is not None:
             self._stream.feed(body)
             return
@@ -231,9 +234,19 @@
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
-        if self._head_bytes > self._max_head_bytes:
+        if (
+            self._head_bytes > self._limits.max_head_bytes
+            and self._head_bytes > self._limits_now().max_head_bytes
+        ):
             raise errors.RequestRejected(_HEADERS_TOO_LARGE, "head too large")
 
+    def _check_body(self, count: int) -> None:
+        if (
+            count > self._limits.max_body_bytes
+            and count > self._limits_now().max_body_bytes
+        ):
+            raise errors.RequestRejected(_TOO_LARGE, "body too large")
+
     def _reset(self) -> None:
         self.head_started_s = None
         self.wants_continue = False
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -136,6 +136,26 @@
         self.server.sweep()
         self.assertEqual(b"", await self.reader.read())
 
+    async def test_kept_connection_rejected_by_its_first_limits(self):
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=100,
+            max_body_bytes=1,
+            head_timeout_s=3.0,
+            idle_timeout_s=15.0,
+        )
+        reader, writer = await asyncio.open_connection(*self.server.address)
+        self.reader, first = reader, self.reader
+        writer.write(GET % b"1")
+        self.assertEqual(b"/1", (await self.read_answer())[1])
+        self.limits = front_fakes.config().limits
+        writer.write(
+            b"POST /2 HTTP/1.1\r\nHost: h\r\nX-A: %s\r\n"
+            b"Content-Length: 50\r\n\r\n%s" % (b"a" * 500, b"b" * 50)
+        )
+        self.assertEqual(b"/2", (await self.read_answer())[1])
+        writer.close()
+        self.reader = first
+
     async def test_stop_finishes_the_request_and_closes(self):
         self.release.clear()
         self.writer.write(GET % b"1")
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -6,10 +6,21 @@
 from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import request_parser
+from fuchsiacourse.front import route_table
 
 HEAD = b"POST /orders/1?a=b HTTP/1.1\r\nHost: Callers.Example:80\r\n"
 
 
+def limits(*, head: int, body: int) -> route_table.CallerLimits:
+    """Returns limits in bytes."""
+    return route_table.CallerLimits(
+        max_head_bytes=head,
+        max_body_bytes=body,
+        head_timeout_s=3.0,
+        idle_timeout_s=15.0,
+    )
+
+
 class RequestParserTest(unittest.TestCase):
     """Only requests with one reading may pass."""
 
@@ -17,11 +28,11 @@
         self.clock = front_fakes.ManualClock()
         self.budget = body_budget.BodyBudget(max_bytes=8000)
         self.flows: list[bool] = []
+        self.limits = limits(head=1000, body=5000)
         self.parser = request_parser.RequestParser(
             on_flow=self.flows.append,
             clock=self.clock,
-            max_head_bytes=1000,
-            max_body_bytes=5000,
+            limits=lambda: self.limits,
             budget=self.budget,
         )
 
@@ -112,6 +123,34 @@
         head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
         self.assertEqual(413, self.rejected(head + chunk * 2))
 
+    def test_request_rejected_by_limits_older_than_its_connection(self):
+        self.limits = limits(head=100, body=10)
+        self.parser.feed(HEAD + b"\r\n")
+        self.limits = limits(head=1000, body=100)
+        large = HEAD + b"X-A: %s\r\n" % (b"a" * 500)
+        self.parser.feed(large + b"Content-Length: 50\r\n\r\n" + b"b" * 50)
+        self.assertEqual(b"b" * 50, self.parser.requests[1].body)
+
+    def test_request_rejected_by_limits_that_changed_while_it_came(self):
+        large = HEAD + b"X-A: %s\r\n" % (b"a" * 500)
+        body = b"Transfer-Encoding: chunked\r\n\r\n32\r\n" + b"b" * 50
+        for first, then in ((1000, 100), (100, 1000)):
+            with self.subTest(first=first, then=then):
+                self.setUp()
+                self.limits = limits(head=first, body=first // 4)
+                self.parser.feed(large[:20])
+                self.limits = limits(head=then, body=then // 4)
+                self.parser.feed(large[20:] + body + b"\r\n0\r\n\r\n")
+                self.assertEqual(b"b" * 50, self.parser.requests[0].body)
+
+    def test_limits_that_shrank_hold_for_the_next_request(self):
+        self.parser.feed(HEAD + b"\r\n")
+        self.parser.requests.clear()
+        self.limits = limits(head=1000, body=10)
+        self.assertEqual(
+            413, self.rejected(HEAD + b"Content-Length: 11\r\n\r\n")
+        )
+
     def test_bodies_share_a_bounded_memory(self):
         self.assertTrue(self.budget.take(6000))
         head = HEAD + b"Content-Length: 4000\r\n\r\n"
