Go on after an offer to switch protocols

Callers whose client offers another protocol with its first request (Connection: Upgrade, Upgrade: h2c) got that request answered, and then a 400 that belonged to no request and the end of the connection. If the request had a body, it was passed on without it.

Cause: the library ends such a request at its head and reports a switch, which the parser took for an error.

Change: the head is parsed once more without the offer by a new parser, and the connection goes on. CONNECT is rejected at its head.

--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -18,6 +18,7 @@
 _TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _UNAVAILABLE = 503
+_CONNECT = b"CONNECT"
 # The parser hands over a field only at its end, so the head is also counted
 # by the bytes fed while no head is complete.
 _FEED_SLACK_BYTES = 65_536
@@ -51,6 +52,7 @@
         "_limits_now",
         "_limits",
         "_parser",
+        "_is_replayed",
         "_target",
         "_headers",
         "_head_bytes",
@@ -85,6 +87,8 @@
         self._clock = clock
         self._limits_now = limits
         self._parser = httptools.HttpRequestParser(self)
+        # Whether the next head has been read before.
+        self._is_replayed = False
         self._limits = limits()
         self._reset()
 
@@ -136,11 +140,8 @@
 
     def _feed(self, data: bytes) -> None:
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise errors.RequestRejected(
-                _BAD_REQUEST, "protocol switch refused"
-            ) from error
+            while data:
+                data = self._feed_one(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.RequestRejected):
@@ -149,8 +150,39 @@
         except httptools.HttpParserError as error:
             raise errors.RequestRejected(_BAD_REQUEST, str(error)) from error
 
+    def _feed_one(self, data: bytes) -> bytes:
+        """Returns the rest to parse after an offer to switch protocols."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            # The library skips the body of such a request, so its head is
+            # parsed once more without the offer.
+            rest = data[error.args[0] :]
+            plain = self._plain_head()
+            self._parser = httptools.HttpRequestParser(self)
+            self._is_replayed = True
+            self._reset_head()
+            return plain + rest
+        return b""
+
+    def _plain_head(self) -> bytes:
+        """Returns the head that has been read, without ``Upgrade``."""
+        version = self._parser.get_http_version().encode()
+        lines = [
+            b"%s %s HTTP/%s\r\n"
+            % (self._parser.get_method(), self._target, version)
+        ]
+        for name, value in self._headers:
+            if name != b"upgrade":
+                lines.append(b"%s: %s\r\n" % (name, value))
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a request."""
+        if self._is_replayed:
+            self._is_replayed = False
+            return
         self._reset()
         self._limits = self._limits_now()
         self.head_started_s = self._clock.now()
@@ -167,6 +199,8 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
+        if self._parser.get_method() == _CONNECT:
+            raise errors.RequestRejected(_BAD_REQUEST, "no tunnels")
         _check_head(self._target, self._headers)
         self._reads_body = True
         for name, value in self._headers:
@@ -195,6 +229,8 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a request."""
+        if self._parser.should_upgrade():
+            return
         if self._stream is None:
             self._queue()
         else:
@@ -249,14 +285,17 @@
 
     def _reset(self) -> None:
         self.head_started_s = None
-        self.wants_continue = False
-        self._target = b""
-        self._headers: http_request.Headers = []
-        self._head_bytes = 0
         self._fed_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._held_bytes = 0
+        self._reset_head()
+
+    def _reset_head(self) -> None:
+        self.wants_continue = False
+        self._target = b""
+        self._headers: http_request.Headers = []
+        self._head_bytes = 0
         self._reads_body = False
 
 
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -68,6 +68,59 @@
             [request.target for request in self.parser.requests],
         )
 
+    def test_offer_to_switch_protocols_rejected_with_the_next_request(self):
+        offer = (
+            b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+            b"HTTP2-Settings: AAEAAEAAAAIAAAAB\r\n"
+        )
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n"
+        data = b"".join(
+            (
+                HEAD + offer + b"\r\n",
+                HEAD + offer + b"Content-Length: 3\r\n\r\nabc",
+                HEAD + offer + chunks + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+                HEAD + b"Content-Length: 1\r\n\r\nf",
+            )
+        )
+        for size in range(1, len(data) + 1):
+            with self.subTest(size=size):
+                self.setUp()
+                for start in range(0, len(data), size):
+                    self.parser.feed(data[start : start + size])
+                found = self.parser.requests
+                self.assertEqual(
+                    [b"", b"abc", b"abcde", b"f"],
+                    [request.body for request in found],
+                )
+                self.assertTrue(all(item.keeps_alive for item in found))
+                self.assertEqual({b"POST"}, {item.method for item in found})
+                self.assertFalse(self.parser.is_reading)
+
+    def test_offer_to_switch_protocols_keeps_the_time_of_its_first_byte(self):
+        offer = HEAD + b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+        self.parser.feed(offer)
+        started_s = self.clock.now_s
+        self.clock.now_s += 2.0
+        self.parser.feed(b"Content-Length: 1\r\n\r\n")
+        self.assertEqual(started_s, self.parser.head_started_s)
+        self.parser.feed(b"a")
+        self.assertEqual(started_s, self.parser.requests[0].received_s)
+
+    def test_body_hidden_behind_an_offer_is_no_request(self):
+        offer = HEAD + b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+        hidden = b"GET /orders/2 HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.parser.feed(
+            offer + b"Content-Length: %d\r\n\r\n" % len(hidden) + hidden
+        )
+        self.assertEqual([hidden], [r.body for r in self.parser.requests])
+
+    def test_tunnels_are_rejected(self):
+        for target in (b"h:80", b"/orders/1"):
+            with self.subTest(target=target):
+                self.setUp()
+                head = b"CONNECT %s HTTP/1.1\r\nHost: h\r\n\r\n" % target
+                self.assertEqual(400, self.rejected(head))
+
     def test_ambiguous_lengths(self):
         for headers in (
             b"Content-Length: 3\r\nContent-Length: 3\r\n",
