Accept request targets in absolute form

Callers that name the host in the request target, as clients behind a proxy setting do, got 400 for every request.

Cause: only targets that begin with a slash were accepted. RFC 9112 3.2.2 asks a server to accept the absolute form.

Change: method, path and query go on unchanged in origin form, and the Host header is replaced by the authority of the target.

--- a/fuchsiacourse/front/http_request.py
+++ b/fuchsiacourse/front/http_request.py
@@ -12,7 +12,7 @@
 
     Args:
         method: Method in upper case.
-        target: Request target as sent, path and query.
+        target: Path and query of the request target as sent.
         headers: Names in lower case with values, in order.
         body: Body without transfer coding, or its first part.
         received_s: Monotonic time of the first byte, in seconds.
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import re
 import typing
 
 import httptools
@@ -19,6 +20,11 @@
 _HEADERS_TOO_LARGE = 431
 _UNAVAILABLE = 503
 _CONNECT = b"CONNECT"
+_HOST = b"host"
+# Users in an authority are an error (RFC 9110 4.2.4).
+_ABSOLUTE = re.compile(
+    rb"https?://(?P<authority>[^/?#@]+)(?P<path>[/?][^#]*)?", re.I
+)
 # The parser hands over a field only at its end, so the head is also counted
 # by the bytes fed while no head is complete.
 _FEED_SLACK_BYTES = 65_536
@@ -201,7 +207,9 @@
         """Called by the parser at the end of a head."""
         if self._parser.get_method() == _CONNECT:
             raise errors.RequestRejected(_BAD_REQUEST, "no tunnels")
-        _check_head(self._target, self._headers)
+        _check_head(self._headers)
+        if not self._target.startswith(b"/"):
+            self._take_absolute()
         self._reads_body = True
         for name, value in self._headers:
             if name == b"content-length":
@@ -209,6 +217,19 @@
             elif name == b"expect" and value.lower() == b"100-continue":
                 self.wants_continue = True
 
+    def _take_absolute(self) -> None:
+        """Splits a target in absolute form into host and path."""
+        match = _ABSOLUTE.fullmatch(self._target)
+        if match is None:
+            raise errors.RequestRejected(_BAD_REQUEST, "not a path")
+        path = match["path"] or b"/"
+        self._target = path if path.startswith(b"/") else b"/" + path
+        # RFC 9112 3.2.2: the authority replaces the Host header.
+        self._headers = [
+            (name, match["authority"] if name == _HOST else value)
+            for name, value in self._headers
+        ]
+
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._body_bytes += len(body)
@@ -303,9 +324,7 @@
     """Reads on, because the next request follows the body."""
 
 
-def _check_head(target: bytes, headers: http_request.Headers) -> None:
-    if not target.startswith(b"/"):
-        raise errors.RequestRejected(_BAD_REQUEST, "not a path")
+def _check_head(headers: http_request.Headers) -> None:
     counts = {b"host": 0, b"content-length": 0, b"transfer-encoding": 0}
     for name, value in headers:
         if name in counts:
