--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -76,14 +76,11 @@
 
     def __init__(self, *, server: Server) -> None:
         self._server = server
-        # Limits that the parser applies.
-        self._limits = limits = server.limits
         # Requests that were read whole.
         self._served = 0
         self._parser = request_parser.RequestParser(
             clock=server.clock,
-            max_head_bytes=limits.max_head_bytes,
-            max_body_bytes=limits.max_body_bytes,
+            limits=lambda: server.limits,
             budget=server.budget,
             on_flow=self._on_flow,
         )
@@ -204,7 +201,7 @@
                 self._parser.partial,
                 self._rejection,
                 served=self._served,
-                limits=self._limits,
+                limits=self._parser.limits,
             )
             self._write(
                 http_answer.HttpAnswer(
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import re
+import typing
 
 import httptools
 
@@ -11,15 +13,24 @@
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_request
+from fuchsiacourse.front import route_table
 
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _UNAVAILABLE = 503
+_CONNECT = b"CONNECT"
+_HOST = b"host"
+# Users in an authority are an error (RFC 9110 4.2.4).
+_ABSOLUTE = re.compile(
+    rb"https?://(?P<authority>[^/?#@]+)(?P<path>[/?][^#]*)?", re.I
+)
 # The parser hands over a field only at its end, so the head is also counted
 # by the bytes fed while no head is complete.
 _FEED_SLACK_BYTES = 65_536
 
+Limits = typing.Callable[[], route_table.CallerLimits]
+
 
 class RequestParser:
     """Parses requests strictly; pipelined ones are queued.
@@ -31,8 +42,8 @@
 
     Args:
         clock: Source of time.
-        max_head_bytes: Longest head.
-        max_body_bytes: Longest body.
+        limits: Returns the limits in force; those at the first byte of a
+            request hold for it, or later ones if they allow more.
         budget: Memory for bodies; whoever takes a request from
             ``requests`` gives its part back.
         on_flow: Called with True when the caller must pause, with False
@@ -44,9 +55,10 @@
         "wants_continue",
         "head_started_s",
         "_clock",
-        "_max_head_bytes",
-        "_max_body_bytes",
+        "_limits_now",
+        "_limits",
         "_parser",
+        "_is_replayed",
         "_target",
         "_headers",
         "_head_bytes",
@@ -64,8 +76,7 @@
         self,
         *,
         clock: clocks.Clock,
-        max_head_bytes: int,
-        max_body_bytes: int,
+        limits: Limits,
         budget: body_budget.BodyBudget,
         on_flow: body_stream.Flow,
     ) -> None:
@@ -80,9 +91,11 @@
         # Time of the first byte of a request that is not yet complete.
         self.head_started_s: float | None = None
         self._clock = clock
-        self._max_head_bytes = max_head_bytes
-        self._max_body_bytes = max_body_bytes
+        self._limits_now = limits
         self._parser = httptools.HttpRequestParser(self)
+        # Whether the next head has been read before.
+        self._is_replayed = False
+        self._limits = limits()
         self._reset()
 
     def close(self) -> None:
@@ -99,6 +112,11 @@
             self._stream.fail(error)
             self._end_stream()
 
+    @property
+    def limits(self) -> route_table.CallerLimits:
+        """Limits at the first byte of the request."""
+        return self._limits
+
     @property
     def reads_body(self) -> bool:
         """Whether the head of a request is complete and its body is not."""
@@ -131,8 +149,9 @@
             self.head_started_s = self._clock.now()
         if not self._reads_body:
             self._fed_bytes += len(data)
-            limit = self._max_head_bytes + _FEED_SLACK_BYTES
-            if self._fed_bytes > limit + self._max_body_bytes:
+            limits = self._limits_now()
+            limit = limits.max_head_bytes + _FEED_SLACK_BYTES
+            if self._fed_bytes > limit + limits.max_body_bytes:
                 raise errors.RequestRejected(
                     _HEADERS_TOO_LARGE, "head too large"
                 )
@@ -144,11 +163,8 @@
 
     def _feed(self, data: bytes) -> None:
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise errors.RequestRejected(
-                _BAD_REQUEST, "protocol switch refused"
-            ) from error
+            while data:
+                data = self._feed_one(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.RequestRejected):
@@ -157,9 +173,41 @@
         except httptools.HttpParserError as error:
             raise errors.RequestRejected(_BAD_REQUEST, str(error)) from error
 
+    def _feed_one(self, data: bytes) -> bytes:
+        """Returns the rest to parse after an offer to switch protocols."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            # The library skips the body of such a request, so its head is
+            # parsed once more without the offer.
+            rest = data[error.args[0] :]
+            plain = self._plain_head()
+            self._parser = httptools.HttpRequestParser(self)
+            self._is_replayed = True
+            self._reset_head()
+            return plain + rest
+        return b""
+
+    def _plain_head(self) -> bytes:
+        """Returns the head that has been read, without ``Upgrade``."""
+        version = self._parser.get_http_version().encode()
+        lines = [
+            b"%s %s HTTP/%s\r\n"
+            % (self._parser.get_method(), self._target, version)
+        ]
+        for name, value in self._headers:
+            if name != b"upgrade":
+                lines.append(b"%s: %s\r\n" % (name, value))
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a request."""
+        if self._is_replayed:
+            self._is_replayed = False
+            return
         self._reset()
+        self._limits = self._limits_now()
         self.head_started_s = self._clock.now()
 
     def on_url(self, url: bytes) -> None:
@@ -174,20 +222,35 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
-        _check_head(self._target, self._headers)
+        if self._parser.get_method() == _CONNECT:
+            raise errors.RequestRejected(_BAD_REQUEST, "no tunnels")
+        _check_head(self._headers)
+        if not self._target.startswith(b"/"):
+            self._take_absolute()
         self._reads_body = True
         for name, value in self._headers:
             if name == b"content-length":
-                if int(value) > self._max_body_bytes:
-                    raise errors.RequestRejected(_TOO_LARGE, "body too large")
+                self._check_body(int(value))
             elif name == b"expect" and value.lower() == b"100-continue":
                 self.wants_continue = True
 
+    def _take_absolute(self) -> None:
+        """Splits a target in absolute form into host and path."""
+        match = _ABSOLUTE.fullmatch(self._target)
+        if match is None:
+            raise errors.RequestRejected(_BAD_REQUEST, "not a path")
+        path = match["path"] or b"/"
+        self._target = path if path.startswith(b"/") else b"/" + path
+        # RFC 9112 3.2.2: the authority replaces the Host header.
+        self._headers = [
+            (name, match["authority"] if name == _HOST else value)
+            for name, value in self._headers
+        ]
+
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes > self._max_body_bytes:
-            raise errors.RequestRejected(_TOO_LARGE, "body too large")
+        self._check_body(self._body_bytes)
         if self._stream is not None:
             self._stream.feed(body)
             return
@@ -204,6 +267,8 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a request."""
+        if self._parser.should_upgrade():
+            return
         if self._stream is None:
             self._queue()
         else:
@@ -243,19 +308,32 @@
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
-        if self._head_bytes > self._max_head_bytes:
+        if (
+            self._head_bytes > self._limits.max_head_bytes
+            and self._head_bytes > self._limits_now().max_head_bytes
+        ):
             raise errors.RequestRejected(_HEADERS_TOO_LARGE, "head too large")
 
+    def _check_body(self, count: int) -> None:
+        if (
+            count > self._limits.max_body_bytes
+            and count > self._limits_now().max_body_bytes
+        ):
+            raise errors.RequestRejected(_TOO_LARGE, "body too large")
+
     def _reset(self) -> None:
         self.head_started_s = None
-        self.wants_continue = False
-        self._target = b""
-        self._headers: http_request.Headers = []
-        self._head_bytes = 0
         self._fed_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._held_bytes = 0
+        self._reset_head()
+
+    def _reset_head(self) -> None:
+        self.wants_continue = False
+        self._target = b""
+        self._headers: http_request.Headers = []
+        self._head_bytes = 0
         self._reads_body = False
 
 
@@ -263,9 +341,7 @@
     """Reads on, because the next request follows the body."""
 
 
-def _check_head(target: bytes, headers: http_request.Headers) -> None:
-    if not target.startswith(b"/"):
-        raise errors.RequestRejected(_BAD_REQUEST, "not a path")
+def _check_head(headers: http_request.Headers) -> None:
     counts = {b"host": 0, b"content-length": 0, b"transfer-encoding": 0}
     for name, value in headers:
         if name in counts:
