Check in the soak that proper requests are not rejected

Cause of the gap: the soak only counted these statuses; of all of them it checked a 404 for a route that the store has long had, and only at fronts in touch.

Change: the ledger breaks "DENIED" for each 3xx or 4xx other than 408, 421 and 429 without a target's signature, by fronts in touch; a 401, 403 or 404 for a route that all configurations of the run allow by any front. A 404 for a new route stays with the check of the configuration.

Evidence: the new tests of the ledger fail without the check (no DENIED is noted).

--- a/bench/fault_ledger.py
+++ b/bench/fault_ledger.py
@@ -15,6 +15,11 @@
 # Reading and scheduling on a busy machine, in seconds.
 SLACK_S = 0.5
 PROMISES = frozenset((408, 421, 429, 503))
+# Statuses that call a proper request wrong: a 3xx or 4xx that is no promise.
+REJECTING = frozenset(range(300, 500)) - PROMISES
+# Of these, the ones that no front may give at any time for what all
+# configurations allow.
+NEVER = frozenset((401, 403, 404))
 MAX_BROKEN = 50
 # Place of a fault of the machine that everything runs on.
 MACHINE = "machine"
@@ -56,6 +61,8 @@
         self.sent_by_id: dict[str, Sent] = {}
         self.runs_by_id: collections.Counter[str] = collections.Counter()
         self.services_by_path: dict[str, set[str]] = {}
+        # Routes that all configurations of the run allow.
+        self.lasting_routes: set[str] = set()
         self.moved_at_s_by_service: dict[tuple[str, str], float] = {}
         self.checked: collections.Counter[str] = collections.Counter()
         self.faults: collections.Counter[str] = collections.Counter()
@@ -146,6 +153,8 @@
             self._break(f"MIXED: {id} whole={is_whole} signed={is_signed}")
         if status in PROMISES and not sent.is_safe and self.runs_by_id[id] > 0:
             self._break(f"REFUSED: {id} ran and got {status}")
+        if status in REJECTING and not is_signed:
+            self._check_denied(id, sent, status)
 
     def cut_off(self, id: str) -> None:
         """Notes that a connection has ended without an answer."""
@@ -182,6 +191,14 @@
         """Notes that callers are not served after the faults."""
         self._break(f"RECOVER: {share:.2f} of the requests served")
 
+    def _check_denied(self, id: str, sent: Sent, status: int) -> None:
+        is_lasting = sent.path.split("/")[1] in self.lasting_routes
+        if status == 404 and not is_lasting:
+            # A front may not know a new route yet: see missing_route.
+            return
+        if (is_lasting and status in NEVER) or self.is_in_touch(sent.front):
+            self._break(f"DENIED: {id} {status} by {sent.front}")
+
     def _check_route(self, id: str, sent: Sent, service: str) -> None:
         if service not in self.services_by_path[sent.path.split("/")[1]]:
             self._break(f"ROUTE: {id} {sent.path} run by {service}")
--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -124,6 +124,41 @@
         self.ledger.unanswered("q1")
         self.assert_broken()
 
+    def denied(self, status: int, *, is_signed: bool = False) -> None:
+        self.send()
+        self.ledger.answered(
+            "q1", status, is_whole=False, is_signed=is_signed
+        )
+
+    def test_proper_request_denied_by_a_front_in_touch(self):
+        for status in (301, 400, 413, 431):
+            self.denied(status)
+        self.assert_broken(*["DENIED"] * 4)
+        self.assertEqual(f"DENIED: q1 301 by {FRONT}", self.ledger.broken[0])
+
+    def test_denial_by_a_front_out_of_touch_or_a_target(self):
+        self.denied(404, is_signed=True)
+        self.ledger.fault(FRONT)
+        for status in (301, 400, 413, 431):
+            self.denied(status)
+        self.assert_broken()
+
+    def test_promise_is_no_denial(self):
+        for status in (408, 421, 429, 503, 502, 504):
+            self.denied(status)
+        self.assert_broken()
+
+    def test_lasting_route_is_missing_at_no_front(self):
+        self.ledger.lasting_routes.add("unsafe-x")
+        self.ledger.fault(FRONT)
+        for status in (401, 403, 404):
+            self.denied(status)
+        self.assert_broken(*["DENIED"] * 3)
+
+    def test_new_route_may_be_missing_for_a_while(self):
+        self.denied(404)
+        self.assert_broken()
+
     def test_old_configuration(self):
         long_ago_s = self.clock.now() - 5.0
         self.ledger.missing_route(FRONT, "/unsafe-x/q1", long_ago_s)
