Give up a watch that has not brought what other fronts know

Callers saw: 404 for routes that had been added up to 28 s before, and requests sent to targets that had reported that they leave, from one front while the others of its zone were right.

Cause: the store's answer to a watch is lost, or its connection goes silent, while the calls that prove the contact are answered. A front that watches never copied from another one, held its copy for current and vouched for it until the watch timed out after 31 s.

Evidence: on the code before, both new tests of lost answers fail: the draining target is still in use after the two seconds, both if one watch of the zone hangs and if all do and only another zone knows.

Change: a front that hears of a newer revision from a front in contact with the store gives up a watch that has waited for another 0.4 s, and copies from its zone or asks the store for its changes until now. Until then its copy counts as unsure, as does a copy from a list, which may be old. Changes are told to the region at once, not to the zone alone, so that a zone whose watches all hang learns of them in time.

The scripted store of the tests raised TimeoutError at the end of a watch without changes, against its port, which promises an empty batch.

--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -76,6 +76,12 @@
         self.has_listed = False
         # Whether the changes since the copy are no longer known.
         self._must_list = False
+        # Monotonic time since which the copy may lack changes, None while
+        # the store or a front in contact with it says that it has all.
+        self._unsure_at_s: float | None = clock.now()
+        self._watch_at_s: float | None = None
+        # Set to give up the watch that is waiting.
+        self._gives_up = False
         # Monotonic time since which the store is reached.
         self.reached_since_s = 0.0
 
@@ -92,6 +98,20 @@
             return 0.0
         return max(self.clock.now() - self.lost_at_s, 1e-9)
 
+    @property
+    def unsure_s(self) -> float:
+        """Seconds since the copy may lack changes, 0 if it has all."""
+        if self._unsure_at_s is None:
+            return 0.0
+        return max(self.clock.now() - self._unsure_at_s, 1e-9)
+
+    @property
+    def waited_s(self) -> float:
+        """Seconds for which the present watch has waited, 0 without one."""
+        if self._watch_at_s is None:
+            return 0.0
+        return self.clock.now() - self._watch_at_s
+
     @abc.abstractmethod
     def listed(self, objects: list[stores.StoredObject]) -> None:
         """Takes over all objects."""
@@ -115,6 +135,15 @@
         """Notes that a front of the zone vouches for the store."""
         if self.has_listed:
             self._reached()
+            if self._relay.source_of(self) is None:
+                self._unsure_at_s = None
+
+    def doubt(self) -> None:
+        """Gives up the watch; the copy may lack changes."""
+        if self._unsure_at_s is None:
+            self._unsure_at_s = self.clock.now()
+        self._gives_up = True
+        self.wake()
 
     def interrupt(self) -> None:
         """Gives up the watch that is waiting."""
@@ -141,6 +170,7 @@
             # First, because registrations that have lapsed in an outage are
             # kept for a while after it.
             self._reached()
+            self._unsure_at_s = None
         logs.event(
             self.log,
             "copy_taken",
@@ -181,9 +211,11 @@
     async def _step(self) -> None:
         after = 0 if self._must_list else self.copy.revision
         # A store that was lost is asked for its changes until now: a watch
-        # without changes would not show for long that it is back.
+        # without changes would not show for long that it is back, nor that
+        # a list was old or that an answer was lost.
         is_lost = self.lost_at_s is not None
-        batch = await self._watch(after, CHECK_S if is_lost else WATCH_S)
+        is_check = is_lost or self._unsure_at_s is not None
+        batch = await self._watch(after, CHECK_S if is_check else WATCH_S)
         if batch is None:
             return
         if batch.revision <= 0:
@@ -196,6 +228,7 @@
             self._must_list = False
             self._take_all(batch.revision, batch.objects)
             return
+        self._unsure_at_s = None
         self._take_changes(batch.revision, batch.objects)
         if batch.objects:
             await self.clock.sleep(GATHER_S)
@@ -203,7 +236,9 @@
     async def _watch(
         self, after: int, timeout_s: float
     ) -> stores.WatchBatch | None:
-        """Returns changes; None if the copy comes from elsewhere now."""
+        """Returns changes; None if the watch was given up."""
+        self._gives_up = False
+        self._watch_at_s = self.clock.now()
         self._watching = asyncio.ensure_future(
             self._store.watch(
                 self.prefix, after_revision=after, timeout_s=timeout_s
@@ -221,12 +256,15 @@
             news.cancel()
             self._watching.cancel()
             self._watching = None
+            self._watch_at_s = None
 
     async def _turned_away(self) -> None:
-        """Returns when another front is to be copied from."""
+        """Returns when the watch is to be given up."""
         while (
-            not self.has_listed or self._relay.watches
-        ) and self._relay.source_of(self) is None:
+            not self._gives_up
+            and (not self.has_listed or self._relay.watches)
+            and self._relay.source_of(self) is None
+        ):
             await self._news.wait()
             self._news.clear()
 
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -31,6 +31,10 @@
 LOST_MEMORY_S = 10.0
 # Interval at which silent fronts are noticed, in seconds.
 DECIDE_S = 0.25
+# Time in which the store's answer to a watch follows the news of a change
+# from another front, in seconds; a slow store takes some hundred
+# milliseconds.
+NEWS_GRACE_S = 0.4
 # A front that did not give its copy is not asked for this time, in seconds.
 AVOID_S = 1.0
 
@@ -46,6 +50,16 @@
     def lost_s(self) -> float:
         """Seconds since the store was lost, 0 while it is reached."""
 
+    @property
+    @abc.abstractmethod
+    def unsure_s(self) -> float:
+        """Seconds since the copy may lack changes, 0 if it has all."""
+
+    @property
+    @abc.abstractmethod
+    def waited_s(self) -> float:
+        """Seconds for which the present watch has waited, 0 without one."""
+
     @abc.abstractmethod
     def revision_of(self, view: store_view.StoreView) -> int:
         """Returns the revision of another front's copy."""
@@ -58,9 +72,13 @@
     def vouched(self) -> None:
         """Notes that a front of the zone vouches for the store."""
 
+    @abc.abstractmethod
+    def doubt(self) -> None:
+        """Gives up the watch; the copy may lack changes."""
+
     @abc.abstractmethod
     def interrupt(self) -> None:
-        """Gives up the watch that is waiting."""
+        """Gives up the watch that is waiting; the store is silent."""
 
 
 class StoreRelay:
@@ -99,6 +117,8 @@
         self._plan = relay_plan.RelayPlan(ip=ip, start_s=clock.now())
         self._copying: list[Copying] = []
         self._avoid_until_s_by_ip: dict[str, float] = {}
+        # Monotonic time at which a newer copy was first heard of.
+        self._behind_at_s_by_prefix: dict[str, float] = {}
         self._lost_until_s = float("-inf")
         self._silent_until_s = float("-inf")
         self._has_proof = False
@@ -164,9 +184,9 @@
         )
 
     def changed(self) -> None:
-        """Tells the zone that a copy of this front is newer."""
+        """Tells the region that a copy of this front is newer."""
         if self._is_proven():
-            self._fleet.announce_near()
+            self._fleet.announce()
 
     def lost(self) -> None:
         """Notes that the store was not reached."""
@@ -200,6 +220,7 @@
             for copying in self._copying:
                 copying.vouched()
         for copying in self._copying:
+            self._check_watch(copying)
             if self.source_of(copying) is not None:
                 copying.wake()
 
@@ -208,7 +229,7 @@
         if copying.copy.revision == 0 and copying.lost_s > 0.0:
             # An old copy is better than none.
             peers = self._fleet.heard_members()
-        elif not self.watches or copying.lost_s > 0.0:
+        elif not self.watches or copying.lost_s or copying.unsure_s:
             peers = self._proven
         else:
             return None
@@ -245,6 +266,35 @@
             self.decide()
             return None
 
+    def _check_watch(self, copying: Copying) -> None:
+        """Gives up a watch that has not brought what others know."""
+        own = copying.copy.revision
+        newest = max(
+            (
+                copying.revision_of(member.view)
+                for member in self._fleet.heard_members()
+                if member.view is not None and member.view.is_proven
+            ),
+            default=0,
+        )
+        if newest <= own:
+            self._behind_at_s_by_prefix.pop(copying.prefix, None)
+            return
+        now_s = self._clock.now()
+        heard_s = self._behind_at_s_by_prefix.setdefault(copying.prefix, now_s)
+        overdue_s = min(now_s - heard_s, copying.waited_s)
+        if overdue_s < NEWS_GRACE_S or copying.unsure_s:
+            return
+        logs.warning(
+            self._log,
+            "store_watch_given_up",
+            prefix=copying.prefix,
+            revision=own,
+            newest=newest,
+            waited_s=round(copying.waited_s, 2),
+        )
+        copying.doubt()
+
     async def _prove(self) -> None:
         if not (self.watches and self._plan.is_chosen):
             self._has_proof = False
@@ -276,7 +326,8 @@
             self._has_proof
             and self.watches
             and all(
-                item.copy.revision > 0 and item.lost_s <= GAP_S
+                item.copy.revision > 0
+                and max(item.lost_s, item.unsure_s) <= GAP_S
                 for item in self._copying
             )
         )
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -23,6 +23,8 @@
 
 # Time that a front has to leave a target, in seconds.
 DRAIN_S = 2.0
+# Time after which a call of the store without an answer fails, in seconds.
+CALL_TIMEOUT_S = 3.0
 ENTRY = test_target_follower.entry
 IPS = [f"10.0.0.{last}" for last in range(11, 21)]
 
@@ -35,8 +37,15 @@
         self.failure: Exception | None = None
         self.is_silent = False
         self.calls = 0
+        # Watches up to this number get no answer.
+        self.lost_watches = 0
+        self.watches = 0
         self._ended = asyncio.Event()
 
+    def lose_answers(self) -> None:
+        """Loses the answers to the watches that are waiting."""
+        self.lost_watches = self.watches
+
     def fail(self, error: Exception | None) -> None:
         self.failure = error
         self.cut()
@@ -47,6 +56,8 @@
 
     async def watch(self, prefix, *, after_revision, timeout_s):
         await self._admit()
+        self.watches += 1
+        number = self.watches
         answer = asyncio.ensure_future(
             self.store.watch(
                 prefix, after_revision=after_revision, timeout_s=timeout_s
@@ -57,9 +68,10 @@
             (answer, ended), return_when=asyncio.FIRST_COMPLETED
         )
         ended.cancel()
-        if self.is_silent:
+        if self.is_silent or number <= self.lost_watches:
             answer.cancel()
-            await asyncio.Event().wait()
+            await asyncio.sleep(timeout_s + CALL_TIMEOUT_S)
+            raise errors.StoreUnavailable("no answer")
         if not answer.done():
             answer.cancel()
             raise self.failure or errors.StoreUnavailable("cut")
@@ -101,7 +113,7 @@
 class Front(copy_exchange.CopySource):
     """One front: its fleet, relay and follower of targets."""
 
-    def __init__(self, world: "World", ip: str) -> None:
+    def __init__(self, world: "World", ip: str, zone: str) -> None:
         self.world = world
         self.ip = ip
         clock = virtual_loop.VirtualClock()
@@ -116,7 +128,7 @@
             timers=self.timers,
             rng=rng,
             datagram=world.network.endpoint(f"{ip}:7000"),
-            settings=front_fakes.settings(ip, "a", tuple(IPS[:3])),
+            settings=front_fakes.settings(ip, zone, tuple(IPS[:3])),
             incarnation=1,
             status=self.status,
             log=logs.silent(),
@@ -191,8 +203,8 @@
         self.network = fake_datagrams.FakeDatagrams(links=links)
         self.fronts: dict[str, Front] = {}
 
-    def start(self, ip: str) -> Front:
-        front = self.fronts[ip] = Front(self, ip)
+    def start(self, ip: str, zone: str = "a") -> Front:
+        front = self.fronts[ip] = Front(self, ip, zone)
         return front
 
     def watching(self) -> list[str]:
@@ -364,3 +376,38 @@
             self.assertEqual(0, front.line.calls)
 
         self.play(script)
+
+    def test_watch_whose_answer_is_lost(self):
+        async def script(world):
+            world.fronts[IPS[0]].line.lose_answers()
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
+
+    def test_lost_answers_to_all_watches_of_a_zone(self):
+        async def script(world):
+            for last in (1, 2):
+                world.start(f"10.0.1.{last}", "b")
+            await asyncio.sleep(5.0)
+            for ip in IPS[:2]:
+                world.fronts[ip].line.lose_answers()
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
+
+    def test_watches_without_lost_answers_are_kept_open(self):
+        async def script(world):
+            for last in (1, 2):
+                world.start(f"10.0.1.{last}", "b")
+            await asyncio.sleep(5.0)
+            before = [front.line.watches for front in world.live()]
+            for number in range(20):
+                world.store.set("servers/t1", ENTRY("t1", born=number))
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(2.0)
+            after = [front.line.watches for front in world.live()]
+            calls = [new - old for old, new in zip(before, after)]
+            # Twenty changes in six seconds, gathered for 0.8 seconds each.
+            self.assertLessEqual(max(calls), 10)
+
+        self.play(script)
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -80,7 +80,10 @@
             if found:
                 return stores.WatchBatch(revision=self.revision, objects=found)
             self._changed.clear()
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            try:
+                await asyncio.wait_for(self._changed.wait(), timeout_s)
+            except TimeoutError:
+                return stores.WatchBatch(revision=self.revision, objects=[])
             if self.failure is not None:
                 raise self.failure
             if after_revision < self.first_revision:
