Answer 404 only from the newest configuration

Callers saw: 404 for routes in force from a front that had started from a list of the store that was seconds old, and from one whose configuration was older than that of other fronts it hears.

Cause: a copy counted as current as soon as any list had been read, and what other fronts say of their version was not asked.

Evidence: on the code before, both new tests fail: the copy counts as current right after an old list, and while another front runs version 7 and this one 4.

Change: an unknown route is answered 404 only while no front that is heard runs a newer version and the store, or a front of the zone in contact with it, has confirmed the copy; otherwise 503 with Retry-After. The tests of the configuration move to a file of their own.

--- a/fuchsiacourse/front/config_follower.py
+++ b/fuchsiacourse/front/config_follower.py
@@ -13,6 +13,7 @@
 
 Decode = typing.Callable[[bytes], route_table.RouteTable]
 Adopt = typing.Callable[[route_table.RouteTable], None]
+HeardVersion = typing.Callable[[], int]
 
 
 class ConfigFollower(store_follower.StoreFollower):
@@ -22,6 +23,7 @@
         key: Key of the configuration.
         decode: Decodes the object.
         adopt: Puts a configuration in force.
+        heard_version: Returns the newest version that other fronts run.
         **options: Arguments of the follower.
     """
 
@@ -31,16 +33,27 @@
         key: str,
         decode: Decode,
         adopt: Adopt,
+        heard_version: HeardVersion,
         **options: typing.Any,
     ) -> None:
         super().__init__(**options)
         self._key = key
         self._decode = decode
         self._adopt = adopt
+        self._heard_version = heard_version
         self.version = 0
         # Object that the configuration in force came from.
         self.content = b""
 
+    @property
+    def is_newest(self) -> bool:
+        """Whether the configuration in force is known to be the newest."""
+        return (
+            self.is_current
+            and not self.unsure_s
+            and self._heard_version() <= self.version
+        )
+
     def listed(self, objects: list[stores.StoredObject]) -> None:
         """Takes over all objects."""
         for item in objects:
--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -189,6 +189,13 @@
             (member.store_s for member in self.heard_members()), default=0.0
         )
 
+    def config_version(self) -> int:
+        """Returns the newest configuration that a heard front runs."""
+        return max(
+            (member.config_version for member in self.heard_members()),
+            default=0,
+        )
+
     def heard_share(self) -> float:
         """Returns the share of the region's fronts that are heard.
 
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -245,6 +245,7 @@
             key=self._adapter.config_key,
             decode=self._adapter.decode_config,
             adopt=self._adopt,
+            heard_version=self._fleet.config_version,
             clock=self._clock,
             rng=self._rng,
             store=store,
@@ -252,7 +253,7 @@
             relay=self._relay,
             log=self._log,
         )
-        self._forwarder.is_config_current = lambda: follower.is_current
+        self._forwarder.is_config_current = lambda: follower.is_newest
         return follower
 
     def _make_target_follower(
--- /dev/null
+++ b/tests/test_config_follower.py
@@ -0,0 +1,123 @@
+"""Tests of following the configuration."""
+
+import asyncio
+import random
+import unittest
+
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse.front import config_follower
+from fuchsiacourse import logs
+from fuchsiacourse import store as stores
+from tests import test_target_follower
+
+
+def decode(value):
+    if not value.isdigit():
+        raise errors.ConfigRejected("not a number")
+    return front_fakes.config(version=int(value))
+
+
+class LateStore(test_target_follower.ScriptedStore):
+    """Store whose lists are old and whose watches may answer late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.old: stores.WatchBatch | None = None
+        self.delay_s = 0.0
+
+    async def watch(self, prefix, *, after_revision, timeout_s):
+        if after_revision == 0 and self.old is not None:
+            return self.old
+        await asyncio.sleep(self.delay_s)
+        return await super().watch(
+            prefix, after_revision=after_revision, timeout_s=timeout_s
+        )
+
+
+class World:
+    """A follower of the configuration on a scripted store."""
+
+    def __init__(self) -> None:
+        self.store = LateStore()
+        self.heard_version = 0
+        self.adopted: list[int] = []
+        self.follower = config_follower.ConfigFollower(
+            key="config/main",
+            decode=decode,
+            adopt=lambda table: self.adopted.append(table.version),
+            heard_version=lambda: self.heard_version,
+            clock=virtual_loop.VirtualClock(),
+            rng=random.Random(1),
+            store=self.store,
+            prefix="config/",
+            relay=front_fakes.DirectRelay(),
+            log=logs.silent(),
+        )
+
+    def start(self) -> None:
+        self.task = asyncio.ensure_future(self.follower.run())
+
+
+class ConfigFollowerTest(unittest.TestCase):
+    """The configuration in force must never go back."""
+
+    def test_only_newer_versions_are_adopted(self):
+        adopted = []
+        follower = config_follower.ConfigFollower(
+            key="config/main",
+            decode=decode,
+            adopt=lambda table: adopted.append(table.version),
+            clock=front_fakes.ManualClock(),
+            rng=random.Random(1),
+            store=None,
+            prefix="config/",
+            relay=front_fakes.DirectRelay(),
+            heard_version=lambda: 0,
+            log=logs.silent(),
+        )
+        for number, value in enumerate((b"4", b"9", b"x", b"7", b"9", b"11")):
+            follower.changed(
+                stores.StoredObject(
+                    key="config/main", value=value, version=number + 1
+                )
+            )
+        follower.changed(
+            stores.StoredObject(key="config/other", value=b"50", version=9)
+        )
+        self.assertEqual([4, 9, 11], adopted)
+
+    def test_version_that_another_front_runs_is_not_taken_for_unknown(self):
+        async def main():
+            world = World()
+            world.store.set("config/main", b"4")
+            world.start()
+            await asyncio.sleep(0.1)
+            self.assertTrue(world.follower.is_newest)
+            world.heard_version = 7
+            self.assertFalse(world.follower.is_newest)
+            world.store.set("config/main", b"7")
+            await asyncio.sleep(0.1)
+            self.assertTrue(world.follower.is_newest)
+
+        virtual_loop.run(main())
+
+    def test_first_list_that_is_old_is_not_taken_for_the_newest(self):
+        async def main():
+            world = World()
+            world.store.set("config/main", b"4")
+            world.store.old = await world.store.watch(
+                "config/", after_revision=0, timeout_s=1.0
+            )
+            world.store.set("config/main", b"7")
+            world.store.delay_s = 0.3
+            world.start()
+            await asyncio.sleep(0.2)
+            self.assertEqual([4], world.adopted)
+            self.assertFalse(world.follower.is_newest)
+            await asyncio.sleep(0.2)
+            self.assertEqual([4, 7], world.adopted)
+            self.assertTrue(world.follower.is_newest)
+
+        virtual_loop.run(main())
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -1,4 +1,4 @@
-"""Tests of following targets and the configuration."""
+"""Tests of following targets."""
 
 import asyncio
 import json
@@ -8,7 +8,6 @@
 from bench import front_fakes
 from bench import virtual_loop
 from fuchsiacourse import errors
-from fuchsiacourse.front import config_follower
 from fuchsiacourse.front import target_follower
 from fuchsiacourse.front import target_table
 from fuchsiacourse import logs
@@ -286,37 +285,3 @@
             self.assertNotEqual(before.key, after.key)
 
         self.play(script)
-
-
-class ConfigFollowerTest(unittest.TestCase):
-    """The configuration in force must never go back."""
-
-    def test_only_newer_versions_are_adopted(self):
-        adopted = []
-
-        def decode(value):
-            if not value.isdigit():
-                raise errors.ConfigRejected("not a number")
-            return front_fakes.config(version=int(value))
-
-        follower = config_follower.ConfigFollower(
-            key="config/main",
-            decode=decode,
-            adopt=lambda table: adopted.append(table.version),
-            clock=front_fakes.ManualClock(),
-            rng=random.Random(1),
-            store=None,
-            prefix="config/",
-            relay=front_fakes.DirectRelay(),
-            log=logs.silent(),
-        )
-        for number, value in enumerate((b"4", b"9", b"x", b"7", b"9", b"11")):
-            follower.changed(
-                stores.StoredObject(
-                    key="config/main", value=value, version=number + 1
-                )
-            )
-        follower.changed(
-            stores.StoredObject(key="config/other", value=b"50", version=9)
-        )
-        self.assertEqual([4, 9, 11], adopted)
