Count the target and the headers of a request apart

Callers got 431 for headers within the limit when the path was long, or when their headers had no space after the colon.

Cause: the target counted against the limit on headers, and each header counted with a space that is optional.

Evidence: test_headers_rejected_because_of_a_long_target and test_headers_without_spaces_counted_with_them failed on the code before.

Change: the target has a limit of its own, max_target_bytes, as large as that on headers and at least 8000 bytes (RFC 9112 section 3); a longer one gets 414. A header counts as its name, its value, a colon and a line end.

Before: 431 for headers of 1000 bytes, limit 1000, path of 8000 bytes. After: accepted; headers of 705 bytes with the limit 701 get 431.

--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -17,8 +17,11 @@
 
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
+_TARGET_TOO_LONG = 414
 _HEADERS_TOO_LARGE = 431
 _UNAVAILABLE = 503
+# Colon and end of line; the space behind a colon is optional.
+_HEADER_EXTRA_BYTES = 3
 _CONNECT = b"CONNECT"
 _HOST = b"host"
 # Users in an authority are an error (RFC 9110 4.2.4).
@@ -133,8 +136,9 @@
         if not self._reads_body:
             self._fed_bytes += len(data)
             limits = self._limits_now()
-            limit = limits.max_head_bytes + _FEED_SLACK_BYTES
-            if self._fed_bytes > limit + limits.max_body_bytes:
+            limit = limits.max_head_bytes + limits.max_target_bytes
+            limit += limits.max_body_bytes + _FEED_SLACK_BYTES
+            if self._fed_bytes > limit:
                 raise errors.RequestRejected(
                     _HEADERS_TOO_LARGE, "head too large"
                 )
@@ -196,11 +200,16 @@
     def on_url(self, url: bytes) -> None:
         """Called by the parser with a part of the request target."""
         self._target += url
-        self._count_head(len(url))
+        count = len(self._target)
+        if (
+            count > self._limits.max_target_bytes
+            and count > self._limits_now().max_target_bytes
+        ):
+            raise errors.RequestRejected(_TARGET_TOO_LONG, "target too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser with a header."""
-        self._count_head(len(name) + len(value) + 4)
+        self._count_head(len(name) + len(value) + _HEADER_EXTRA_BYTES)
         self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
--- a/fuchsiacourse/front/route_table.py
+++ b/fuchsiacourse/front/route_table.py
@@ -4,12 +4,15 @@
 
 from fuchsiacourse.front import route as routes
 
+# Length that RFC 9112 section 3 asks a server to support, in bytes.
+MIN_TARGET_BYTES = 8000
+
 
 class CallerLimits:
     """Limits on what a caller may send.
 
     Args:
-        max_head_bytes: Longest head of a request.
+        max_head_bytes: Longest headers of a request.
         max_body_bytes: Longest body of a request.
         head_timeout_s: Time in which a request must be complete.
         idle_timeout_s: Time for which an idle connection stays open.
@@ -35,6 +38,11 @@
         self.head_timeout_s = head_timeout_s
         self.idle_timeout_s = idle_timeout_s
 
+    @property
+    def max_target_bytes(self) -> int:
+        """Longest request target; it doesn't count as part of the head."""
+        return max(MIN_TARGET_BYTES, self.max_head_bytes)
+
 
 class RouteTable:
     """One version of the configuration.
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -180,6 +180,28 @@
         many = b"".join(b"X-%d: %s\r\n" % (i, b"v" * 50) for i in range(40))
         self.assertEqual(431, self.rejected(HEAD + many + b"\r\n"))
 
+    def test_headers_rejected_because_of_a_long_target(self):
+        host = b"Host: h\r\n"
+        for header in (b"X-A: %s\r\n", b"X-A:%s\r\n"):
+            value = b"v" * (1000 - len(host) - len(header % b""))
+            line = b"GET /%s HTTP/1.1\r\n" % (b"a" * 7999)
+            self.parser.feed(line + host + header % value + b"\r\n")
+        self.assertEqual(8000, len(self.parser.requests[1].target))
+
+    def test_headers_without_spaces_counted_with_them(self):
+        headers = b"".join(b"A%02d:b\r\n" % number for number in range(99))
+        head = b"GET / HTTP/1.1\r\nHost:h\r\n" + headers
+        self.limits = limits(head=len(headers) + 8, body=0)
+        self.parser.feed(head + b"\r\n")
+        self.assertEqual(100, len(self.parser.requests[0].headers))
+        self.setUp()
+        self.limits = limits(head=len(headers) + 8, body=0)
+        self.assertEqual(431, self.rejected(head + b"A:\r\n\r\n"))
+
+    def test_target_that_is_too_long(self):
+        line = b"GET /%s HTTP/1.1\r\n" % (b"a" * 8000)
+        self.assertEqual(414, self.rejected(line + b"Host: h\r\n\r\n"))
+
     def test_endless_header_is_stopped(self):
         status = 0
         for _ in range(200):
