Pass on redirections and client errors only with the target's signature

Callers saw: proper requests ended by a 3xx or 4xx that no back end had decided on, such as 404 of other software at a target's address or 413 of a target in trouble.

Cause: the judgement of an answer looked for the signature at 2xx only. Any 3xx or 4xx counted as an answer, also as evidence that the target is well.

Change: an answer below 500 without the signature is a bad answer. It is repeated at another target if the request may run twice, otherwise the caller gets 502, which promises nothing. The target is suspected as with any bad answer. Signed ones are passed on unchanged. An unsigned 5xx stays a failure of the target and is passed on without a signature.

--- a/fuchsiacourse/front/http_answer.py
+++ b/fuchsiacourse/front/http_answer.py
@@ -57,6 +57,11 @@
         """Whether the status is one of the 2xx."""
         return FIRST_SUCCESS <= self.status < FIRST_REDIRECTION
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the status is 500 or above."""
+        return self.status >= FIRST_SERVER_ERROR
+
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if there is none."""
         for key, value in self.headers:
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -291,11 +291,11 @@
         outcome = outcomes.Outcome.DECLINED
     elif answer.header(b"content-encoding") is not None:
         outcome, detail = outcomes.Outcome.BAD_ANSWER, "encoded body"
-    elif answer.is_success and not terms.is_signed:
+    elif not terms.is_signed and not answer.is_server_error:
         outcome, detail = outcomes.Outcome.BAD_ANSWER, "no signature"
     elif answer.status in PROMISES:
         outcome, detail = outcomes.Outcome.FAILED, "not a sure refusal"
-    elif answer.status >= http_answer.FIRST_SERVER_ERROR:
+    elif answer.is_server_error:
         outcome = outcomes.Outcome.FAILED
     return sending.SendResult(
         outcome=outcome, answer=answer, terms=terms, detail=detail
