--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -126,9 +126,7 @@
 
     def denied(self, status: int, *, is_signed: bool = False) -> None:
         self.send()
-        self.ledger.answered(
-            "q1", status, is_whole=False, is_signed=is_signed
-        )
+        self.ledger.answered("q1", status, is_whole=False, is_signed=is_signed)
 
     def test_proper_request_denied_by_a_front_in_touch(self):
         for status in (301, 400, 413, 431):
