Doubt the copies of the store after a pause of the front

Callers saw: 404 for routes that had been added while a front stood still. Cause: a front that was suspended or stopped took its copies for the newest when it went on, and the words of other fronts from before the pause for fresh ones.

Both new tests fail without the change: there was no doubt after a pause.

Change: a clock that runs on while the host is suspended tells a relay that has not looked around for a second. It doubts its copies until the store, or a front heard 0.1 s after the pause, confirms them; until then an unknown route gets 503, not 404.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -172,6 +172,7 @@
     is_in_contact = True
     is_vouched = False
     is_scout = True
+    has_paused = False
 
     def source_of(self, copying: store_relay.Copying) -> str | None:
         """Names no other front."""
--- a/bench/virtual_loop.py
+++ b/bench/virtual_loop.py
@@ -46,15 +46,21 @@
         wall_offset_s: Error of this clock's wall time in seconds.
     """
 
-    __slots__ = ("_wall_offset_s",)
+    __slots__ = ("_wall_offset_s", "suspended_s")
 
     def __init__(self, *, wall_offset_s: float = 0.0) -> None:
         self._wall_offset_s = wall_offset_s
+        # Time for which the host was suspended, in seconds.
+        self.suspended_s = 0.0
 
     def now(self) -> float:
         """Returns virtual monotonic time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def elapsed(self) -> float:
+        """Returns virtual seconds with the time of suspensions."""
+        return self.now() + self.suspended_s
+
     def wall(self) -> float:
         """Returns virtual Unix time in seconds."""
         return START_WALL_S + self._wall_offset_s + self.now()
--- a/fuchsiacourse/clock.py
+++ b/fuchsiacourse/clock.py
@@ -14,6 +14,10 @@
     def now(self) -> float:
         """Returns monotonic time in seconds."""
 
+    def elapsed(self) -> float:
+        """Returns seconds that also run on while the host is suspended."""
+        return self.now()
+
     @abc.abstractmethod
     def wall(self) -> float:
         """Returns Unix time in seconds."""
--- a/fuchsiacourse/front/config_follower.py
+++ b/fuchsiacourse/front/config_follower.py
@@ -48,11 +48,7 @@
     @property
     def is_newest(self) -> bool:
         """Whether the configuration in force is known to be the newest."""
-        return (
-            self.is_current
-            and not self.unsure_s
-            and self._heard_version() <= self.version
-        )
+        return self.is_sure and self._heard_version() <= self.version
 
     def listed(self, objects: list[stores.StoredObject]) -> None:
         """Takes over all objects."""
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -91,6 +91,15 @@
         is_reached = self.lost_at_s is None and self._relay.is_in_contact
         return self.has_listed and (is_reached or self._relay.is_vouched)
 
+    @property
+    def is_sure(self) -> bool:
+        """Whether the copy is known to have all changes."""
+        return (
+            self.is_current
+            and not self.unsure_s
+            and not self._relay.has_paused
+        )
+
     @property
     def lost_s(self) -> float:
         """Seconds since the store was lost, 0 while it is reached."""
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -35,6 +35,11 @@
 # from another front, in seconds; a slow store takes some hundred
 # milliseconds.
 NEWS_GRACE_S = 0.4
+# A front whose relay has not looked around for this time was suspended or
+# stopped, in seconds; slow hosts run late by some hundred milliseconds.
+PAUSE_S = 1.0
+# Time in which packets that arrived during a pause are read, in seconds.
+SETTLE_S = 0.1
 # A front that did not give its copy is not asked for this time, in seconds.
 AVOID_S = 1.0
 
@@ -121,6 +126,11 @@
         self._behind_at_s_by_prefix: dict[str, float] = {}
         self._lost_until_s = float("-inf")
         self._silent_until_s = float("-inf")
+        # Time of the last look at other fronts, on the clock that runs on
+        # while the host is suspended, in seconds.
+        self._looked_at_s = clock.elapsed()
+        # Monotonic time before which packets say what was so before a pause.
+        self._settled_at_s = float("-inf")
         self._has_proof = False
         self._was_proven = False
         # Fronts of the zone with proven contact, at the last decision.
@@ -143,6 +153,11 @@
             or self._plan.is_starting(self._clock.now())
         )
 
+    @property
+    def has_paused(self) -> bool:
+        """Whether this front has stood still and not looked around since."""
+        return self._clock.elapsed() - self._looked_at_s > PAUSE_S
+
     @property
     def is_vouched(self) -> bool:
         """Whether another front of the zone proves contact."""
@@ -201,8 +216,15 @@
     def decide(self) -> None:
         """Looks at the other fronts of the zone."""
         now_s = self._clock.now()
+        if self.has_paused:
+            self._resume(now_s)
+        self._looked_at_s = self._clock.elapsed()
         peers = self._peers()
-        self._proven = [p for p in peers if relay_plan.is_proven(p)]
+        self._proven = [
+            peer
+            for peer in peers
+            if relay_plan.is_proven(peer) and peer.heard_s > self._settled_at_s
+        ]
         if self._plan.decide(now_s, self.view(), peers):
             logs.event(
                 self._log,
@@ -295,6 +317,18 @@
         )
         copying.doubt()
 
+    def _resume(self, now_s: float) -> None:
+        """Doubts all copies: changes may have been missed in a pause."""
+        self._settled_at_s = now_s + SETTLE_S
+        logs.warning(
+            self._log,
+            "pause_noticed",
+            paused_s=round(self._clock.elapsed() - self._looked_at_s, 2),
+            watches=self.watches,
+        )
+        for copying in self._copying:
+            copying.doubt()
+
     async def _prove(self) -> None:
         if not (self.watches and self._plan.is_chosen):
             self._has_proof = False
--- a/fuchsiacourse/system_clock.py
+++ b/fuchsiacourse/system_clock.py
@@ -17,6 +17,10 @@
         """Returns the event loop's time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def elapsed(self) -> float:
+        """Returns seconds that also run on while the host is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Returns the host's Unix time in seconds."""
         return time.time()
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -116,7 +116,7 @@
     def __init__(self, world: "World", ip: str, zone: str) -> None:
         self.world = world
         self.ip = ip
-        clock = virtual_loop.VirtualClock()
+        clock = self.clock = virtual_loop.VirtualClock()
         rng = random.Random(ip)
         self.timers = timer_services.Timers(
             clock=clock, rng=rng, on_error=world.failures.append
@@ -395,6 +395,32 @@
 
         self.play(script)
 
+    def test_copy_is_taken_for_the_newest_after_a_pause(self):
+        async def script(world):
+            for ip in (IPS[0], IPS[5]):
+                front = world.fronts[ip]
+                self.assertTrue(front.targets.is_sure, ip)
+                front.clock.suspended_s += 3.0
+                self.assertFalse(front.targets.is_sure, ip)
+                front.relay.decide()
+                self.assertFalse(front.targets.is_sure, ip)
+                await asyncio.sleep(0.8)
+                self.assertTrue(front.targets.is_sure, ip)
+
+        self.play(script)
+
+    def test_word_from_before_a_pause_confirms_nothing(self):
+        async def script(world):
+            front = world.fronts[IPS[5]]
+            for ip in IPS[:2]:
+                world.fronts[ip].stop()
+            front.clock.suspended_s += 3.0
+            front.relay.decide()
+            await asyncio.sleep(0.4)
+            self.assertFalse(front.targets.is_sure)
+
+        self.play(script)
+
     def test_watches_without_lost_answers_are_kept_open(self):
         async def script(world):
             for last in (1, 2):
