Take an answer that names no request only where it can't be a late one

Callers saw: 301, 400, 404 or 500 that belonged to another request, or to none. A late "not run" without an id made a front send an unsafe request again though its target was at work on it.

Cause: every answer without a request id that was no success was taken for the answer to the present request, whatever had been sent over the connection before.

Change: without an id, a server error counts only as the first answer of a connection. A refusal counts for requests that may run twice; for others only in step, and only on connections whose earlier answers all named their request. Everything else is a bad answer, which may have run. A 504 near the deadline is a timeout only if the target's failure is believed.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -84,6 +84,13 @@
         after="elif answer.is_success and not terms.is_signed:",
         test="tests.test_unproven_answers",
     ),
+    Mutation(
+        rule="TWICE: late refusals",
+        module="pooled_sender.py",
+        before="return is_idempotent or not connection.is_out_of_step",
+        after="return True",
+        test="tests.test_pooled_sender",
+    ),
     Mutation(
         rule="MIXED: cut long answers",
         module="caller_connection.py",
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -42,7 +42,11 @@
         self._accepts: Accepts | None = None
         self._is_head = False
         # Whether the server has answered a request out of turn.
-        self._is_out_of_step = False
+        self.is_out_of_step = False
+        # Answers that were taken.
+        self.answered = 0
+        # Whether each answer named its request, so that a late copy does too.
+        self.is_traceable = True
         self._may_write = asyncio.Event()
         self._may_write.set()
         # Called when a long answer has been passed on whole and another
@@ -210,11 +214,12 @@
             if answer.rest is not None:
                 answer.rest.discard()
             # A late answer to an earlier request; ours comes next.
-            self._is_out_of_step = True
+            self.is_out_of_step = True
 
     def _finish(self, answer: http_answer.HttpAnswer) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(answer)
+            self.answered += 1
         if not self._parser.is_passing_on:
             self._check_end()
 
@@ -242,8 +247,9 @@
 
     def _check_end(self) -> None:
         self.idle_since_s = asyncio.get_running_loop().time()
-        is_ahead = bool(self._parser.answers) or self._parser.has_begun
-        if self._parser.closes or is_ahead or self._is_out_of_step:
+        if self._parser.answers or self._parser.has_begun:
+            self.is_out_of_step = True
+        if self._parser.closes or self.is_out_of_step:
             self.close()
 
     def _fail(self, error: errors.TargetError) -> None:
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -96,7 +96,9 @@
         if request.rest is not None:
             # It can't be sent again over another connection.
             max_idle_s = 0.0
-        connection = self._take(target.key, max_idle_s)
+        connection = self._take(
+            target.key, max_idle_s, is_idempotent=is_idempotent
+        )
         is_reused = connection is not None
         started_s = self._clock.now()
         if connection is None:
@@ -105,7 +107,12 @@
             except (OSError, TimeoutError) as error:
                 return _ended(outcomes.Outcome.UNREACHED, error)
         result = await self._exchange(
-            connection, target, request, request_id, deadline_s
+            connection,
+            target,
+            request,
+            request_id=request_id,
+            deadline_s=deadline_s,
+            is_idempotent=is_idempotent,
         )
         is_stale = (
             is_reused
@@ -161,8 +168,10 @@
         connection: client_connection.ClientConnection,
         target: targets.Target,
         request: http_request.HttpRequest,
+        *,
         request_id: str,
         deadline_s: float,
+        is_idempotent: bool,
     ) -> sending.SendResult:
         left_s = deadline_s - self._clock.now()
 
@@ -189,6 +198,12 @@
         except errors.TargetUnsure as error:
             return _ended(outcomes.Outcome.LOST, error)
         terms = self._protocol.target_terms(answer)
+        result = _judged(answer, terms)
+        if not terms.request_id:
+            connection.is_traceable = False
+            if not _is_in_turn(connection, result.outcome, is_idempotent):
+                result.outcome = outcomes.Outcome.BAD_ANSWER
+                result.detail = "names no request"
         if answer.rest is not None and not answer.rest.is_ended:
             answer.rest.deadline_s = deadline_s
             connection.when_idle = lambda: self._keep(
@@ -196,9 +211,9 @@
             )
         elif connection.is_usable:
             self._keep(target, connection, terms.idle_s)
-        result = _judged(answer, terms)
         is_over = self._clock.now() > deadline_s - DEADLINE_SLACK_S
-        if answer.status == _TIMEOUT and is_over:
+        is_failure = result.outcome is outcomes.Outcome.FAILED
+        if is_failure and answer.status == _TIMEOUT and is_over:
             # The target has stopped at the deadline that it was given.
             result.outcome = outcomes.Outcome.TIMED_OUT
         return result
@@ -237,7 +252,7 @@
         return b"".join(lines)
 
     def _take(
-        self, key: int, max_idle_s: float
+        self, key: int, max_idle_s: float, *, is_idempotent: bool
     ) -> client_connection.ClientConnection | None:
         idle = self._idle_by_key.get(key)
         if idle is None:
@@ -246,10 +261,14 @@
         while idle.connections:
             connection = idle.connections.pop()
             age_s = now_s - connection.idle_since_s
-            if connection.is_usable and age_s < min(max_idle_s, idle.idle_s):
+            is_fit = age_s < max_idle_s and (
+                is_idempotent or connection.is_traceable
+            )
+            is_kept = connection.is_usable and age_s < idle.idle_s
+            if is_kept and is_fit:
                 return connection
-            if connection.is_usable and age_s < idle.idle_s:
-                # Too old for this request, not for others.
+            if is_kept:
+                # Not fit for this request, but for others.
                 idle.connections.append(connection)
                 return None
             connection.close()
@@ -281,6 +300,20 @@
     return sending.SendResult(outcome=outcome, detail=repr(error))
 
 
+def _is_in_turn(
+    connection: client_connection.ClientConnection,
+    outcome: outcomes.Outcome,
+    is_idempotent: bool,
+) -> bool:
+    """Returns whether an answer that names no request is the one waited for.
+
+    A refusal that is believed wrongly makes a request run twice.
+    """
+    if outcome.is_not_run:
+        return is_idempotent or not connection.is_out_of_step
+    return outcome is outcomes.Outcome.FAILED and connection.answered == 1
+
+
 def _judged(
     answer: http_answer.HttpAnswer, terms: wire_protocol.TargetTerms
 ) -> sending.SendResult:
--- a/tests/test_pooled_sender.py
+++ b/tests/test_pooled_sender.py
@@ -36,6 +36,17 @@
     return ("\r\n".join(lines) + f"\r\n{headers}\r\n").encode() + body
 
 
+def refusal(id: str, status: str = "503 Busy") -> bytes:
+    """Returns the bytes of an answer that a request has not run."""
+    return answer(
+        id,
+        b"",
+        status,
+        headers="X-Fuchsiacourse-Not-Executed: 1\r\n",
+        is_signed=False,
+    )
+
+
 async def read_request(reader: asyncio.StreamReader) -> bytes:
     """Returns the head of the next request."""
     return await reader.readuntil(b"\r\n\r\n")
@@ -74,6 +85,7 @@
 
     async def target(self, script: Script) -> targets.Target:
         """Starts a target that serves each connection by a script."""
+        self.sender.close()
 
         async def serve(reader, writer):
             self.accepted += 1
@@ -121,6 +133,23 @@
 
         return (await self.send(await self.target(script), **options)).outcome
 
+    async def second_of(self, data: bytes, **options):
+        """Returns the result on a connection that has served another."""
+
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(answer("q1"))
+            await read_request(reader)
+            writer.write(data)
+            await reader.read()
+
+        target = await self.target(script)
+        await self.send(target, "q1", **options)
+        before = self.accepted
+        result = await self.send(target, "q2", **options)
+        self.assertEqual(before, self.accepted)
+        return result
+
     async def test_request_carries_target_and_time_left(self):
         heads = []
 
@@ -314,3 +343,55 @@
         result = await self.send(target, "q2", is_idempotent=False)
         self.assertIs(Outcome.ANSWERED, result.outcome)
         self.assertEqual(2, self.accepted)
+
+    async def test_late_answer_without_an_id_denies_nothing(self):
+        for status in ("400 Bad", "404 Gone", "301 Moved", "500 Broken"):
+            for is_signed in (False, True):
+                with self.subTest(status=status, is_signed=is_signed):
+                    late = answer("", status=status, is_signed=is_signed)
+                    result = await self.second_of(late)
+                    self.assertIs(Outcome.BAD_ANSWER, result.outcome)
+
+    async def test_denial_without_an_id_is_not_the_targets_own(self):
+        for status in ("301 Moved", "304 Same", "404 Gone"):
+            data = answer("", b"", status=status)
+            self.assertIs(Outcome.BAD_ANSWER, await self.outcome_of(data))
+
+    async def test_refusal_without_an_id_is_sure(self):
+        for status, outcome_ in (
+            ("503 Busy", Outcome.DECLINED),
+            ("429 Busy", Outcome.DECLINED),
+            ("421 Misdirected", Outcome.MISDIRECTED),
+        ):
+            for is_idempotent in (False, True):
+                options = {"is_idempotent": is_idempotent}
+                with self.subTest(status=status, **options):
+                    data = refusal("", status)
+                    result = await self.second_of(data, **options)
+                    self.assertIs(outcome_, result.outcome)
+                    first = await self.outcome_of(data, **options)
+                    self.assertIs(outcome_, first)
+
+    async def test_late_refusal_without_an_id_promises_nothing(self):
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(refusal(""))
+            await read_request(reader)
+            writer.write(refusal("") + answer("q2"))
+            await reader.read()
+
+        target = await self.target(script)
+        result = await self.send(target, "q1", is_idempotent=False)
+        self.assertIs(Outcome.DECLINED, result.outcome)
+        await self.send(target, "q2", is_idempotent=False, wait_s=0.1)
+        self.assertEqual(2, self.accepted)
+
+    async def test_refusal_behind_a_late_answer_promises_nothing(self):
+        late = answer("q1", b"again") + refusal("")
+        result = await self.second_of(late, is_idempotent=False)
+        self.assertIs(Outcome.BAD_ANSWER, result.outcome)
+
+    async def test_refusal_before_an_answer_promises_nothing(self):
+        both = refusal("") + answer("q2")
+        result = await self.second_of(both, is_idempotent=False)
+        self.assertIs(Outcome.BAD_ANSWER, result.outcome)
