Read a configuration part by part

Callers would see: 404 for all later routes, for good, once one part of a configuration is missing or of another type; one line told of it.

Cause: the decoder refused the version as a whole, and the front went on to answer 404 from the older one.

Change: missing limits stay as they are in force; an unreadable route or host is left out with a line `config_part_refused`, and requests that may belong to it get 503 rather than 404 or the service of a shorter prefix. While the newest version is refused as a whole, unknown routes get 503.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -127,7 +127,11 @@
     return routes.Route(**{**values, **changes})
 
 
-def config(*found: routes.Route, version: int = 1) -> route_table.RouteTable:
+def config(
+    *found: routes.Route,
+    version: int = 1,
+    gaps: tuple[route_table.RouteGap, ...] = (),
+) -> route_table.RouteTable:
     """Returns a configuration with some routes."""
     return route_table.RouteTable(
         version=version,
@@ -139,6 +143,7 @@
             idle_timeout_s=15.0,
         ),
         connection_caps_by_service={},
+        gaps=gaps,
     )
 
 
--- a/fuchsiacourse/front/config_follower.py
+++ b/fuchsiacourse/front/config_follower.py
@@ -15,6 +15,10 @@
 Adopt = typing.Callable[[route_table.RouteTable], None]
 HeardVersion = typing.Callable[[], int]
 
+# Lines on unreadable parts of one configuration, so that a faulty one does
+# not crowd out other lines.
+MAX_GAP_LINES = 20
+
 
 class ConfigFollower(store_follower.StoreFollower):
     """Puts each newer configuration in force.
@@ -42,13 +46,19 @@
         self._adopt = adopt
         self._heard_version = heard_version
         self.version = 0
+        # Whether the newest object could not be read at all.
+        self._is_refused = False
         # Object that the configuration in force came from.
         self.content = b""
 
     @property
     def is_newest(self) -> bool:
         """Whether the configuration in force is known to be the newest."""
-        return self.is_sure and self._heard_version() <= self.version
+        return (
+            self.is_sure
+            and not self._is_refused
+            and self._heard_version() <= self.version
+        )
 
     def listed(self, objects: list[stores.StoredObject]) -> None:
         """Takes over all objects."""
@@ -77,7 +87,9 @@
             logs.warning(
                 self.log, "config_refused", source=source, error=str(error)
             )
+            self._is_refused = True
             return
+        self._is_refused = False
         if table.version <= self.version:
             return
         logs.event(
@@ -88,6 +100,15 @@
             routes=table.route_count,
             source=source,
         )
+        for gap in table.gaps[:MAX_GAP_LINES]:
+            logs.warning(
+                self.log,
+                "config_part_refused",
+                version=table.version,
+                route_host=gap.host,
+                path_prefix=gap.path_prefix,
+                error=gap.reason,
+            )
         self.version = table.version
         self.content = content
         self._adopt(table)
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -375,6 +375,7 @@
         )
 
     def _adopt(self, table: route_table.RouteTable) -> None:
+        table.limits.fill(self._limits())
         self._forwarder.config = table
         self._rejections.adopted(table)
 
--- a/fuchsiacourse/front/http_request.py
+++ b/fuchsiacourse/front/http_request.py
@@ -80,5 +80,9 @@
     @property
     def host(self) -> str:
         """Host of the request in lower case, without a port."""
-        value = (self.header(b"host") or b"").decode("latin-1")
-        return value.partition(":")[0].strip().lower()
+        return host_name((self.header(b"host") or b"").decode("latin-1"))
+
+
+def host_name(value: str) -> str:
+    """Returns a host in lower case, without a port."""
+    return value.partition(":")[0].strip().lower()
--- a/fuchsiacourse/front/route_table.py
+++ b/fuchsiacourse/front/route_table.py
@@ -9,7 +9,7 @@
 
 
 class CallerLimits:
-    """Limits on what a caller may send.
+    """Limits on what a caller may send; None where one isn't known.
 
     Args:
         max_head_bytes: Longest headers of a request.
@@ -28,10 +28,10 @@
     def __init__(
         self,
         *,
-        max_head_bytes: int,
-        max_body_bytes: int,
-        head_timeout_s: float,
-        idle_timeout_s: float,
+        max_head_bytes: int | None = None,
+        max_body_bytes: int | None = None,
+        head_timeout_s: float | None = None,
+        idle_timeout_s: float | None = None,
     ) -> None:
         self.max_head_bytes = max_head_bytes
         self.max_body_bytes = max_body_bytes
@@ -41,7 +41,32 @@
     @property
     def max_target_bytes(self) -> int:
         """Longest request target; it doesn't count as part of the head."""
-        return max(MIN_TARGET_BYTES, self.max_head_bytes)
+        return max(MIN_TARGET_BYTES, self.max_head_bytes or 0)
+
+    def fill(self, other: CallerLimits) -> None:
+        """Takes over what isn't known from other limits."""
+        for name in self.__slots__:
+            if getattr(self, name) is None:
+                setattr(self, name, getattr(other, name))
+
+
+class RouteGap:
+    """Part of a configuration that could not be read.
+
+    Args:
+        host: Host of the routes, None if that isn't known.
+        path_prefix: Prefix of the route, None if that isn't known.
+        reason: What is wrong with it.
+    """
+
+    __slots__ = ("host", "path_prefix", "reason")
+
+    def __init__(
+        self, *, host: str | None, path_prefix: str | None, reason: str
+    ) -> None:
+        self.host = host
+        self.path_prefix = path_prefix
+        self.reason = reason
 
 
 class RouteTable:
@@ -53,12 +78,14 @@
         limits: Limits on callers.
         connection_caps_by_service: Connections that a target of a service
             accepts from all fronts together.
+        gaps: Parts that could not be read.
     """
 
     __slots__ = (
         "version",
         "limits",
         "connection_caps_by_service",
+        "gaps",
         "route_count",
         "_routes_by_host",
     )
@@ -70,15 +97,21 @@
         routes: list[routes.Route],
         limits: CallerLimits,
         connection_caps_by_service: dict[str, int],
+        gaps: tuple[RouteGap, ...] = (),
     ) -> None:
         self.version = version
+        self.gaps = gaps
         self.limits = limits
         self.connection_caps_by_service = connection_caps_by_service
         self.route_count = len(routes)
-        self._routes_by_host: dict[str, dict[str, routes.Route]] = {}
-        for item in routes:
-            by_prefix = self._routes_by_host.setdefault(item.host, {})
-            by_prefix[item.path_prefix] = item
+        # A gap stands for a route that could not be read.
+        self._routes_by_host: dict[str, dict[str, routes.Route | RouteGap]] = (
+            {}
+        )
+        for item in (*gaps, *routes):
+            if item.host is not None and item.path_prefix is not None:
+                by_prefix = self._routes_by_host.setdefault(item.host, {})
+                by_prefix[item.path_prefix] = item
 
     def find(self, host: str, path: str) -> routes.Route | None:
         """Returns the route with the longest prefix of a path, or None.
@@ -87,6 +120,24 @@
             host: Host in lower case, without a port.
             path: Path as sent.
         """
+        found = self._match(host, path)
+        return None if isinstance(found, RouteGap) else found
+
+    def is_gap(self, host: str, path: str) -> bool:
+        """Returns whether a path without a route may have one.
+
+        Args:
+            host: Host in lower case, without a port.
+            path: Path as sent.
+        """
+        if self._match(host, path) is not None:
+            return True
+        return any(
+            gap.host is None or (gap.host == host and gap.path_prefix is None)
+            for gap in self.gaps
+        )
+
+    def _match(self, host: str, path: str) -> routes.Route | RouteGap | None:
         by_prefix = self._routes_by_host.get(host)
         if by_prefix is None:
             return None
--- a/fuchsiacourse/platform/config_codec.py
+++ b/fuchsiacourse/platform/config_codec.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import http_request
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import route_table
 
@@ -14,6 +16,9 @@
 _VERSION_MARK = "r"
 _IDEMPOTENT = "safe"
 _DEFAULT_MAX_TARGETS = 1
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
+
+Json = dict[str, typing.Any]
 
 
 def decode(value: bytes) -> route_table.RouteTable:
@@ -28,55 +33,138 @@
     try:
         content = json.loads(value)["spec"]
         return _table(content)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _MALFORMED as error:
         raise errors.ConfigRejected(f"not a configuration: {error!r}") from (
             error
         )
 
 
-def _table(content: dict[str, typing.Any]) -> route_table.RouteTable:
-    limits = content["limits"]
+def _table(content: Json) -> route_table.RouteTable:
+    found: list[routes.Route] = []
+    gaps: list[route_table.RouteGap] = []
+    for entry in _listed(content["hosts"]):
+        _read_host(entry, found, gaps)
     return route_table.RouteTable(
         version=int(content["version"].removeprefix(_VERSION_MARK)),
-        routes=[
-            _route(entry["host"], item)
-            for entry in content["hosts"]
-            for item in entry["paths"]
-        ],
-        limits=route_table.CallerLimits(
-            max_head_bytes=int(limits["max_header_bytes"]),
-            max_body_bytes=int(limits["max_body_bytes"]),
-            # Counts until the request has been read whole.
-            head_timeout_s=limits["header_timeout_ms"] / 1000.0,
-            idle_timeout_s=limits["idle_timeout_ms"] / 1000.0,
-        ),
-        connection_caps_by_service={
-            item["name"]: int(item["max_connections"])
-            for item in content["services"]
-        },
+        routes=found,
+        limits=_limits(content.get("limits")),
+        connection_caps_by_service=_caps(content.get("services")),
+        gaps=tuple(gaps),
     )
 
 
-def _route(host: str, item: dict[str, typing.Any]) -> routes.Route:
-    split = item.get("traffic_split")
-    if split:
-        weights = {
-            part["service"]: float(part["weight"])
-            for part in split
-            if part["weight"] > 0
-        }
-    else:
-        weights = {item["service"]: 1.0}
+def _listed(value: typing.Any) -> list[typing.Any]:
+    if not isinstance(value, list):
+        raise TypeError(f"not a list: {value!r:.40}")
+    return value
+
+
+def _read_host(
+    entry: typing.Any,
+    found: list[routes.Route],
+    gaps: list[route_table.RouteGap],
+) -> None:
+    """Reads the routes of a host; what can't be read becomes a gap."""
+    host = prefix = None
+    try:
+        host = http_request.host_name(entry["host"])
+        for item in _listed(entry["paths"]):
+            prefix = None
+            try:
+                prefix = _text(item["path_prefix"])
+                found.append(_route(host, item))
+            except _MALFORMED as error:
+                gaps.append(_gap(host, prefix, error))
+    except _MALFORMED as error:
+        gaps.append(_gap(host, None, error))
+
+
+def _gap(
+    host: str | None, prefix: str | None, error: Exception
+) -> route_table.RouteGap:
+    return route_table.RouteGap(
+        host=host, path_prefix=prefix, reason=repr(error)
+    )
+
+
+def _limits(value: typing.Any) -> route_table.CallerLimits:
+    limits = value if isinstance(value, dict) else {}
+    head_bytes = _positive(limits.get("max_header_bytes"))
+    body_bytes = _positive(limits.get("max_body_bytes"))
+    head_ms = _positive(limits.get("header_timeout_ms"))
+    idle_ms = _positive(limits.get("idle_timeout_ms"))
+    return route_table.CallerLimits(
+        max_head_bytes=None if head_bytes is None else int(head_bytes),
+        max_body_bytes=None if body_bytes is None else int(body_bytes),
+        # Counts until the request has been read whole.
+        head_timeout_s=None if head_ms is None else head_ms / 1000.0,
+        idle_timeout_s=None if idle_ms is None else idle_ms / 1000.0,
+    )
+
+
+def _caps(value: typing.Any) -> dict[str, int]:
+    caps = {}
+    for item in value if isinstance(value, list) else []:
+        if isinstance(item, dict) and isinstance(item.get("name"), str):
+            cap = _positive(item.get("max_connections"))
+            if cap is not None:
+                caps[item["name"]] = int(cap)
+    return caps
+
+
+def _positive(value: typing.Any) -> float | None:
+    """Returns a number above 0, None for anything else."""
+    try:
+        number = _number(value)
+    except _MALFORMED:
+        return None
+    return number if number > 0.0 else None
+
+
+def _number(value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float, str)):
+        raise TypeError(f"not a number: {value!r:.40}")
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"not a finite number: {value!r:.40}")
+    return number
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"not a text: {value!r:.40}")
+    return value
+
+
+def _route(host: str, item: Json) -> routes.Route:
+    timeout_ms = _number(item["timeout_ms"])
+    # Not a bound: the time within which an answer is worth most.
+    objective_ms = _number(item.get("target_latency_ms", timeout_ms))
     return routes.Route(
-        name=item["name"],
-        host=host.lower(),
+        name=str(item.get("name", item["path_prefix"])),
+        host=host,
         path_prefix=item["path_prefix"],
-        is_idempotent=item["kind"] == _IDEMPOTENT,
-        timeout_s=item["timeout_ms"] / 1000.0,
-        # Not a bound: the time within which an answer is worth most.
-        objective_s=item.get("target_latency_ms", item["timeout_ms"]) / 1000.0,
+        is_idempotent=item.get("kind") == _IDEMPOTENT,
+        timeout_s=timeout_ms / 1000.0,
+        objective_s=objective_ms / 1000.0,
         # Counts the targets tried, the first one included.
-        max_targets=int(item.get("max_attempts", _DEFAULT_MAX_TARGETS)),
-        priority=int(item.get("priority", 0)),
-        weights_by_service=weights,
+        max_targets=int(
+            _number(item.get("max_attempts", _DEFAULT_MAX_TARGETS))
+        ),
+        priority=int(_number(item.get("priority", 0))),
+        weights_by_service=_weights(item),
     )
+
+
+def _weights(item: Json) -> dict[str, float]:
+    split = item.get("traffic_split")
+    if not split:
+        return {_text(item["service"]): 1.0}
+    weights = {
+        _text(part["service"]): _number(part["weight"])
+        for part in _listed(split)
+    }
+    weights = {name: value for name, value in weights.items() if value > 0.0}
+    if not weights:
+        raise ValueError("no service has a weight")
+    return weights
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -121,3 +121,19 @@
             self.assertTrue(world.follower.is_newest)
 
         virtual_loop.run(main())
+
+    def test_newest_version_that_is_refused_leaves_routes_unknown(self):
+        async def main():
+            world = World()
+            world.store.set("config/main", b"4")
+            world.start()
+            await asyncio.sleep(0.1)
+            world.store.set("config/main", b"broken")
+            await asyncio.sleep(1.0)
+            self.assertFalse(world.follower.is_newest)
+            world.store.set("config/main", b"5")
+            await asyncio.sleep(1.0)
+            self.assertTrue(world.follower.is_newest)
+            self.assertEqual([4, 5], world.adopted)
+
+        virtual_loop.run(main())
--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -7,6 +7,7 @@
 from bench import virtual_loop
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import outcome
+from fuchsiacourse.front import route_table
 
 Outcome = outcome.Outcome
 
@@ -271,6 +272,19 @@
         answer, _ = self.answer("/other/1", is_config_current=lambda: False)
         self.assertEqual(503, answer.status)
 
+    def test_route_that_could_not_be_read_is_503(self):
+        gap = route_table.RouteGap(
+            host=front_fakes.HOST, path_prefix="/orders/new/", reason="kind"
+        )
+        config = front_fakes.config(front_fakes.route(), gaps=(gap,))
+        for path, status in (
+            ("/orders/new/1", 503),
+            ("/orders/1", 200),
+            ("/other/1", 404),
+        ):
+            answer, _ = self.answer(path, config=config)
+            self.assertEqual(status, answer.status, path)
+
     def test_no_configuration_is_503(self):
         answer, _ = self.answer("/orders/1", config=None)
         self.assertEqual(503, answer.status)
