Send uncommon but proper requests in the soak with processes

The soak's callers wrote each request in one plain form, so it could not show that a front rejects other forms.

Change: callers also offer another protocol on the first request of a connection, write targets in absolute form, hosts in upper case with a port, long paths with long headers, chunked bodies with extensions and trailers, Expect: 100-continue, small pieces and pipelined pairs. The ledger names the form in what it finds.

--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 
 from bench import fault_ledger
 from bench import fault_target
+from bench import fault_wire
 from bench import fault_world
 
 ANSWER_TIMEOUT_S = 6.0
@@ -16,6 +18,43 @@
 PAUSE_S = 0.08
 # Requests on a connection before a new one is opened.
 MOST_ON_CONNECTION = 60
+# Of the requests: pairs that are written together, and these with all that
+# are written in other uncommon forms.
+PAIR_SHARE = 0.05
+UNCOMMON_SHARE = 0.3
+UNCOMMON = tuple(
+    form
+    for form in fault_wire.Form
+    if form not in (fault_wire.Form.PLAIN, fault_wire.Form.UPGRADE)
+)
+LONG_BODIED = (
+    fault_wire.Form.PLAIN,
+    fault_wire.Form.CHUNKED,
+    fault_wire.Form.EXPECT,
+)
+# Time between the pieces of a request, far below the time for a head.
+PIECE_PAUSE_S = 0.005
+
+
+class _Call:
+    """A request and the bytes that are written for it."""
+
+    __slots__ = ("id", "sent", "body", "form", "pieces")
+
+    def __init__(
+        self,
+        *,
+        id: str,
+        sent: fault_ledger.Sent,
+        body: bytes,
+        form: fault_wire.Form,
+        pieces: list[bytes],
+    ) -> None:
+        self.id = id
+        self.sent = sent
+        self.body = body
+        self.form = form
+        self.pieces = pieces
 
 
 class FaultCallers:
@@ -85,68 +124,139 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        is_first = True
         for _ in range(MOST_ON_CONNECTION):
             if self.is_stopped:
                 return
-            id = self._next_id()
-            route = self._rng.choice(list(self._world.service_by_route))
-            body = self._rng.randbytes(self._rng.choice(BODY_BYTES))
-            sent = fault_ledger.Sent(
-                front=front.ip,
-                path=f"/{route}/{id}",
-                body=body,
-                is_safe=route.startswith("safe"),
-                at_s=self._world.clock.now(),
-            )
-            self._world.ledger.sent(id, sent)
-            try:
+            batch = self._batch(front, is_first=is_first)
+            is_first = False
+            for call in batch:
+                self._world.ledger.sent(call.id, call.sent)
+            if not await self._exchange_all(batch, reader, writer):
+                return
+            await asyncio.sleep(self._rng.uniform(0.0, 2.0 * PAUSE_S))
+
+    def _batch(
+        self, front: fault_world.FaultFront, *, is_first: bool
+    ) -> list[_Call]:
+        """Returns what is written before the next answer is read."""
+        draw = self._rng.random()
+        if draw < PAIR_SHARE:
+            return [
+                self._new_call(front, fault_wire.Form.PLAIN) for _ in range(2)
+            ]
+        if draw > UNCOMMON_SHARE:
+            return [self._new_call(front, fault_wire.Form.PLAIN)]
+        if is_first:
+            # A client offers another protocol when it connects.
+            return [self._new_call(front, fault_wire.Form.UPGRADE)]
+        return [self._new_call(front, self._rng.choice(UNCOMMON))]
+
+    def _new_call(
+        self, front: fault_world.FaultFront, form: fault_wire.Form
+    ) -> _Call:
+        id = self._next_id()
+        route = self._rng.choice(list(self._world.service_by_route))
+        sizes = BODY_BYTES if form in LONG_BODIED else BODY_BYTES[:2]
+        body = self._rng.randbytes(self._rng.choice(sizes))
+        max_head_bytes = self._world.limits["max_header_bytes"]
+        path = fault_wire.path_of(form, f"/{route}/{id}", max_head_bytes)
+        sent = fault_ledger.Sent(
+            front=front.ip,
+            path=path,
+            body=body,
+            is_safe=route.startswith("safe"),
+            at_s=self._world.clock.now(),
+            form=form.value,
+        )
+        pieces = fault_wire.pieces_of(
+            form,
+            path=path,
+            host=fault_world.HOST,
+            fields={
+                "X-Fuchsiacourse-Request-Id": id,
+                "X-Fuchsiacourse-Request-Deadline": str(DEADLINE_MS),
+            },
+            body=body,
+            max_head_bytes=max_head_bytes,
+        )
+        self._world.ledger.checked[f"form {form.value}"] += 1
+        return _Call(id=id, sent=sent, body=body, form=form, pieces=pieces)
+
+    async def _exchange_all(
+        self,
+        batch: list[_Call],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Returns whether the connection may be used again."""
+        left = collections.deque(batch)
+        try:
+            if len(batch) > 1:
+                writer.write(b"".join(call.pieces[0] for call in batch))
+            while left:
+                is_written = len(batch) > 1
                 keeps_alive = await asyncio.wait_for(
-                    self._exchange(id, route, sent, body, reader, writer),
+                    self._exchange(left[0], reader, writer, is_written),
                     ANSWER_TIMEOUT_S,
                 )
-            except (asyncio.IncompleteReadError, OSError):
-                self._world.ledger.cut_off(id)
-                self._note(False)
-                return
-            except TimeoutError:
-                self._world.ledger.unanswered(id)
-                self._note(False)
-                return
-            if not keeps_alive:
-                return
-            await asyncio.sleep(self._rng.uniform(0.0, 2.0 * PAUSE_S))
+                left.popleft()
+                if not keeps_alive:
+                    break
+        except TimeoutError:
+            self._world.ledger.unanswered(left.popleft().id)
+            self._note(False)
+            return False
+        except (asyncio.IncompleteReadError, OSError):
+            keeps_alive = False
+        for call in left:
+            self._world.ledger.cut_off(call.id)
+            self._note(False)
+        return keeps_alive
 
     async def _exchange(
         self,
-        id: str,
-        route: str,
-        sent: fault_ledger.Sent,
-        body: bytes,
+        call: _Call,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        is_written: bool,
     ) -> bool:
-        writer.write(
-            f"POST {sent.path} HTTP/1.1\r\nHost: {fault_world.HOST}\r\n"
-            f"X-Fuchsiacourse-Request-Id: {id}\r\n"
-            f"X-Fuchsiacourse-Request-Deadline: {DEADLINE_MS}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body
-        )
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-        status = int(head.split()[1])
-        length = int(head.split("content-length: ")[1].split()[0])
-        got = await reader.readexactly(length)
+        to_write = collections.deque([] if is_written else call.pieces)
+        if call.form is fault_wire.Form.EXPECT:
+            writer.write(to_write.popleft())
+            status, fields = await fault_wire.read_answer_head(reader)
+            if fault_wire.is_final(status):
+                await self._finish(call, status, fields, reader)
+                return False
+        while to_write:
+            writer.write(to_write.popleft())
+            await asyncio.sleep(PIECE_PAUSE_S if to_write else 0.0)
+        status, fields = await fault_wire.read_answer_head(reader)
+        await self._finish(call, status, fields, reader)
+        return fields.get("connection", "").lower() != "close"
+
+    async def _finish(
+        self,
+        call: _Call,
+        status: int,
+        fields: fault_wire.Fields,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        got = await fault_wire.read_body(reader, fields)
         self._world.ledger.answered(
-            id,
+            call.id,
             status,
-            is_whole=got == fault_target.body_for(id, body),
-            is_signed="response-signature" in head,
+            is_whole=got == fault_target.body_for(call.id, call.body),
+            is_signed="x-fuchsiacourse-response-signature" in fields,
         )
+        route = call.sent.path.split("/")[1]
         if status == 404:
             self._world.ledger.missing_route(
-                sent.front, sent.path, self._world.known_s_by_route[route]
+                call.sent.front,
+                call.sent.path,
+                self._world.known_s_by_route[route],
             )
         self._note(status == 200)
-        return "connection: close" not in head
 
     def _next_id(self) -> str:
         self._ids += 1
--- a/bench/fault_ledger.py
+++ b/bench/fault_ledger.py
@@ -21,6 +21,8 @@
 # configurations allow.
 NEVER = frozenset((401, 403, 404))
 MAX_BROKEN = 50
+# Characters of a path in a message.
+PATH_SHOWN = 60
 # Place of a fault of the machine that everything runs on.
 MACHINE = "machine"
 
@@ -36,11 +38,27 @@
     Of the body only a digest is kept.
     """
 
-    __slots__ = ("front", "path", "digest", "is_safe", "at_s", "status")
+    __slots__ = (
+        "front",
+        "path",
+        "digest",
+        "is_safe",
+        "at_s",
+        "form",
+        "status",
+    )
 
     def __init__(
-        self, *, front: str, path: str, body: bytes, is_safe: bool, at_s: float
+        self,
+        *,
+        front: str,
+        path: str,
+        body: bytes,
+        is_safe: bool,
+        at_s: float,
+        form: str = "plain",
     ) -> None:
+        self.form = form
         self.front = front
         self.path = path
         self.digest = digest_of(body)
@@ -119,7 +137,8 @@
             path,
             digest_of(body),
         ):
-            self._break(f"UNASKED: {id} {path}")
+            form = "" if sent is None else f" ({sent.form})"
+            self._break(f"UNASKED: {id} {path[:PATH_SHOWN]}{form}")
             return
         self.runs_by_id[id] += 1
         self.checked["run"] += 1
@@ -181,6 +200,7 @@
         """Notes a 404 for a route that the store has taken long ago."""
         age_s = self._clock.now() - known_s
         if age_s > CONFIG_S + SLACK_S and self.is_in_touch(front):
+            path = path[:PATH_SHOWN]
             self._break(f"CONFIG: 404 for {path} by {front}, {age_s:.2f} s")
 
     def ended_by_itself(self, front: str, code: int) -> None:
@@ -197,11 +217,13 @@
             # A front may not know a new route yet: see missing_route.
             return
         if (is_lasting and status in NEVER) or self.is_in_touch(sent.front):
-            self._break(f"DENIED: {id} {status} by {sent.front}")
+            self._break(f"DENIED: {id} {status} by {sent.front} ({sent.form})")
 
     def _check_route(self, id: str, sent: Sent, service: str) -> None:
         if service not in self.services_by_path[sent.path.split("/")[1]]:
-            self._break(f"ROUTE: {id} {sent.path} run by {service}")
+            self._break(
+                f"ROUTE: {id} {sent.path[:PATH_SHOWN]} run by {service}"
+            )
         moved_s = self.moved_at_s_by_service.get(
             (sent.path.split("/")[1], service)
         )
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -10,6 +10,7 @@
 
 from bench import fault_ledger
 from bench import fault_proxy
+from bench import fault_wire
 from fuchsiacourse import clock as clocks
 
 WORK_S = 0.05
@@ -133,12 +134,8 @@
     async def _serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-        fields = {}
-        for line in head[1:]:
-            name, _, value = line.partition(": ")
-            fields[name.lower()] = value
-        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        line, fields = await fault_wire.read_head(reader)
+        body = await fault_wire.read_body(reader, fields)
         id = fields.get(_PREFIX + "request-id", "")
         expected = fields.get(_PREFIX + "expected-instance", self.id)
         if expected != self.id:
@@ -150,7 +147,7 @@
         self._ledger.ran(
             id,
             service=self.service,
-            path=head[0].split()[1],
+            path=line.split()[1],
             body=body,
             draining_s=self.draining_s,
         )
--- /dev/null
+++ b/bench/fault_wire.py
@@ -0,0 +1,137 @@
+"""Forms of the requests of the fault soak, and reading of its messages."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+# Bytes of a request that is written in small pieces.
+PIECE_BYTES = 23
+# Bytes of a chunk, few enough for several chunks in a short body.
+CHUNK_BYTES = 4
+# Answers beyond this end the connection; those of well targets are shorter.
+MAX_ANSWER_BYTES = 4_000_000
+_FIRST_FINAL = 200
+_END = b"\r\n"
+
+Fields = dict[str, str]
+
+
+class Form(enum.Enum):
+    """How a proper request is written."""
+
+    PLAIN = "plain"
+    UPGRADE = "upgrade"
+    ABSOLUTE = "absolute"
+    HOST = "host"
+    LONG = "long"
+    CHUNKED = "chunked"
+    EXPECT = "expect"
+    PIECES = "pieces"
+
+
+def path_of(form: Form, path: str, max_head_bytes: int) -> str:
+    """Returns the path for a form; one may be half of the longest head."""
+    if form is not Form.LONG:
+        return path
+    return path + "/" + "p" * (max_head_bytes // 2 - len(path) - 1)
+
+
+def pieces_of(
+    form: Form,
+    *,
+    path: str,
+    host: str,
+    fields: Fields,
+    body: bytes,
+    max_head_bytes: int,
+) -> list[bytes]:
+    """Returns the bytes of a POST in the pieces in which they are written.
+
+    Args:
+        form: Form of the request.
+        path: Its path.
+        host: Host of its route.
+        fields: Header fields that it has in any form.
+        body: Its body.
+        max_head_bytes: Bytes that all header fields may have.
+    """
+    target = f"http://{host}{path}" if form is Form.ABSOLUTE else path
+    lines = dict(fields)
+    lines["Host"] = f"{host.upper()}:8100" if form is Form.HOST else host
+    if form is Form.CHUNKED:
+        lines["Transfer-Encoding"] = "chunked"
+    else:
+        lines["Content-Length"] = str(len(body))
+    if form is Form.UPGRADE:
+        lines["Connection"] = "Upgrade, HTTP2-Settings"
+        lines["Upgrade"] = "h2c"
+        lines["HTTP2-Settings"] = "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA"
+    if form is Form.EXPECT:
+        lines["Expect"] = "100-continue"
+    if form is Form.LONG:
+        used = sum(len(name) + len(lines[name]) + 4 for name in lines)
+        lines["X-Filler"] = "f" * (max_head_bytes - used - 12)
+    head = f"POST {target} HTTP/1.1\r\n" + "".join(
+        f"{name}: {value}\r\n" for name, value in lines.items()
+    )
+    data = head.encode() + _END
+    if form is Form.EXPECT:
+        return [data, body]
+    data += _chunked(body) if form is Form.CHUNKED else body
+    step = PIECE_BYTES if form is Form.PIECES else len(data)
+    return [data[at : at + step] for at in range(0, len(data), step)]
+
+
+def _chunked(body: bytes) -> bytes:
+    size = max(CHUNK_BYTES, len(body) // 10)
+    parts = [
+        b'%x;name="a;b"\r\n%b\r\n'
+        % (len(body[at : at + size]), body[at:][:size])
+        for at in range(0, len(body), size)
+    ]
+    return b"".join(parts) + b"0;last\r\nX-Trailer: t\r\n\r\n"
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, Fields]:
+    """Returns the first line and the fields by their lower-case names."""
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.lower()] = value.strip()
+    return lines[0], fields
+
+
+async def read_answer_head(
+    reader: asyncio.StreamReader,
+) -> tuple[int, Fields]:
+    """Returns the status and the fields of an answer."""
+    line, fields = await read_head(reader)
+    return int(line.split()[1]), fields
+
+
+async def read_body(reader: asyncio.StreamReader, fields: Fields) -> bytes:
+    """Returns the body of a message that has a length or chunks.
+
+    Raises:
+        OSError: It is too long.
+    """
+    if fields.get("transfer-encoding", "").lower() != "chunked":
+        return await reader.readexactly(int(fields.get("content-length", 0)))
+    parts = []
+    count = 0
+    while size := int((await reader.readline()).partition(b";")[0], 16):
+        count += size
+        if count > MAX_ANSWER_BYTES:
+            raise OSError("the body does not end")
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(len(_END))
+    while (await reader.readline()).strip():
+        pass
+    return b"".join(parts)
+
+
+def is_final(status: int) -> bool:
+    """Returns whether an answer is more than an informational one."""
+    return status >= _FIRST_FINAL
--- a/bench/fault_world.py
+++ b/bench/fault_world.py
@@ -166,6 +166,8 @@
         # Monotonic time at which each route was taken by the store.
         self.known_s_by_route: dict[str, float] = {}
         self.service_by_route: dict[str, str] = {}
+        # Limits on callers in the newest configuration.
+        self.limits = dict(_LIMITS)
         self._version = 0
         self._target_count = 0
         self._tasks: list[asyncio.Task] = []
@@ -247,7 +249,7 @@
         spec = {
             "version": f"r{self._version}",
             "services": [],
-            "limits": _LIMITS,
+            "limits": self.limits,
             "hosts": [{"host": HOST, "paths": paths}],
         }
         self.put(
--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -132,7 +132,9 @@
         for status in (301, 400, 413, 431):
             self.denied(status)
         self.assert_broken(*["DENIED"] * 4)
-        self.assertEqual(f"DENIED: q1 301 by {FRONT}", self.ledger.broken[0])
+        self.assertEqual(
+            f"DENIED: q1 301 by {FRONT} (plain)", self.ledger.broken[0]
+        )
 
     def test_denial_by_a_front_out_of_touch_or_a_target(self):
         self.denied(404, is_signed=True)
--- /dev/null
+++ b/tests/test_fault_wire.py
@@ -0,0 +1,69 @@
+"""Tests of the forms of requests in the fault soak."""
+
+import asyncio
+import unittest
+
+from bench import fault_wire
+
+LIMIT = 4096
+PATH = "/route/id"
+
+
+class FaultWireTest(unittest.IsolatedAsyncioTestCase):
+    """Each form must be the same request, and stay below the limits."""
+
+    def written(self, form: fault_wire.Form, body: bytes) -> bytes:
+        return b"".join(
+            fault_wire.pieces_of(
+                form,
+                path=fault_wire.path_of(form, PATH, LIMIT),
+                host="soak.example",
+                fields={"X-Id": "id"},
+                body=body,
+                max_head_bytes=LIMIT,
+            )
+        )
+
+    async def read(self, data: bytes) -> tuple[str, dict[str, str], bytes]:
+        reader = asyncio.StreamReader()
+        reader.feed_data(data)
+        reader.feed_eof()
+        line, fields = await fault_wire.read_head(reader)
+        body = await fault_wire.read_body(reader, fields)
+        self.assertEqual(b"", await reader.read())
+        return line, fields, body
+
+    async def test_each_form_carries_the_same_request(self):
+        for form in fault_wire.Form:
+            for body in (b"", b"123456789", bytes(50_000)):
+                line, fields, got = await self.read(self.written(form, body))
+                self.assertEqual(body, got, form)
+                self.assertEqual("id", fields["x-id"])
+                host = fields["host"].lower().partition(":")[0]
+                self.assertEqual("soak.example", host)
+                self.assertIn(PATH, line)
+
+    async def test_long_form_uses_the_limits(self):
+        data = self.written(fault_wire.Form.LONG, b"")
+        line, fields, _ = await self.read(data)
+        self.assertEqual(LIMIT // 2, len(line.split()[1]))
+        self.assertEqual(LIMIT, len(data) - len(line) - 4)
+
+    async def test_small_pieces(self):
+        pieces = fault_wire.pieces_of(
+            fault_wire.Form.PIECES,
+            path=PATH,
+            host="soak.example",
+            fields={},
+            body=b"abc",
+            max_head_bytes=LIMIT,
+        )
+        self.assertGreater(len(pieces), 2)
+
+    async def test_endless_body_is_given_up(self):
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"%x\r\n" % (fault_wire.MAX_ANSWER_BYTES + 1))
+        with self.assertRaises(OSError):
+            await fault_wire.read_body(
+                reader, {"transfer-encoding": "chunked"}
+            )
