--- a/fuchsiacourse/front/route_table.py
+++ b/fuchsiacourse/front/route_table.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "max_head_bytes",
+        "max_target_bytes",
         "max_body_bytes",
         "head_timeout_s",
         "idle_timeout_s",
@@ -34,20 +35,18 @@
         idle_timeout_s: float | None = None,
     ) -> None:
         self.max_head_bytes = max_head_bytes
+        # Longest request target; it doesn't count as part of the head.
+        self.max_target_bytes = max(MIN_TARGET_BYTES, max_head_bytes or 0)
         self.max_body_bytes = max_body_bytes
         self.head_timeout_s = head_timeout_s
         self.idle_timeout_s = idle_timeout_s
 
-    @property
-    def max_target_bytes(self) -> int:
-        """Longest request target; it doesn't count as part of the head."""
-        return max(MIN_TARGET_BYTES, self.max_head_bytes or 0)
-
     def fill(self, other: CallerLimits) -> None:
         """Takes over what isn't known from other limits."""
         for name in self.__slots__:
             if getattr(self, name) is None:
                 setattr(self, name, getattr(other, name))
+        self.max_target_bytes = max(MIN_TARGET_BYTES, self.max_head_bytes)
 
 
 class RouteGap:
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -202,6 +202,13 @@
         line = b"GET /%s HTTP/1.1\r\n" % (b"a" * 8000)
         self.assertEqual(414, self.rejected(line + b"Host: h\r\n\r\n"))
 
+    def test_many_requests_in_one_piece_rejected_as_an_endless_head(self):
+        one = b"GET /orders/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.parser.feed(one * 7000)
+        self.parser.feed(one[:-2])
+        self.parser.feed(one[-2:])
+        self.assertEqual(7001, len(self.parser.requests))
+
     def test_endless_header_is_stopped(self):
         status = 0
         for _ in range(200):
