Drop the trailers of a chunked body

Callers whose chunked body ends with trailers got 431 where headers and trailers together were beyond the limit on headers; and trailers were passed on as headers.

Cause: the library reports both alike, and the parser added trailers to the headers and to their count.

Evidence: test_trailers_taken_for_headers failed on the code before (431 for headers and trailers of more than 900 bytes each, limit 1000).

Change: trailers are dropped and have a bound of their own.

After: accepted with the headers of the head alone.

--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -66,6 +66,7 @@
         "_target",
         "_headers",
         "_head_bytes",
+        "_trailer_bytes",
         "_silent_bytes",
         "_has_progress",
         "_body",
@@ -221,7 +222,10 @@
             raise errors.RequestRejected(_TARGET_TOO_LONG, "target too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser with a header."""
+        """Called by the parser with a header or a trailer."""
+        if self._reads_body:
+            self._drop_trailer(name, value)
+            return
         self._head_bytes += len(name) + len(value) + _HEADER_EXTRA_BYTES
         if (
             self._head_bytes > self._limits.max_head_bytes
@@ -230,6 +234,14 @@
             raise errors.RequestRejected(_HEADERS_TOO_LARGE, "head too large")
         self._headers.append((name.lower(), value.strip(b" \t")))
 
+    def _drop_trailer(self, name: bytes, value: bytes) -> None:
+        """Counts a trailer, which has no say in what the request is."""
+        self._trailer_bytes += len(name) + len(value) + _HEADER_EXTRA_BYTES
+        if self._trailer_bytes > self._limits.max_head_bytes:
+            raise errors.RequestRejected(
+                _HEADERS_TOO_LARGE, "trailers too large"
+            )
+
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
         self._has_progress = True
@@ -345,6 +357,7 @@
         self._target = b""
         self._headers: http_request.Headers = []
         self._head_bytes = 0
+        self._trailer_bytes = 0
         self._reads_body = False
 
 
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -60,6 +60,29 @@
         )
         self.assertEqual(b"abcde", self.parser.requests[0].body)
 
+    def test_trailers_taken_for_headers(self):
+        headers = b"Transfer-Encoding: chunked\r\nX-A: %s\r\n" % (b"a" * 880)
+        trailers = b"Host: other\r\nX-B: c\r\nX-C: %s\r\n" % (b"d" * 900)
+        body = b"3\r\nabc\r\n0\r\n" + trailers + b"\r\n"
+        self.parser.feed(HEAD + headers + b"\r\n" + body + HEAD)
+        request = self.parser.requests.popleft()
+        self.assertEqual(
+            [b"host", b"transfer-encoding", b"x-a"],
+            [name for name, _ in request.headers],
+        )
+        self.assertEqual(b"abc", request.body)
+
+    def test_trailers_are_bounded(self):
+        start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+        trailers = [b"X-%d: %s\r\n" % (i, b"v" * 50) for i in range(40)]
+        self.assertEqual(431, self.rejected(start + b"".join(trailers)))
+        self.setUp()
+        self.parser.feed(start + b"X-A: ")
+        piece = b"v" * 1000
+        with self.assertRaises(errors.RequestRejected):
+            for _ in range(100):
+                self.parser.feed(piece)
+
     def test_pipelined_requests_keep_their_order(self):
         one = b"GET /orders/%d HTTP/1.1\r\nHost: h\r\n\r\n"
         self.parser.feed(one % 1 + one % 2)
