Write 100 Continue when its request is next

Callers that pipeline a request with Expect behind another could read 100 Continue ahead of, or in the middle of, the answer to the request before it. Callers of HTTP/1.0, which has no such answer, were sent one too.

Cause: the line was written as soon as the head had been read.

Evidence: test_continue_written_among_the_answers_before_it, test_body_waiting_for_continue_rejected_as_slow and test_continue_sent_to_a_caller_of_http_1_0 failed on the code before.

Change: the line is written when all earlier answers are, unless the body has begun to come; the time for the body starts then. HTTP/1.0 gets none.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -122,9 +122,6 @@
             if self._rejection is not None or not self._parser.is_reading:
                 self._close()
             return
-        if self._parser.wants_continue and self._transport is not None:
-            self._parser.wants_continue = False
-            self._transport.write(_CONTINUE)
         self._next()
 
     def eof_received(self) -> bool:
@@ -211,6 +208,11 @@
                 ),
                 keeps_alive=False,
             )
+        elif self._parser.wants_continue:
+            self._parser.wants_continue = False
+            # The time for the body starts now.
+            self._heard_s = self._server.clock.now()
+            self._send(_CONTINUE)
         queued = len(self._parser.requests)
         if queued > MAX_QUEUED or self._is_flow_paused:
             self._transport.pause_reading()
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -256,7 +256,8 @@
             if name == b"content-length":
                 self._check_body(int(value))
             elif name == b"expect" and value.lower() == b"100-continue":
-                self.wants_continue = True
+                # RFC 9110 10.1.1: HTTP/1.0 has no such answer.
+                self.wants_continue = self._takes_chunks()
 
     def _take_absolute(self) -> None:
         """Splits a target in absolute form into host and path."""
@@ -273,6 +274,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
+        self.wants_continue = False
         self._has_progress = True
         self._body_bytes += len(body)
         self._check_body(self._body_bytes)
@@ -301,6 +303,9 @@
             self._end_stream()
         self._reset()
 
+    def _takes_chunks(self) -> bool:
+        return self._parser.get_http_version() == "1.1"
+
     def _take(self, count: int) -> None:
         if not self._budget.take(count):
             raise errors.RequestRejected(
@@ -326,7 +331,7 @@
                     self._clock.now() if started_s is None else started_s
                 ),
                 keeps_alive=self._parser.should_keep_alive(),
-                takes_chunks=self._parser.get_http_version() == "1.1",
+                takes_chunks=self._takes_chunks(),
                 rest=self._stream,
             )
         )
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -11,6 +11,10 @@
 from fuchsiacourse import system_clock
 
 GET = b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
+EXPECTING = (
+    b"POST /2 HTTP/%s\r\nHost: h\r\nContent-Length: 2\r\n"
+    b"Expect: 100-continue\r\n\r\n"
+)
 
 
 class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
@@ -171,6 +175,47 @@
         self.assertEqual(b"/1", body)
         self.assertEqual(b"", await self.reader.read())
 
+    async def test_continue_written_among_the_answers_before_it(self):
+        self.release.clear()
+        self.writer.write(GET % b"1" + EXPECTING % b"1.1")
+        while not self.server.busy:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        self.release.set()
+        head, body = await self.read_answer()
+        self.assertIn(b" 200 ", head)
+        self.assertNotIn(b"100 Continue", head)
+        self.assertEqual(b"/1", body)
+        line = await self.reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"100 Continue", line)
+        self.writer.write(b"ab")
+        self.assertEqual(b"/2", (await self.read_answer())[1])
+
+    async def test_body_waiting_for_continue_rejected_as_slow(self):
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=100,
+            head_timeout_s=3.0,
+            idle_timeout_s=0.2,
+        )
+        self.release.clear()
+        self.writer.write(GET % b"1" + EXPECTING % b"1.1")
+        await asyncio.sleep(0.4)
+        self.release.set()
+        await self.read_answer()
+        self.server.sweep()
+        await self.reader.readuntil(b"\r\n\r\n")
+        self.writer.write(b"ab")
+        self.assertEqual(b"/2", (await self.read_answer())[1])
+
+    async def test_continue_sent_to_a_caller_of_http_1_0(self):
+        self.writer.write(EXPECTING % b"1.0")
+        await asyncio.sleep(0.05)
+        self.writer.write(b"ab")
+        head, body = await self.read_answer()
+        self.assertNotIn(b"100 Continue", head)
+        self.assertEqual(b"/2", body)
+
     async def test_expectation_is_met(self):
         self.writer.write(
             b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
