Find the route of a host that ends with a dot

Callers would see: 404 for a host written as an absolute name, as in `one.example.`, and all callers 404 if the operator lists it so or with a port.

Cause: the host was compared as sent but for case and port, and that of the configuration as listed but for case.

Change: both are read by one function, which leaves out the port and the dot that ends an absolute name.

--- a/fuchsiacourse/front/http_request.py
+++ b/fuchsiacourse/front/http_request.py
@@ -84,5 +84,11 @@
 
 
 def host_name(value: str) -> str:
-    """Returns a host in lower case, without a port."""
-    return value.partition(":")[0].strip().lower()
+    """Returns a host in lower case, without a port.
+
+    The dot that ends an absolute name is left out: it names the same host.
+    """
+    name = value.strip().lower()
+    if name.startswith("["):
+        return name.partition("]")[0] + "]"
+    return name.partition(":")[0].rstrip().removesuffix(".")
