Tell the other regions of a newer configuration

Callers would see: 404 for added routes from the fronts of a region whose watches of the store have all lost the answer, for up to 28 s.

Cause: fronts told their version and revision to their own region only.

Evidence: without the new packet the new test fails: fronts of the other region still know of version 3 when version 9 is in force.

Change: a front that watches sends one packet to each other region when it adopts a configuration; it is passed on there as a warning of a suspect target is, and makes the fronts doubt a hung watch.

Figures: packets between regions for each new configuration, one for each front that watches and each other region; none otherwise.

--- a/fuchsiacourse/front/fleet.py
+++ b/fuchsiacourse/front/fleet.py
@@ -112,17 +112,13 @@
 
     def warn(self, evidence: evidences.Evidence) -> None:
         """Tells the other regions of a target that has become suspect."""
-        data = self._packet(
-            evidence=[evidence], is_region_relayed=True
-        ).encode()
-        regions = self._settings.regions_by_zone
-        by_region: dict[str, list[str]] = {}
-        for member in self.by_ip.values():
-            region = regions[self._zones[member.zone]]
-            by_region.setdefault(region, []).append(member.ip)
-        for region, ips in by_region.items():
-            if region != self._settings.region:
-                self._datagram.send(self._address(self._rng.choice(ips)), data)
+        self._send_regions(
+            self._packet(evidence=[evidence], is_region_relayed=True)
+        )
+
+    def announce_regions(self) -> None:
+        """Tells a change of the own state to the other regions."""
+        self._send_regions(self._packet(is_region_relayed=True, has_view=True))
 
     def flush(self) -> None:
         """Sends the evidence that is waiting."""
@@ -238,6 +234,17 @@
             if member.zone == self._zone:
                 self._datagram.send(self._address(member.ip), data)
 
+    def _send_regions(self, packet: fleet_packet.FleetPacket) -> None:
+        data = packet.encode()
+        regions = self._settings.regions_by_zone
+        by_region: dict[str, list[str]] = {}
+        for member in self.by_ip.values():
+            region = regions[self._zones[member.zone]]
+            by_region.setdefault(region, []).append(member.ip)
+        for region, ips in by_region.items():
+            if region != self._settings.region:
+                self._datagram.send(self._address(self._rng.choice(ips)), data)
+
     def _send_far(self, packet: fleet_packet.FleetPacket) -> None:
         data = packet.encode()
         now_s = self._clock.now()
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -376,6 +376,8 @@
 
     def _adopt(self, table: route_table.RouteTable) -> None:
         table.limits.fill(self._limits())
+        if self._relay.watches:
+            self._fleet.announce_regions()
         self._forwarder.config = table
         self._rejections.adopted(table)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -153,6 +153,19 @@
 
         self.play(script)
 
+    def test_newer_configuration_is_known_in_all_regions(self):
+        async def script(network):
+            origin = self.fronts["10.0.0.2"]
+            origin.status.config_version = 9
+            origin.fleet.announce()
+            origin.fleet.announce_regions()
+            await asyncio.sleep(0.1)
+            for ip, front in self.fronts.items():
+                if front is not origin:
+                    self.assertEqual(9, front.fleet.config_version(), ip)
+
+        self.play(script)
+
     def test_restarted_front_is_known_again_with_its_seeds_down(self):
         async def script(network):
             for ip in SEEDS:
