Split the answers about the front itself from its program

Change: front.service_calls answers ready, resolve and metrics; tests of hung watches have a file of their own, and one more plays a front that takes over the watch of a store that is silent to it. No test was dropped.

--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -9,7 +9,6 @@
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
-from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import config_follower
 from fuchsiacourse.front import copy_exchange
@@ -23,14 +22,13 @@
 from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import front_status
-from fuchsiacourse.front import http_answer
-from fuchsiacourse.front import http_request
 from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import pooled_sender
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import repeat_budget
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import service_calls
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import settings_watch
 from fuchsiacourse.front import store_relay
@@ -49,7 +47,6 @@
 # slow host takes some of it.
 STOP_MARGIN_S = 0.6
 _STOP_POLL_S = 0.05
-METRICS_PATH = "/metrics"
 # Hosts with faster links count as equal, in Mbit/s: the figure is one byte.
 MAX_CAPACITY = 255
 # Limits until a configuration is known.
@@ -283,11 +280,17 @@
     def _make_servers(self) -> list[caller_server.CallerServer]:
         settings = self._settings
         copies = copy_exchange.CopyHandler(find=self._relay.find)
+        calls = service_calls.ServiceCalls(
+            adapter=self._adapter,
+            addresses=self._directory,
+            metrics=self._metrics,
+            is_ready=lambda: self.is_ready,
+        )
         handlers = [
             (settings.front_address, self._forwarder.handle),
-            (settings.ready_address, self._answer_ready),
-            (settings.directory_address, self._answer_resolve),
-            (settings.metrics_address, self._answer_metrics),
+            (settings.ready_address, calls.ready),
+            (settings.directory_address, calls.resolve),
+            (settings.metrics_address, calls.metrics),
             ((settings.ip, settings.peer_port), copies.handle),
         ]
         budget = body_budget.BodyBudget()
@@ -305,33 +308,6 @@
             if address is not None
         ]
 
-    async def _answer_ready(
-        self,
-        request: http_request.HttpRequest,
-        presence: caller_presence.CallerPresence,
-    ) -> http_answer.HttpAnswer:
-        return self._adapter.answer_ready(request, self.is_ready)
-
-    async def _answer_resolve(
-        self,
-        request: http_request.HttpRequest,
-        presence: caller_presence.CallerPresence,
-    ) -> http_answer.HttpAnswer:
-        return self._adapter.answer_resolve(request, self._directory)
-
-    async def _answer_metrics(
-        self,
-        request: http_request.HttpRequest,
-        presence: caller_presence.CallerPresence,
-    ) -> http_answer.HttpAnswer:
-        if request.path != METRICS_PATH:
-            return http_answer.HttpAnswer(status=404, headers=[])
-        return http_answer.HttpAnswer(
-            status=200,
-            headers=[(b"content-type", b"text/plain; version=0.0.4")],
-            body=self._metrics.render(),
-        )
-
     def _gauges(self) -> dict[str, float]:
         now_s = self._clock.now()
         targets = list(self._table.by_id.values())
--- a/tests/test_front_process.py
+++ b/tests/test_front_process.py
@@ -13,7 +13,7 @@
 
 import uvicorn
 
-from fuchsiacourse.front import front_program
+from fuchsiacourse.front import service_calls
 from fuchsiacourse.platform import objects_app
 from fuchsiacourse.platform import settings_file
 from fuchsiacourse import platform_model
@@ -185,7 +185,7 @@
         )
         self.assertEqual([f"{IP}:{front}"], json.loads(body)["addresses"])
         self.assertEqual(404, (await self.call(front, "/nowhere/1", "q8"))[0])
-        status, body = await self.call(metrics, front_program.METRICS_PATH)
+        status, body = await self.call(metrics, service_calls.METRICS_PATH)
         self.assertIn(b'front_requests_total{service="s3"', body)
         await asyncio.sleep(0.1)
         story = request_story.RequestStory(request_id="q7")
--- /dev/null
+++ b/tests/test_hung_watches.py
@@ -0,0 +1,84 @@
+"""Tests of watches that wait for an answer that never comes."""
+
+import asyncio
+
+from tests import test_store_relay
+
+IPS = test_store_relay.IPS
+ENTRY = test_store_relay.ENTRY
+
+
+class HungWatchesTest(test_store_relay.Play):
+    """A front must not take its copy for the newest because it watches."""
+
+    def test_watch_whose_answer_is_lost(self):
+        async def script(world):
+            world.fronts[IPS[0]].line.lose_answers()
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
+
+    def test_lost_answers_to_all_watches_of_a_zone(self):
+        async def script(world):
+            for last in (1, 2):
+                world.start(f"10.0.1.{last}", "b")
+            await asyncio.sleep(5.0)
+            for ip in IPS[:2]:
+                world.fronts[ip].line.lose_answers()
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
+
+    def test_copy_is_taken_for_the_newest_after_a_pause(self):
+        async def script(world):
+            for ip in (IPS[0], IPS[5]):
+                front = world.fronts[ip]
+                self.assertTrue(front.targets.is_sure, ip)
+                front.clock.suspended_s += 3.0
+                self.assertFalse(front.targets.is_sure, ip)
+                front.relay.decide()
+                self.assertFalse(front.targets.is_sure, ip)
+                await asyncio.sleep(0.8)
+                self.assertTrue(front.targets.is_sure, ip)
+
+        self.play(script)
+
+    def test_word_from_before_a_pause_confirms_nothing(self):
+        async def script(world):
+            front = world.fronts[IPS[5]]
+            for ip in IPS[:2]:
+                world.fronts[ip].stop()
+            front.clock.suspended_s += 3.0
+            front.relay.decide()
+            await asyncio.sleep(0.4)
+            self.assertFalse(front.targets.is_sure)
+
+        self.play(script)
+
+    def test_watches_without_lost_answers_are_kept_open(self):
+        async def script(world):
+            for last in (1, 2):
+                world.start(f"10.0.1.{last}", "b")
+            await asyncio.sleep(5.0)
+            before = [front.line.watches for front in world.live()]
+            for number in range(20):
+                world.store.set("servers/t1", ENTRY("t1", born=number))
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(2.0)
+            after = [front.line.watches for front in world.live()]
+            calls = [new - old for old, new in zip(before, after)]
+            # Twenty changes in six seconds, gathered for 0.8 seconds each.
+            self.assertLessEqual(max(calls), 10)
+
+        self.play(script)
+
+    def test_front_that_takes_over_the_watch_of_a_silent_store(self):
+        async def script(world):
+            world.fronts[IPS[2]].line.is_silent = True
+            for ip in IPS[:2]:
+                world.fronts[ip].stop()
+            await asyncio.sleep(3.0)
+            self.assertIn(IPS[2], world.watching())
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -218,8 +218,8 @@
         return [front for front in self.fronts.values() if front.is_up]
 
 
-class StoreRelayTest(unittest.TestCase):
-    """Few fronts watch, and yet each leaves a target in time."""
+class Play(unittest.TestCase):
+    """Plays fronts of one zone; has no tests of its own."""
 
     def play(self, script) -> None:
         async def main():
@@ -244,6 +244,10 @@
         for front in world.live():
             self.assertNotIn(id, front.usable(), front.ip)
 
+
+class StoreRelayTest(Play):
+    """Few fronts watch, and yet each leaves a target in time."""
+
     def test_all_fronts_follow_and_two_call(self):
         async def script(world):
             before = {f.ip: f.line.calls for f in world.live()}
@@ -376,64 +380,3 @@
             self.assertEqual(0, front.line.calls)
 
         self.play(script)
-
-    def test_watch_whose_answer_is_lost(self):
-        async def script(world):
-            world.fronts[IPS[0]].line.lose_answers()
-            await self.check_drained_in_time(world, "t1")
-
-        self.play(script)
-
-    def test_lost_answers_to_all_watches_of_a_zone(self):
-        async def script(world):
-            for last in (1, 2):
-                world.start(f"10.0.1.{last}", "b")
-            await asyncio.sleep(5.0)
-            for ip in IPS[:2]:
-                world.fronts[ip].line.lose_answers()
-            await self.check_drained_in_time(world, "t1")
-
-        self.play(script)
-
-    def test_copy_is_taken_for_the_newest_after_a_pause(self):
-        async def script(world):
-            for ip in (IPS[0], IPS[5]):
-                front = world.fronts[ip]
-                self.assertTrue(front.targets.is_sure, ip)
-                front.clock.suspended_s += 3.0
-                self.assertFalse(front.targets.is_sure, ip)
-                front.relay.decide()
-                self.assertFalse(front.targets.is_sure, ip)
-                await asyncio.sleep(0.8)
-                self.assertTrue(front.targets.is_sure, ip)
-
-        self.play(script)
-
-    def test_word_from_before_a_pause_confirms_nothing(self):
-        async def script(world):
-            front = world.fronts[IPS[5]]
-            for ip in IPS[:2]:
-                world.fronts[ip].stop()
-            front.clock.suspended_s += 3.0
-            front.relay.decide()
-            await asyncio.sleep(0.4)
-            self.assertFalse(front.targets.is_sure)
-
-        self.play(script)
-
-    def test_watches_without_lost_answers_are_kept_open(self):
-        async def script(world):
-            for last in (1, 2):
-                world.start(f"10.0.1.{last}", "b")
-            await asyncio.sleep(5.0)
-            before = [front.line.watches for front in world.live()]
-            for number in range(20):
-                world.store.set("servers/t1", ENTRY("t1", born=number))
-                await asyncio.sleep(0.3)
-            await asyncio.sleep(2.0)
-            after = [front.line.watches for front in world.live()]
-            calls = [new - old for old, new in zip(before, after)]
-            # Twenty changes in six seconds, gathered for 0.8 seconds each.
-            self.assertLessEqual(max(calls), 10)
-
-        self.play(script)
