Wait for the first 404 of a front in the process test

The test expected 404 at the first request after the start, and got 503: since 404 is only answered from a confirmed copy, a front alone answers 503 for its first 0.6 s or so. The test now allows 503 until the copy is confirmed, within two seconds, and then 404 five times in a row.

--- a/tests/test_front_process.py
+++ b/tests/test_front_process.py
@@ -23,6 +23,7 @@
 from tests import test_pooled_sender
 from tests import test_target_follower
 
+CONFIRM_S = 2.0
 START_S = 20.0
 IP = "127.0.0.1"
 PATH = "/a/b/1"
@@ -175,6 +176,19 @@
             await asyncio.sleep(0.05)
         self.fail("the front was not ready in time")
 
+    async def until_unknown(self, port: int) -> None:
+        """Waits for 404; until its copy is confirmed the front sends 503."""
+        deadline_s = asyncio.get_running_loop().time() + CONFIRM_S
+        statuses = {503}
+        while statuses == {503}:
+            self.assertLess(asyncio.get_running_loop().time(), deadline_s)
+            await asyncio.sleep(0.05)
+            statuses.add((await self.call(port, "/nowhere/1", "q8"))[0])
+        self.assertEqual({404, 503}, statuses)
+        for _ in range(5):
+            status, _ = await self.call(port, "/nowhere/1", "q8")
+            self.assertEqual(404, status)
+
     async def test_request_is_served_and_told(self):
         front, _, directory, _, _, metrics = self.ports
         status, body = await self.call(front, PATH, "q7")
@@ -184,7 +198,7 @@
             directory, "/fuchsiacourse/resolve?name=x&region=east&zone=a"
         )
         self.assertEqual([f"{IP}:{front}"], json.loads(body)["addresses"])
-        self.assertEqual(404, (await self.call(front, "/nowhere/1", "q8"))[0])
+        await self.until_unknown(front)
         status, body = await self.call(metrics, service_calls.METRICS_PATH)
         self.assertIn(b'front_requests_total{service="s3"', body)
         await asyncio.sleep(0.1)
