Drop idle connections to the store with one that is silent

Callers would see: old routes, or 404 and 503 for new ones, for longer than one lost call takes: open connections can go silent together while new ones work, and each call after the first took the next silent one.

Evidence: on the code before, both new tests fail: with four silent connections the call after one that timed out, or that its caller gave up, times out as well.

Change: a call without an answer, and one that is given up, closes the idle connections too.

Figures: calls that time out with four silent connections, before: the first and the one after it, after: the first alone.

--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -186,8 +186,13 @@
                 connection.exchange(head + data, accepts=lambda _: True),
                 CALL_TIMEOUT_S + wait_s,
             )
+        except asyncio.CancelledError:
+            self.close()
+            raise
         except (errors.TargetError, TimeoutError) as error:
             connection.close()
+            # The other connections may be as silent.
+            self.close()
             detail = f"{method} {path}: {error!r}"
             if is_write:
                 raise errors.StoreUnsure(detail) from error
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -139,6 +139,66 @@
             await nobody.get("boxes/b")
 
 
+class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """Open connections may go silent while new ones work."""
+
+    async def asyncSetUp(self) -> None:
+        self.tasks: set[asyncio.Task] = set()
+        self.is_silent: set[asyncio.Task] = set()
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        address = self.server.sockets[0].getsockname()
+        self.store = object_store.ObjectStore(address=address)
+
+    async def asyncTearDown(self) -> None:
+        self.store.close()
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def serve(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                if task in self.is_silent:
+                    await asyncio.Event().wait()
+                await asyncio.sleep(0.02)
+                writer.write(
+                    b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}"
+                )
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def fall_silent(self) -> None:
+        """Opens some connections that are silent from now on."""
+        await asyncio.gather(*(self.store.get("boxes/b") for _ in range(4)))
+        self.assertEqual(4, len(self.tasks))
+        self.is_silent = set(self.tasks)
+
+    async def test_call_after_one_that_was_given_up_is_answered(self):
+        await self.fall_silent()
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(self.store.prove(), 0.1)
+        self.assertIsNone(
+            await asyncio.wait_for(self.store.get("boxes/b"), 1.0)
+        )
+
+    async def test_call_after_one_without_an_answer_is_answered(self):
+        await self.fall_silent()
+        patience_s = object_store.CALL_TIMEOUT_S
+        object_store.CALL_TIMEOUT_S = 0.1
+        try:
+            with self.assertRaises(errors.StoreUnavailable):
+                await self.store.get("boxes/b")
+            self.assertIsNone(await self.store.get("boxes/b"))
+        finally:
+            object_store.CALL_TIMEOUT_S = patience_s
+
+
 class ObjectsAppTest(ObjectStoreTest):
     """The stand-in must behave as the platform's pages say."""
 
