Take no old list for news after lost history

Callers would see: requests sent again to targets that had left, and sound targets unused, for the time of two calls of the store.

Cause: a front that had its copy from another one, then watched, and was told that the history is gone, listed for the first time itself. The first list of a kind is a cheap one that may be seconds old, so the copy went back until the next watch told again that its history is gone.

Evidence: on the code before, the new test fails: the list after lost history asks for old data.

Change: a list may be old only if it is the first call for its kind.

Figures: lists after lost history that may be old, before: the first of each kind, after: none.

--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -40,8 +40,8 @@
     """Objects by kind and name behind the product's port.
 
     A key is ``kind/name``; a prefix is ``kind/``. A value is the JSON of an
-    object's ``spec`` and ``status``. A watch from revision 0 lists; the
-    first such list of a kind may be old.
+    object's ``spec`` and ``status``. A watch from revision 0 lists; such a
+    list may be old if it is the first call for its kind.
 
     Args:
         address: IP number and port of the store.
@@ -51,7 +51,8 @@
         self._address = address
         self._host = f"{address[0]}:{address[1]}"
         self._idle: list[client_connection.ClientConnection] = []
-        self._listed: set[str] = set()
+        # Prefixes that have been listed or watched.
+        self._known: set[str] = set()
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -110,11 +111,12 @@
         Raises:
             StoreHistoryGone: The changes since then are no longer known.
         """
+        is_first = prefix not in self._known
+        self._known.add(prefix)
         if after_revision <= 0:
-            # An old list does no harm: the watch that follows from its
-            # revision brings all later changes or tells that they are lost.
-            is_first = prefix not in self._listed
-            self._listed.add(prefix)
+            # An old list does no harm to a caller that knows nothing: the
+            # watch that follows from its revision brings all later changes
+            # or tells that they are lost.
             return await self._list(prefix, may_be_old=is_first)
         wait_ms = int(timeout_s * 1000.0)
         query = f"?watch={after_revision}&wait_ms={wait_ms}"
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -109,6 +109,22 @@
         with self.assertRaises(errors.StoreHistoryGone):
             await self.store.watch("boxes/", after_revision=1, timeout_s=1.0)
 
+    async def test_list_after_lost_history_is_not_old(self):
+        await self.fill(9)
+        queries: list[str] = []
+        call = self.store._call
+
+        async def record(method, path, **options):
+            queries.append(path)
+            return await call(method, path, **options)
+
+        self.store._call = record
+        # The copy before came from another front, not from a list.
+        with self.assertRaises(errors.StoreHistoryGone):
+            await self.store.watch("boxes/", after_revision=1, timeout_s=1.0)
+        await self.store.watch("boxes/", after_revision=0, timeout_s=1.0)
+        self.assertNotIn("serializable", queries[-1])
+
     async def test_outage_and_rate_limit(self):
         self.model.faults.outage = True
         with self.assertRaises(errors.StoreRefused):
