Bound what a front reads of answers that never end

Callers saw: 504 at the deadline, or nothing of a request that another target could have served, while one target or server sent bytes without end. A change of protocol (101) ended a connection with a traceback.

Cause: the parser of answers had no limit on a head, on informational answers, chunk extensions or trailers; memory grew with the bytes. Late answers were read until the deadline. A bad long answer kept its connection until the end of the request. The deadline of a body that is passed on was looked at only while no bytes waited. Trailers were added to the headers, so a request id or refusal could come after the body.

Change: 64 KiB without a part of a body, 16 late answers or 8 MB behind the first of them make a bad answer and close the connection, as does a bad answer that is still arriving. Trailers are dropped. A body that still arrives at its deadline is cut off; one that is whole is delivered.

--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -12,6 +12,10 @@
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 
+# Bytes without a part of a body after which they are no answer: a head,
+# informational answers before it, chunk extensions or trailers. Common servers
+# limit a head to an eighth of it.
+MAX_HEAD_BYTES = 65_536
 _FIRST_FINAL = 200
 _BODILESS = frozenset((204, 304))
 
@@ -38,6 +42,7 @@
         "_headers",
         "_body",
         "_body_bytes",
+        "_bodiless_bytes",
         "_is_head_complete",
         "_is_framed",
     )
@@ -57,6 +62,8 @@
         self._passing_on = passing_on
         self._stream: body_stream.BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
+        # Bytes since the last part of a body or final head.
+        self._bodiless_bytes = 0
         self._reset()
 
     def feed(self, data: bytes) -> None:
@@ -65,14 +72,15 @@
         Raises:
             TargetBadAnswer: The bytes are not an answer.
         """
+        self._bodiless_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            # Answers before the malformed bytes are whole.
-            self.closes = True
-            self.break_off(errors.TargetBadAnswer(str(error)))
-            if not self.answers:
-                raise errors.TargetBadAnswer(str(error)) from error
+            self._spoil(errors.TargetBadAnswer(str(error)))
+        except httptools.HttpParserUpgrade:
+            self._spoil(errors.TargetBadAnswer("change of protocol"))
+        if self._bodiless_bytes > MAX_HEAD_BYTES:
+            self._spoil(errors.TargetBadAnswer("no end of a head"))
 
     @property
     def is_passing_on(self) -> bool:
@@ -85,6 +93,13 @@
         if stream is not None:
             stream.fail(error)
 
+    def _spoil(self, error: errors.TargetBadAnswer) -> None:
+        # Answers before the malformed bytes are whole.
+        self.closes = True
+        self.break_off(error)
+        if not self.answers:
+            raise error
+
     def end(self) -> None:
         """Ends an answer whose length is given by an orderly close."""
         if self._is_head_complete and not self._is_framed:
@@ -102,13 +117,17 @@
         self.has_begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser with a header."""
+        """Called by the parser with a header or a trailer."""
+        if self._is_head_complete:
+            return
         self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
         self._is_head_complete = True
         status = self._parser.get_status_code()
+        if status >= _FIRST_FINAL:
+            self._bodiless_bytes = 0
         self._is_framed = status in _BODILESS or any(
             name == b"content-length"
             or (name == b"transfer-encoding" and value.lower() == b"chunked")
@@ -117,6 +136,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
+        self._bodiless_bytes = 0
         if self._stream is not None:
             self._stream.feed(body)
             return
@@ -135,6 +155,7 @@
             self._reset()
             return
         self._complete()
+        self._bodiless_bytes = 0
 
     def _is_too_long_to_hold(self) -> bool:
         return (
--- a/fuchsiacourse/front/body_stream.py
+++ b/fuchsiacourse/front/body_stream.py
@@ -117,6 +117,10 @@
             BodyCutOff: The body has ended early, or the time is over.
         """
         self.is_started = True
+        now_s = asyncio.get_running_loop().time()
+        if now_s > self.deadline_s and not self._is_ended:
+            self.close()
+            raise errors.BodyCutOff("the time is over")
         while not self._parts:
             if self._error is not None:
                 raise errors.BodyCutOff(str(self._error)) from self._error
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -18,6 +18,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
+# Bytes that are read in search of the answer once a late one has come; a link
+# of 1 Gbit/s carries them in 64 ms.
+MAX_LATE_BYTES = 8_000_000
+# Late answers on a connection; it has one request at a time, which may be
+# answered more than once.
+MAX_LATE_ANSWERS = 16
 
 Accepts = typing.Callable[[http_answer.HttpAnswer], bool]
 
@@ -43,6 +49,9 @@
         self._is_head = False
         # Whether the server has answered a request out of turn.
         self.is_out_of_step = False
+        self._late_answers = 0
+        # Bytes read since the first late answer.
+        self._late_bytes = 0
         # Answers that were taken.
         self.answered = 0
         # Whether each answer named its request, so that a late copy does too.
@@ -181,6 +190,8 @@
         if self._is_head:
             self._parser.end_head()
         self._take()
+        if self.is_out_of_step:
+            self._count_late(data)
         if was_passing_on and self._waiter is None:
             self._after_stream()
 
@@ -215,6 +226,17 @@
                 answer.rest.discard()
             # A late answer to an earlier request; ours comes next.
             self.is_out_of_step = True
+            self._late_answers += 1
+
+    def _count_late(self, data: bytes) -> None:
+        if self._waiter is None or self._waiter.done():
+            return
+        self._late_bytes += len(data)
+        if (
+            self._late_bytes > MAX_LATE_BYTES
+            or self._late_answers > MAX_LATE_ANSWERS
+        ):
+            self._fail(errors.TargetBadAnswer("only late answers"))
 
     def _finish(self, answer: http_answer.HttpAnswer) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -204,6 +204,8 @@
             if not _is_in_turn(connection, result.outcome, is_idempotent):
                 result.outcome = outcomes.Outcome.BAD_ANSWER
                 result.detail = "names no request"
+        if result.outcome is outcomes.Outcome.BAD_ANSWER and answer.rest:
+            answer.rest.close()
         if answer.rest is not None and not answer.rest.is_ended:
             answer.rest.deadline_s = deadline_s
             connection.when_idle = lambda: self._keep(
--- a/tests/test_answer_parser.py
+++ b/tests/test_answer_parser.py
@@ -63,3 +63,37 @@
     def test_answer_that_is_too_large(self):
         with self.assertRaises(errors.TargetBadAnswer):
             self.parser.feed(OK + b"Content-Length: 200\r\n\r\n" + b"x" * 200)
+
+    def test_bytes_without_end_that_complete_no_answer(self):
+        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        for name, begin, more in (
+            ("status line", b"HTTP/1.1 200 ", b"a"),
+            ("header name", OK, b"a"),
+            ("header value", OK + b"X: ", b"a"),
+            ("headers", OK, b"X: a\r\n"),
+            ("informational", b"", b"HTTP/1.1 103 Hints\r\nX: a\r\n\r\n"),
+            ("empty lines", b"", b"\r\n"),
+            ("chunk extension", chunked + b"1;", b"a"),
+            ("trailers", chunked + b"1\r\na\r\n0\r\n", b"X: a\r\n"),
+        ):
+            with self.subTest(name):
+                parser = answer_parser.AnswerParser(max_bytes=100)
+                block = more * (4096 // len(more))
+                with self.assertRaises(errors.TargetBadAnswer):
+                    parser.feed(begin)
+                    for _ in range(20):
+                        parser.feed(block)
+
+    def test_trailers_say_nothing_of_the_answer(self):
+        self.parser.feed(
+            OK
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\na\r\n0\r\nX-Late: b\r\n\r\n"
+        )
+        self.assertIsNone(self.parser.answers[0].header(b"x-late"))
+
+    def test_change_of_protocol_is_no_answer(self):
+        for head in (b"Upgrade: x\r\nConnection: upgrade\r\n", b""):
+            parser = answer_parser.AnswerParser(max_bytes=100)
+            with self.assertRaises(errors.TargetBadAnswer):
+                parser.feed(b"HTTP/1.1 101 Switching\r\n" + head + b"\r\n")
