Don't time an empty line between requests as a head

A caller whose client ends a body with an extra empty line, which RFC 9112 2.2 asks a server to ignore, got 408 and the end of its kept connection when the time for a head was over, though no request was under way.

Cause: the time of a request began with any byte, not with its first.

Change: only the parser's report of a first byte starts the time.

Before: such a connection counts as reading. After: as idle.

--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -154,8 +154,6 @@
         Raises:
             RequestRejected: The bytes are not an acceptable request.
         """
-        if self.head_started_s is None:
-            self.head_started_s = self._clock.now()
         self._has_progress = False
         try:
             self._feed(data)
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -60,6 +60,16 @@
         )
         self.assertEqual(b"abcde", self.parser.requests[0].body)
 
+    def test_empty_line_between_requests_timed_as_a_head(self):
+        self.parser.feed(HEAD + b"\r\n")
+        self.parser.feed(b"\r\n")
+        self.assertFalse(self.parser.is_reading)
+        self.clock.now_s += 2.0
+        self.parser.feed(b"\r\n" + HEAD)
+        self.assertEqual(self.clock.now_s, self.parser.head_started_s)
+        self.parser.feed(b"\r\n")
+        self.assertEqual(2, len(self.parser.requests))
+
     def test_trailers_taken_for_headers(self):
         headers = b"Transfer-Encoding: chunked\r\nX-A: %s\r\n" % (b"a" * 880)
         trailers = b"Host: other\r\nX-B: c\r\nX-C: %s\r\n" % (b"d" * 900)
