Answer 501 to a method that the parser doesn't know

Callers with an uncommon method got 400, as if the request were malformed.

Cause: the library reports an unknown method and bytes that are no request alike.

Evidence: test_unknown_method_rejected_as_malformed failed on the code before for all 4 methods.

Change: a whole request line with an unknown method gets 501, if no other request waits on the connection; anything else still gets 400.

Before: 4 of 4 got 400.

--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -19,11 +19,15 @@
 _TOO_LARGE = 413
 _TARGET_TOO_LONG = 414
 _HEADERS_TOO_LARGE = 431
+_NOT_IMPLEMENTED = 501
 _UNAVAILABLE = 503
 # Colon and end of line; the space behind a colon is optional.
 _HEADER_EXTRA_BYTES = 3
 _CONNECT = b"CONNECT"
 _HOST = b"host"
+_REQUEST_LINE = re.compile(
+    rb"[\r\n]*[!#$%&'*+.^_`|~0-9A-Za-z-]+ +[^ \r\n]+ HTTP/1\.[01]\r\n"
+)
 # Users in an authority are an error (RFC 9110 4.2.4).
 _ABSOLUTE = re.compile(
     rb"https?://(?P<authority>[^/?#@]+)(?P<path>[/?][^#]*)?", re.I
@@ -173,6 +177,12 @@
                     return
                 except httptools.HttpParserUpgrade as error:
                     data = self._plain_head() + data[error.args[0] :]
+        except httptools.HttpParserInvalidMethodError as error:
+            if not self.requests and _REQUEST_LINE.match(data):
+                raise errors.RequestRejected(
+                    _NOT_IMPLEMENTED, "unknown method"
+                ) from error
+            raise errors.RequestRejected(_BAD_REQUEST, str(error)) from error
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.RequestRejected):
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -166,6 +166,13 @@
                 names = [name for name, _ in request.headers]
                 self.assertEqual([b"a", b"host"], names)
 
+    def test_unknown_method_rejected_as_malformed(self):
+        for method in (b"LABEL", b"GETS", b"get", b"X-Y"):
+            with self.subTest(method=method):
+                self.setUp()
+                line = b"%s /orders/1 HTTP/1.1\r\n" % method
+                self.assertEqual(501, self.rejected(line + b"Host: h\r\n\r\n"))
+
     def test_tunnels_are_rejected(self):
         for target in (b"h:80", b"/orders/1"):
             with self.subTest(target=target):
