Pass on a long answer that begins before the request's body is in

Callers saw: a cut answer when a target began a long answer (over 256 KiB) while the rest of the request's body was still to come.

Cause: the sender closed the connection as soon as it had an answer and body bytes were left, also when the answer itself was still arriving. A body that ended early closed the connection as well.

Change: while an answer is passed on, the body goes on too, and the connection isn't used again. A body that stops after the answer has begun doesn't spoil the answer.

--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -56,6 +56,8 @@
         self.answered = 0
         # Whether each answer named its request, so that a late copy does too.
         self.is_traceable = True
+        # Sends what follows of a request's body.
+        self._pumping: asyncio.Task[None] | None = None
         self._may_write = asyncio.Event()
         self._may_write.set()
         # Called when a long answer has been passed on whole and another
@@ -130,9 +132,8 @@
         self._is_head = is_head
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
-        pump: asyncio.Task[None] | None = None
         if rest is not None:
-            pump = asyncio.ensure_future(self._pump(rest, is_chunked))
+            self._pumping = asyncio.ensure_future(self._pump(rest, is_chunked))
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -140,10 +141,18 @@
             raise
         finally:
             self._waiter = None
-            if pump is not None and not pump.done():
-                # The rest of the body is due before the next request.
-                pump.cancel()
-                self.close()
+            self._end_pumping()
+
+    def _end_pumping(self) -> None:
+        if self._pumping is None or self._pumping.done():
+            return
+        # The rest of the body is due before the next request.
+        if self.is_usable and self._parser.is_passing_on:
+            # The answer that has begun may depend on it.
+            self.is_out_of_step = True
+            return
+        self._pumping.cancel()
+        self.close()
 
     async def _pump(
         self, rest: body_stream.BodyStream, is_chunked: bool
@@ -155,6 +164,9 @@
             if is_chunked:
                 self._write(body_stream.chunk(b""))
         except errors.BodyCutOff as error:
+            if self._waiter is None:
+                # The target has answered without it.
+                return
             self._fail(errors.TargetUnsure(f"no whole request: {error}"))
 
     def _write(self, data: bytes) -> None:
@@ -207,6 +219,8 @@
         """Called by the loop."""
         self.is_usable = False
         self._may_write.set()
+        if self._pumping is not None and self._waiter is None:
+            self._pumping.cancel()
         detail = f"connection lost: {exc!r}"
         if self._parser.is_passing_on:
             self._parser.break_off(errors.TargetBadAnswer(detail))
