Answer no 404 from a copy whose history is lost

Callers would see: 404 for added routes from a front that the store has told that changes are lost, until its new list arrives; a slow store takes some hundred milliseconds.

Evidence: on the code before, the new test fails: the configuration counts as the newest while the list is under way.

Change: the copy counts as unsure from the store's word until a call after the list confirms it. This costs one more call for each lost history.

--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -149,8 +149,7 @@
 
     def doubt(self) -> None:
         """Gives up the watch; the copy may lack changes."""
-        if self._unsure_at_s is None:
-            self._unsure_at_s = self.clock.now()
+        self._note_unsure()
         self._gives_up = True
         self.wake()
 
@@ -206,6 +205,7 @@
                 revision=self.copy.revision,
                 error=str(error),
             )
+            self._note_unsure()
             if not self._must_list:
                 self._must_list = True
                 return
@@ -312,6 +312,10 @@
         if objects:
             self._relay.changed()
 
+    def _note_unsure(self) -> None:
+        if self._unsure_at_s is None:
+            self._unsure_at_s = self.clock.now()
+
     def _reached(self) -> None:
         self._backoff.reset()
         if self.lost_at_s is None:
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -137,3 +137,24 @@
             self.assertEqual([4, 5], world.adopted)
 
         virtual_loop.run(main())
+
+    def test_lost_history_is_not_taken_for_a_copy_without_changes(self):
+        async def main():
+            world = World()
+            world.store.set("config/main", b"4")
+            world.start()
+            await asyncio.sleep(0.1)
+            self.assertTrue(world.follower.is_newest)
+            world.store.delay_s = 0.3
+            world.store.objects["config/main"] = stores.StoredObject(
+                key="config/main", value=b"7", version=9
+            )
+            world.store.lose_history()
+            await asyncio.sleep(0.2)
+            self.assertEqual([4], world.adopted)
+            self.assertFalse(world.follower.is_newest)
+            await asyncio.sleep(0.6)
+            self.assertEqual([4, 7], world.adopted)
+            self.assertTrue(world.follower.is_newest)
+
+        virtual_loop.run(main())
