Pass on only server errors as the answer of a failed request

Callers saw: nothing yet. A sending that ends as a failure with a 3xx or 4xx would be passed on as the target's answer; no sender reports such an end today.

Cause: given-up requests pass on the answer of the last failure unless its status is a promise.

Evidence: tests/test_final_answers.py plays all 225 pairs of 15 ends, for safe and unsafe requests. Against the unfixed code 72 of the 450 cases failed, all with an end of FAILED or TIMED_OUT and status 404. The pairs that senders do report (lost or failed, then refused with 400, 421, 429 or 503, and the reverse) gave 500, 502 or 504 before and after, 503 where nothing had run, and at most one run of an unsafe request.

Change: a failure's answer is passed on only if it is a server error.

--- a/fuchsiacourse/front/final_answers.py
+++ b/fuchsiacourse/front/final_answers.py
@@ -147,11 +147,12 @@
 def _is_passed_on(failure: sending.SendResult) -> bool:
     """Returns whether the answer of a failed sending is the final one.
 
-    A status that promises that nothing has run is not passed on here: some
-    other sending may have run.
+    Only server errors are: a status that promises that nothing has run may
+    be untrue of another sending, and the rest would blame the caller.
     """
     return (
         failure.answer is not None
+        and failure.answer.is_server_error
         and failure.outcome
         in (outcomes.Outcome.FAILED, outcomes.Outcome.TIMED_OUT)
         and failure.answer.status not in pooled_sender.PROMISES
