Refuse what limits that may be old would reject

Callers got 413, 414 or 431 from a front that knew no configuration yet, or one older than that in force, for requests that the limits in force allow.

Cause: limits were applied whether or not they were known to be in force.

Change: such a request gets 503, which callers may repeat, unless the configuration is known to be the newest, as for unknown routes.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -20,6 +20,9 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TIMEOUT = 408
 _SERVER_ERROR = 500
+_UNAVAILABLE = 503
+# Statuses of requests that are beyond a limit.
+_BY_LIMITS = frozenset((413, 414, 431))
 # Time for which the rest of a body is read that nobody takes any more, in
 # seconds: a connection that is closed before is reset, and its caller may
 # lose the answer.
@@ -43,6 +46,10 @@
     def limits(self) -> route_table.CallerLimits:
         """Limits on callers."""
 
+    @property
+    def is_config_current(self) -> bool:
+        """Whether the limits are known to be those in force."""
+
     @property
     def is_stopping(self) -> bool:
         """Whether connections end after their present request."""
@@ -117,7 +124,7 @@
         try:
             self._parser.feed(data)
         except errors.RequestRejected as error:
-            self._rejection = error
+            self._rejection = self._doubt(error)
         if self._linger_until_s is not None:
             if self._rejection is not None or not self._parser.is_reading:
                 self._close()
@@ -183,6 +190,17 @@
             if now_s - self._idle_since_s > limits.idle_timeout_s:
                 self._close()
 
+    def _doubt(
+        self, rejection: errors.RequestRejected
+    ) -> errors.RequestRejected:
+        """Returns a refusal in place of a rejection by old limits."""
+        is_by_limits = rejection.status in _BY_LIMITS
+        if not is_by_limits or self._server.is_config_current:
+            return rejection
+        return errors.RequestRejected(
+            _UNAVAILABLE, f"{rejection}, but the limits may be old"
+        )
+
     def _next(self) -> None:
         if self._task is not None or self._transport is None:
             return
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -18,6 +18,7 @@
 # Interval at which slow and idle connections are looked for, in seconds.
 SWEEP_S = 0.5
 
+IsCurrent = typing.Callable[[], bool]
 Limits = typing.Callable[[], route_table.CallerLimits]
 OnError = typing.Callable[[Exception], None]
 
@@ -33,6 +34,8 @@
         budget: Memory for the bodies of requests.
         rejections: Receives the requests that are rejected.
         on_error: Receives the failure of a handler.
+        is_config_current: Returns whether the limits are known to be those
+            in force.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         budget: body_budget.BodyBudget,
         rejections: rejection_log.RejectionLog,
         on_error: OnError,
+        is_config_current: IsCurrent = lambda: True,
     ) -> None:
         self.clock = clock
         self.address = address
@@ -52,6 +56,7 @@
         self.budget = budget
         self.is_stopping = False
         self._limits = limits
+        self._is_config_current = is_config_current
         self._rejections = rejections
         self._on_error = on_error
         self._connections: set[caller_connection.CallerConnection] = set()
@@ -62,6 +67,11 @@
         """Limits on callers."""
         return self._limits()
 
+    @property
+    def is_config_current(self) -> bool:
+        """Whether the limits are known to be those in force."""
+        return self._is_config_current()
+
     @property
     def busy(self) -> int:
         """Connections on which a request is being answered."""
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -303,6 +303,7 @@
                 budget=budget,
                 rejections=self._rejections,
                 on_error=self._on_error,
+                is_config_current=self._has_newest_config,
             )
             for address, handler in handlers
             if address is not None
@@ -361,6 +362,10 @@
         config = self._forwarder.config
         return FIRST_LIMITS if config is None else config.limits
 
+    def _has_newest_config(self) -> bool:
+        forwarder = self._forwarder
+        return forwarder.config is not None and forwarder.is_config_current()
+
     def _idle_limit(self, service: str) -> int:
         """Returns how many idle connections to keep to a target."""
         config = self._forwarder.config
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -22,6 +22,7 @@
 
     async def asyncSetUp(self) -> None:
         self.limits = front_fakes.config().limits
+        self.is_config_current = True
         self.budget = body_budget.BodyBudget(max_bytes=1000)
         self.presences = []
         self.failures: list[Exception] = []
@@ -32,6 +33,7 @@
             address=("127.0.0.1", 0),
             handler=self.handle,
             limits=lambda: self.limits,
+            is_config_current=lambda: self.is_config_current,
             budget=self.budget,
             rejections=front_fakes.rejections(),
             on_error=self.failures.append,
@@ -161,6 +163,32 @@
         writer.close()
         self.reader = first
 
+    async def test_request_rejected_by_limits_that_may_be_old(self):
+        value = b"a" * self.limits.max_head_bytes
+        length = self.limits.max_body_bytes + 1
+        for head, status in (
+            (b"GET /1 HTTP/1.1\r\nHost: h\r\nX-A: %s\r\n" % value, b"431"),
+            (b"GET /%s HTTP/1.1\r\nHost: h\r\n" % (value * 2), b"414"),
+            (
+                b"PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n"
+                % length,
+                b"413",
+            ),
+            (b"GET /1 HTTP/1.1\r\nno header\r\n", b"400"),
+        ):
+            for self.is_config_current in (True, False):
+                expected = status
+                if status != b"400" and not self.is_config_current:
+                    expected = b"503"
+                with self.subTest(status=status, expected=expected):
+                    self.writer.close()
+                    self.reader, self.writer = await asyncio.open_connection(
+                        *self.server.address
+                    )
+                    self.writer.write(head + b"\r\n")
+                    answer, _ = await self.read_answer()
+                    self.assertIn(b" %s " % expected, answer)
+
     async def test_stop_finishes_the_request_and_closes(self):
         self.release.clear()
         self.writer.write(GET % b"1")
