Doubt the copy of a front that takes over the watch of its zone

Cause: a front without contact is not current, but as soon as it is to watch it was, before the store had answered anything. Its first call was a watch of 28 s, and one opened into a silent store is never answered.

Evidence: without the change the new test fails: with a silent store the new watchers count their copies as sure.

Change: a front that starts to watch while nobody vouches for its copy doubts it and first asks the store for its changes until now, a call that fails after three seconds and is made again.

The fake line of the tests left a call without an answer open for ever; it now fails after the three seconds of the real client.

--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -236,8 +236,7 @@
             )
             if self._plan.is_chosen:
                 self._timers.spawn(self._prove())
-            for copying in self._copying:
-                copying.wake()
+            self._start_watching()
         if not self.watches and self._proven:
             for copying in self._copying:
                 copying.vouched()
@@ -329,6 +328,14 @@
         for copying in self._copying:
             copying.doubt()
 
+    def _start_watching(self) -> None:
+        """Lets the copies start or stop to come from the store."""
+        for copying in self._copying:
+            copying.wake()
+            if self.watches and not self._proven and copying.copy.revision:
+                # Nobody has confirmed it since the last contact was lost.
+                copying.doubt()
+
     async def _prove(self) -> None:
         if not (self.watches and self._plan.is_chosen):
             self._has_proof = False
--- a/tests/test_hung_watches.py
+++ b/tests/test_hung_watches.py
@@ -82,3 +82,21 @@
             await self.check_drained_in_time(world, "t1")
 
         self.play(script)
+
+    def test_new_watcher_is_unsure_until_the_store_answers(self):
+        async def script(world):
+            for ip in IPS[:2]:
+                world.fronts[ip].stop()
+            for front in world.live():
+                front.line.is_silent = True
+            await asyncio.sleep(3.0)
+            self.assertEqual(IPS[2:], world.watching())
+            for front in world.live():
+                self.assertFalse(front.targets.is_sure, front.ip)
+                front.line.is_silent = False
+            await asyncio.sleep(1.5)
+            await self.check_drained_in_time(world, "t1")
+            for front in world.live():
+                self.assertTrue(front.targets.is_sure, front.ip)
+
+        self.play(script)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -88,7 +88,8 @@
     async def _admit(self):
         self.calls += 1
         if self.is_silent:
-            await asyncio.Event().wait()
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise errors.StoreUnavailable("no answer")
         if self.failure is not None:
             raise self.failure
         self._ended.clear()
