Don't promise that a request hasn't run on a success that says so

Callers saw: 503, which promises that a request has not run and may be sent again, after a target had answered it with a success.

Cause: the header that states "not run" was believed at any status.

Evidence: a new test in tests/test_answer_forms.py failed against the unfixed code (503 instead of 502).

Change: a 2xx with that header is a bad answer, which may have run.

--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -322,6 +322,8 @@
     outcome, detail = outcomes.Outcome.ANSWERED, ""
     if terms.is_misdirected:
         outcome = outcomes.Outcome.MISDIRECTED
+    elif terms.is_not_run and answer.is_success:
+        outcome, detail = outcomes.Outcome.BAD_ANSWER, "contradicts itself"
     elif terms.is_not_run:
         outcome = outcomes.Outcome.DECLINED
     elif answer.header(b"content-encoding") is not None:
--- a/tests/test_answer_forms.py
+++ b/tests/test_answer_forms.py
@@ -115,3 +115,9 @@
             closes=True,
         )
         self.assertEqual(502, got.status)
+
+    async def test_success_that_claims_not_to_have_run_promises_nothing(self):
+        got, _ = await self.ask(
+            answer("q1", 200, headers="X-Fuchsiacourse-Not-Executed: 1\r\n")
+        )
+        self.assertEqual(502, got.status)
