End the wait when the first answer of a connection names no request

Callers saw: 504 at their deadline after a target had answered a success without a request id on a fresh connection.

Cause: such a success was dropped as a late answer to an earlier request, of which there was none, and the wait went on.

Evidence: a new test in tests/test_answer_forms.py failed against the unfixed code (504 at the deadline of an unsafe request instead of 502).

--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -176,7 +176,8 @@
         left_s = deadline_s - self._clock.now()
 
         def accepts(answer: http_answer.HttpAnswer) -> bool:
-            return self._is_ours(answer, request_id)
+            is_first = not connection.answered
+            return self._is_ours(answer, request_id, is_first=is_first)
 
         try:
             answer = await asyncio.wait_for(
@@ -221,12 +222,17 @@
         return result
 
     def _is_ours(
-        self, answer: http_answer.HttpAnswer, request_id: str
+        self,
+        answer: http_answer.HttpAnswer,
+        request_id: str,
+        *,
+        is_first: bool,
     ) -> bool:
         terms = self._protocol.target_terms(answer)
         if terms.request_id:
             return terms.request_id == request_id
-        return not answer.is_success
+        # Without an earlier answer there is none that could be late.
+        return is_first or not answer.is_success
 
     def _encode(
         self,
--- a/tests/test_answer_forms.py
+++ b/tests/test_answer_forms.py
@@ -121,3 +121,7 @@
             answer("q1", 200, headers="X-Fuchsiacourse-Not-Executed: 1\r\n")
         )
         self.assertEqual(502, got.status)
+
+    async def test_success_for_nobody_ends_the_wait(self):
+        got, _ = await self.ask(answer("", 200))
+        self.assertEqual(502, got.status)
