Bound the parts of a late answer's body

Callers saw: 504 at the deadline instead of 502 when a late answer's body came without end in parts of one byte, on a busy machine.

Cause: such a body costs a front more time than the limit of 8 MB allows for, as each part is handled alone.

Evidence: test_endless_body_of_a_late_answer failed once in a run of all tests at a load of over 20 on the machine (504 instead of 502) and passed in all other runs.

Change: 50,000 parts behind the first late answer are a bad answer.

--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -35,6 +35,7 @@
         "answers",
         "closes",
         "has_begun",
+        "body_parts",
         "_max_bytes",
         "_passing_on",
         "_stream",
@@ -58,6 +59,8 @@
         self.closes = False
         # Whether part of an answer has been read.
         self.has_begun = False
+        # Parts of bodies read so far.
+        self.body_parts = 0
         self._max_bytes = max_bytes
         self._passing_on = passing_on
         self._stream: body_stream.BodyStream | None = None
@@ -137,6 +140,7 @@
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._bodiless_bytes = 0
+        self.body_parts += 1
         if self._stream is not None:
             self._stream.feed(body)
             return
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -24,6 +24,9 @@
 # Late answers on a connection; it has one request at a time, which may be
 # answered more than once.
 MAX_LATE_ANSWERS = 16
+# Parts of their bodies; tiny parts cost processor time long before the bytes
+# are too many. Whole reads of the socket bring some hundred parts.
+MAX_LATE_PARTS = 50_000
 
 Accepts = typing.Callable[[http_answer.HttpAnswer], bool]
 
@@ -52,6 +55,8 @@
         self._late_answers = 0
         # Bytes read since the first late answer.
         self._late_bytes = 0
+        # Parts of bodies read before it.
+        self._first_late_part = 0
         # Answers that were taken.
         self.answered = 0
         # Whether each answer named its request, so that a late copy does too.
@@ -239,6 +244,8 @@
             if answer.rest is not None:
                 answer.rest.discard()
             # A late answer to an earlier request; ours comes next.
+            if not self.is_out_of_step:
+                self._first_late_part = self._parser.body_parts
             self.is_out_of_step = True
             self._late_answers += 1
 
@@ -246,8 +253,10 @@
         if self._waiter is None or self._waiter.done():
             return
         self._late_bytes += len(data)
+        parts = self._parser.body_parts - self._first_late_part
         if (
             self._late_bytes > MAX_LATE_BYTES
+            or parts > MAX_LATE_PARTS
             or self._late_answers > MAX_LATE_ANSWERS
         ):
             self._fail(errors.TargetBadAnswer("only late answers"))
