Let targets of the soak reject without proof and answer without end

The soak's targets never gave such answers.

Change: in a series beside the other faults one to three targets answer 301, 400, 403 or 404 without a signature, with or without an id, reject a long body before they have read it, send a late 404 without an id ahead of the answer, or send a head or a body without end. What a target reads on after an early answer is compared with what was sent. The peak memory of each front process is read from the system and bounded.

--- a/bench/fault_ledger.py
+++ b/bench/fault_ledger.py
@@ -20,6 +20,8 @@
 # Of these, the ones that no front may give at any time for what all
 # configurations allow.
 NEVER = frozenset((401, 403, 404))
+# Half of the memory of a machine of the sites.
+MEMORY_BYTES = 150_000_000
 MAX_BROKEN = 50
 # Characters of a path in a message.
 PATH_SHOWN = 60
@@ -85,6 +87,9 @@
         self.checked: collections.Counter[str] = collections.Counter()
         self.faults: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
+        # Most memory that a process of each front has used, in bytes.
+        self.peak_bytes_by_front: dict[str, int] = {}
+        self._broken_off: set[str] = set()
         self._fault_until_s: dict[str, float] = {}
         self._planned_until_s: dict[str, float] = {}
 
@@ -154,6 +159,24 @@
             self._break(f"DRAIN: {id} {late_s:.2f} s late by {sent.front}")
         self.checked["drain"] += 1
 
+    def read_on(self, id: str, body: bytes) -> None:
+        """Notes the body that a target has read after its answer."""
+        sent = self.sent_by_id.get(id)
+        self.checked["read on"] += 1
+        if sent is None or sent.digest != digest_of(body):
+            self._break(f"UNASKED: {id} other bytes in the body")
+
+    def broke_off(self, id: str) -> None:
+        """Notes that a target gives a request no whole answer."""
+        self._broken_off.add(id)
+
+    def used_memory(self, front: str, peak_bytes: int) -> None:
+        """Notes the most memory that a process has used since its start."""
+        before = self.peak_bytes_by_front.get(front, 0)
+        self.peak_bytes_by_front[front] = max(before, peak_bytes)
+        if before <= MEMORY_BYTES < peak_bytes:
+            self._break(f"MEMORY: {front} used {peak_bytes / 1e6:.0f} MB")
+
     def answered(
         self, id: str, status: int, *, is_whole: bool, is_signed: bool
     ) -> None:
@@ -179,8 +202,9 @@
         """Notes that a connection has ended without an answer."""
         sent = self.sent_by_id[id]
         self.checked["cut off"] += 1
-        if not self.runs_by_id[id]:
-            # It has crossed the front's close of an idle connection.
+        if not self.runs_by_id[id] or id in self._broken_off:
+            # It has crossed the front's close of an idle connection, or its
+            # target broke off.
             return
         since_s = sent.at_s - STABILITY_S
         if self._fault_until_s.get(sent.front, 0.0) < since_s:
--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import tempfile
+import typing
 
 import typer
 
@@ -23,14 +24,15 @@
 START_TIMEOUT_S = 30.0
 CALLERS = 12
 # Ranges of times in seconds: between the starts of two faults, of a pause of
-# a process, of a fault of the store, of a target's behaviour and of its link,
-# of the work that a leaving target still does, and until a crashed target's
-# registration lapses (three heartbeats).
+# a process, of a fault of the store, of a target's behaviour, alone and in a
+# series, and of its link, of the work that a leaving target still does, and
+# until a crashed target's registration lapses (three heartbeats).
 STEP_S = (0.2, 1.5)
 PAUSE_S = (0.3, 4.0)
 STORE_FAULT_S = (0.5, 5.0)
 STORE_DELAY_S = (0.1, 1.0)
 MODE_S = (1.0, 6.0)
+SPOILT_S = (0.5, 2.0)
 LINK_FAULT_S = (0.5, 4.0)
 LINK_DELAY_S = (0.05, 0.5)
 LEAVING_S = (4.0, 8.0)
@@ -41,6 +43,8 @@
 BOTH_WAYS_SHARE = 0.7
 # Fronts that one rolling restart restarts.
 ROLLING = 3
+# Targets that answer in the same wrong way at the same time.
+MOST_SPOILT = 3
 # Share of the requests whose repeats the operator allows.
 REPEAT_SHARE = (0.2, 0.4)
 # Time in which callers must be served again, in seconds.
@@ -77,6 +81,8 @@
         self._ledger = world.ledger
         self._seconds = seconds
         self._tasks: set[asyncio.Task] = set()
+        # One after the other all the while, beside the others.
+        self._series = (self._targets_spoil,)
         self._kinds = {
             "kill": self._kill,
             "kill_all": self._kill_all,
@@ -107,6 +113,8 @@
         try:
             await self._wait_served(callers)
             end_s = self._clock.now() + self._seconds
+            for play_one in self._series:
+                self._spawn(self._in_series(play_one, end_s))
             while self._clock.now() < end_s:
                 name = self._rng.choice(list(self._kinds))
                 self._ledger.faults[name] += 1
@@ -121,6 +129,8 @@
 
     async def _watch_machine(self) -> None:
         while True:
+            for front in self._world.fronts:
+                self._ledger.used_memory(front.ip, front.peak_bytes())
             due_s = self._clock.now() + LAG_CHECK_S
             await asyncio.sleep(LAG_CHECK_S)
             if self._clock.now() > due_s + LAG_S:
@@ -131,6 +141,15 @@
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
 
+    async def _in_series(
+        self,
+        play_one: typing.Callable[[], typing.Awaitable[None]],
+        end_s: float,
+    ) -> None:
+        while self._clock.now() < end_s:
+            await play_one()
+            await asyncio.sleep(self._rng.uniform(*STEP_S))
+
     async def _wait_served(self, callers: fault_callers.FaultCallers) -> None:
         callers.start()
         deadline_s = self._clock.now() + START_TIMEOUT_S
@@ -250,6 +269,17 @@
         await asyncio.sleep(self._rng.uniform(*MODE_S))
         target.mode = fault_target.Mode.WELL
 
+    async def _targets_spoil(self) -> None:
+        targets = list(self._world.targets_by_id.values())
+        spoilt = self._rng.sample(targets, self._rng.randint(1, MOST_SPOILT))
+        mode = self._rng.choice(fault_target.SPOILING)
+        self._ledger.faults[mode.value] += 1
+        for target in spoilt:
+            target.mode = mode
+        await asyncio.sleep(self._rng.uniform(*SPOILT_S))
+        for target in spoilt:
+            target.mode = fault_target.Mode.WELL
+
     async def _target_link(self) -> None:
         proxy = self._target().proxy
         kind = self._rng.randrange(4)
@@ -337,7 +367,8 @@
         ledger = world.ledger
         print(
             f"seed={number} checked={dict(ledger.checked)}"
-            f" faults={dict(ledger.faults)} broken={len(ledger.broken)}",
+            f" faults={dict(ledger.faults)} broken={len(ledger.broken)}"
+            f" peak_mb={world.peak_mb}",
             flush=True,
         )
         for text in ledger.broken:
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -20,7 +20,15 @@
 LONG = 20_000
 # Answers with long bodies, of 256.
 LONG_OF_256 = 8
+# Bodies of which the end is not awaited before they are rejected.
+LONG_BODY_BYTES = 100_000
+REJECTIONS = (301, 400, 403, 404)
+# An endless answer: 30 MB/s, which the machine's processors can carry.
+FILLER = b"X-Filler: " + b"f" * 30_000 + b"\r\n"
+FILLER_PAUSE_S = 0.001
 _PREFIX = "x-fuchsiacourse-"
+_SIGNATURE = "response-signature: s"
+_NOT_RUN = "not-executed: 1"
 
 
 class Mode(enum.Enum):
@@ -35,6 +43,24 @@
     DECLINES = "declines"
     MIXES = "mixes"
     ADDS = "adds"
+    # Rejections that prove nothing: no signature, with or without an id.
+    REJECTS = "rejects"
+    REJECTS_BLANK = "rejects without id"
+    REJECTS_EARLY = "rejects long bodies unread"
+    LATE_BLANK = "late answer without id"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_BODY = "endless body"
+
+
+# Modes in which a target rejects proper requests or answers without end.
+SPOILING = (
+    Mode.REJECTS,
+    Mode.REJECTS_BLANK,
+    Mode.REJECTS_EARLY,
+    Mode.LATE_BLANK,
+    Mode.ENDLESS_HEAD,
+    Mode.ENDLESS_BODY,
+)
 
 
 def body_for(id: str, sent: bytes) -> bytes:
@@ -135,14 +161,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         line, fields = await fault_wire.read_head(reader)
-        body = await fault_wire.read_body(reader, fields)
         id = fields.get(_PREFIX + "request-id", "")
+        is_long = int(fields.get("content-length", 0)) > LONG_BODY_BYTES
+        if self.mode is Mode.REJECTS_EARLY and is_long:
+            return await self._reject_early(id, fields, reader, writer)
+        body = await fault_wire.read_body(reader, fields)
         expected = fields.get(_PREFIX + "expected-instance", self.id)
         if expected != self.id:
-            writer.write(_answer(421, id, b"", "Not-Executed: 1"))
+            writer.write(_answer(421, id, b"", _NOT_RUN))
             return True
         if self.mode is Mode.DECLINES and self._rng.random() < 0.5:
-            writer.write(_answer(503, id, b"", "Not-Executed: 1"))
+            writer.write(_answer(503, id, b"", _NOT_RUN))
+            return True
+        if self.mode in (Mode.REJECTS, Mode.REJECTS_BLANK):
+            writer.write(self._rejection(id))
             return True
         self._ledger.ran(
             id,
@@ -153,6 +185,41 @@
         )
         return await self._run(id, body_for(id, body), writer)
 
+    def _rejection(self, id: str) -> bytes:
+        status = self._rng.choice(REJECTIONS)
+        if self.mode is Mode.REJECTS:
+            return _answer(status, id, b"no", "")
+        # It may at least say that nothing has run.
+        return _answer(status, "", b"no", self._rng.choice(("", _NOT_RUN)))
+
+    async def _reject_early(
+        self,
+        id: str,
+        fields: fault_wire.Fields,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(_answer(413, self._rng.choice((id, "")), b"no", ""))
+        if self._rng.random() < 0.5:
+            return False
+        # The rest of the body is due before anything else.
+        body = await fault_wire.read_body(reader, fields)
+        self._ledger.read_on(id, body)
+        return True
+
+    async def _answer_endlessly(
+        self, id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        head = _answer(200, id, b"")[: -len(b"\r\n")]
+        if self.mode is Mode.ENDLESS_BODY:
+            head = head.replace(b"Content-Length: 0\r\n", b"") + b"\r\n"
+        self._ledger.broke_off(id)
+        writer.write(head)
+        while True:
+            writer.write(FILLER)
+            await writer.drain()
+            await asyncio.sleep(FILLER_PAUSE_S)
+
     async def _run(
         self, id: str, body: bytes, writer: asyncio.StreamWriter
     ) -> bool:
@@ -163,27 +230,37 @@
         await asyncio.sleep(
             {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, WORK_S)
         )
+        if mode in (Mode.ENDLESS_HEAD, Mode.ENDLESS_BODY):
+            await self._answer_endlessly(id, writer)
         signed = _answer(200, id, body)
         if mode is Mode.RESETS:
             writer.transport.abort()
             return False
         if mode is Mode.CUTS:
+            self._ledger.broke_off(id)
             writer.write(signed[: len(signed) // 2])
             return False
         if mode is Mode.MIXES:
             # A late answer to an earlier request comes first.
             writer.write(_answer(200, f"{id}-old", b"other"))
+        if mode is Mode.LATE_BLANK:
+            writer.write(_answer(404, "", b"other", ""))
         writer.write(signed)
         if mode is Mode.ADDS:
             writer.write(b"more bytes")
         return True
 
 
-def _answer(status: int, id: str, body: bytes, extra: str = "") -> bytes:
+def _answer(
+    status: int, id: str, body: bytes, extra: str = _SIGNATURE
+) -> bytes:
+    """Returns an answer; it has no field for what is empty."""
     lines = [
         f"HTTP/1.1 {status} Status",
         f"Content-Length: {len(body)}",
-        f"{_PREFIX}request-id: {id}",
     ]
-    lines.append(_PREFIX + (extra or "response-signature: s"))
+    if id:
+        lines.append(f"{_PREFIX}request-id: {id}")
+    if extra:
+        lines.append(_PREFIX + extra)
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/bench/fault_wire.py
+++ b/bench/fault_wire.py
@@ -121,17 +121,21 @@
         return await reader.readexactly(int(fields.get("content-length", 0)))
     parts = []
     count = 0
-    while size := int((await reader.readline()).partition(b";")[0], 16):
+    while size := int((await _line(reader)).partition(b";")[0], 16):
         count += size
         if count > MAX_ANSWER_BYTES:
             raise OSError("the body does not end")
         parts.append(await reader.readexactly(size))
         await reader.readexactly(len(_END))
-    while (await reader.readline()).strip():
+    while await _line(reader):
         pass
     return b"".join(parts)
 
 
+async def _line(reader: asyncio.StreamReader) -> bytes:
+    return (await reader.readuntil(_END))[: -len(_END)]
+
+
 def is_final(status: int) -> bool:
     """Returns whether an answer is more than an informational one."""
     return status >= _FIRST_FINAL
--- a/bench/fault_world.py
+++ b/bench/fault_world.py
@@ -110,6 +110,17 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
 
+    def peak_bytes(self) -> int:
+        """Returns the most memory that the process has used, 0 if ended."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        status = pathlib.Path(f"/proc/{self.process.pid}/status")
+        with contextlib.suppress(OSError):
+            for line in status.read_text(encoding="ascii").splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) * 1024
+        return 0
+
     def write_settings(self) -> None:
         """Writes the settings file, as the platform does."""
         address = "%s:%d" % self.store.address
@@ -218,6 +229,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def peak_mb(self) -> int:
+        """Most memory that a front has used, in megabytes."""
+        return max(self.ledger.peak_bytes_by_front.values()) // 1_000_000
+
     def put(self, key: str, value: bytes) -> None:
         """Writes an object, as the operator or a target does."""
         self.model.table.put(key, value, if_version=None)
--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -112,6 +112,27 @@
         self.ledger.cut_off("q2")
         self.assert_broken()
 
+    def test_answer_that_its_target_broke_off(self):
+        self.send()
+        self.run_at_target()
+        self.ledger.broke_off("q1")
+        self.ledger.cut_off("q1")
+        self.assert_broken()
+
+    def test_other_bytes_after_an_early_answer(self):
+        self.send()
+        self.ledger.read_on("q1", b"b")
+        self.ledger.read_on("q1", b"c")
+        self.assert_broken("UNASKED")
+
+    def test_memory_above_the_bound_is_noted_once(self):
+        for peak_bytes in (1, fault_ledger.MEMORY_BYTES):
+            self.ledger.used_memory(FRONT, peak_bytes)
+        self.assert_broken()
+        for more in (1, 2):
+            self.ledger.used_memory(FRONT, fault_ledger.MEMORY_BYTES + more)
+        self.assert_broken("MEMORY")
+
     def test_unanswered_request(self):
         self.send("q1")
         self.ledger.unanswered("q1")
--- /dev/null
+++ b/tests/test_fault_target.py
@@ -0,0 +1,104 @@
+"""Tests of the targets of the fault soak."""
+
+import asyncio
+import random
+import unittest
+
+from bench import fault_ledger
+from bench import fault_target
+from bench import fault_wire
+from bench import front_fakes
+
+IP = "127.0.0.1"
+PATH = "/safe-x/q1"
+ID_FIELD = "x-fuchsiacourse-request-id"
+SIGNATURE = "x-fuchsiacourse-response-signature"
+MANY_BYTES = 300_000
+
+
+class FaultTargetTest(unittest.IsolatedAsyncioTestCase):
+    """Each mode must spoil what it names, and nothing else."""
+
+    async def asyncSetUp(self) -> None:
+        clock = front_fakes.ManualClock()
+        self.ledger = fault_ledger.FaultLedger(clock=clock)
+        self.ledger.services_by_path["safe-x"] = {"larder"}
+        self.target = fault_target.FaultTarget(
+            id="i-1",
+            service="larder",
+            availability_zone="a",
+            ip=IP,
+            ledger=self.ledger,
+            clock=clock,
+            rng=random.Random(1),
+        )
+        await self.target.start()
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.target.proxy.address
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        await self.target.stop()
+
+    async def head(
+        self, mode: fault_target.Mode, body: bytes = b"b", sent: int = 1
+    ) -> tuple[int, fault_wire.Fields]:
+        """Returns the head of the answer once a part of the body is sent."""
+        self.target.mode = mode
+        self.ledger.sent(
+            "q1",
+            fault_ledger.Sent(
+                front=IP, path=PATH, body=body, is_safe=True, at_s=0.0
+            ),
+        )
+        self.writer.write(
+            f"POST {PATH} HTTP/1.1\r\n{ID_FIELD}: q1\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body[:sent]
+        )
+        return await asyncio.wait_for(
+            fault_wire.read_answer_head(self.reader), 2.0
+        )
+
+    async def test_well(self):
+        status, fields = await self.head(fault_target.Mode.WELL)
+        body = await fault_wire.read_body(self.reader, fields)
+        self.assertEqual(200, status)
+        self.assertEqual(fault_target.body_for("q1", b"b"), body)
+        self.assertIn(SIGNATURE, fields)
+
+    async def test_rejections_are_not_signed_and_have_not_run(self):
+        for mode in (
+            fault_target.Mode.REJECTS,
+            fault_target.Mode.REJECTS_BLANK,
+        ):
+            status, fields = await self.head(mode)
+            await fault_wire.read_body(self.reader, fields)
+            self.assertIn(status, fault_target.REJECTIONS)
+            self.assertNotIn(SIGNATURE, fields)
+            is_blank = mode is fault_target.Mode.REJECTS_BLANK
+            self.assertEqual(is_blank, ID_FIELD not in fields)
+        self.assertEqual(0, self.ledger.runs_by_id["q1"])
+
+    async def test_long_body_is_rejected_unread(self):
+        mode = fault_target.Mode.REJECTS_EARLY
+        status, _ = await self.head(mode, bytes(MANY_BYTES))
+        self.assertEqual(413, status)
+
+    async def test_late_answer_without_id_comes_first(self):
+        status, fields = await self.head(fault_target.Mode.LATE_BLANK)
+        self.assertEqual((404, False), (status, ID_FIELD in fields))
+        await fault_wire.read_body(self.reader, fields)
+        status, _ = await fault_wire.read_answer_head(self.reader)
+        self.assertEqual(200, status)
+
+    async def test_endless_body(self):
+        _, fields = await self.head(fault_target.Mode.ENDLESS_BODY)
+        self.assertNotIn("content-length", fields)
+        await self.reader.readexactly(MANY_BYTES)
+
+    async def test_endless_head(self):
+        with self.assertRaises((asyncio.LimitOverrunError, TimeoutError)):
+            await self.head(fault_target.Mode.ENDLESS_HEAD)
+        data = await self.reader.readexactly(MANY_BYTES)
+        self.assertNotIn(b"\r\n\r\n", data)
--- a/tests/test_fault_wire.py
+++ b/tests/test_fault_wire.py
@@ -60,6 +60,15 @@
         )
         self.assertGreater(len(pieces), 2)
 
+    async def test_body_that_is_cut_between_chunks(self):
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"1\r\na\r\n")
+        reader.feed_eof()
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await fault_wire.read_body(
+                reader, {"transfer-encoding": "chunked"}
+            )
+
     async def test_endless_body_is_given_up(self):
         reader = asyncio.StreamReader()
         reader.feed_data(b"%x\r\n" % (fault_wire.MAX_ANSWER_BYTES + 1))
