Lose single answers of the store and change limits in the soak

The soak cut whole links only, and its limits never changed.

Change: the proxy to the store loses the next answers to one to three fronts, to all calls, to watches or to those of the configuration; such a connection says nothing further. Routes are added, removed and moved and limits raised and lowered in series while connections stay open; a request counts as proper if all limits that may have been in force allow it. Faults that come in series stand in a module of their own.

--- a/bench/fault_ledger.py
+++ b/bench/fault_ledger.py
@@ -178,7 +178,13 @@
             self._break(f"MEMORY: {front} used {peak_bytes / 1e6:.0f} MB")
 
     def answered(
-        self, id: str, status: int, *, is_whole: bool, is_signed: bool
+        self,
+        id: str,
+        status: int,
+        *,
+        is_whole: bool,
+        is_signed: bool,
+        is_proper: bool = True,
     ) -> None:
         """Notes the answer of a request.
 
@@ -187,6 +193,8 @@
             status: Status of the answer.
             is_whole: Whether the body is the one that belongs to the id.
             is_signed: Whether a target has signed it.
+            is_proper: Whether all configurations that may have been in
+                force meanwhile allow the request.
         """
         sent = self.sent_by_id[id]
         sent.status = status
@@ -195,7 +203,7 @@
             self._break(f"MIXED: {id} whole={is_whole} signed={is_signed}")
         if status in PROMISES and not sent.is_safe and self.runs_by_id[id] > 0:
             self._break(f"REFUSED: {id} ran and got {status}")
-        if status in REJECTING and not is_signed:
+        if status in REJECTING and is_proper and not is_signed:
             self._check_denied(id, sent, status)
 
     def cut_off(self, id: str) -> None:
--- a/tests/test_fault_ledger.py
+++ b/tests/test_fault_ledger.py
@@ -169,6 +169,13 @@
             self.denied(status)
         self.assert_broken()
 
+    def test_request_above_a_limit_may_be_denied(self):
+        self.send()
+        self.ledger.answered(
+            "q1", 431, is_whole=False, is_signed=False, is_proper=False
+        )
+        self.assert_broken()
+
     def test_lasting_route_is_missing_at_no_front(self):
         self.ledger.lasting_routes.add("unsafe-x")
         self.ledger.fault(FRONT)
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -57,6 +57,25 @@
         took_s = asyncio.get_running_loop().time() - begin_s
         self.assertGreaterEqual(took_s, 0.3)
 
+    async def test_connection_with_a_lost_answer_says_nothing_further(self):
+        losses = []
+        self.proxy.on_lost = lambda: losses.append(1)
+        self.proxy.lose_answers(1, b"watch")
+        self.assertEqual(b"abc", await self.echoed(b"abc"))
+        for data in (b"watch", b"abc"):
+            with self.assertRaises(TimeoutError):
+                await self.echoed(data, 0.2)
+        self.assertEqual([1], losses)
+        self.proxy.heal()
+        with self.assertRaises(TimeoutError):
+            await self.echoed(b"abc", 0.2)
+        # Other connections are served.
+        self.writer.close()
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.proxy.address
+        )
+        self.assertEqual(b"watch", await self.echoed(b"watch"))
+
     async def test_reset(self):
         await self.echoed(b"abc")
         self.proxy.reset_all()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,8 +1,11 @@
 """Short run of the soak with processes."""
 
+import pathlib
+import random
 import unittest
 
 from bench import fault_soak
+from bench import fault_world
 
 
 class FaultSoakTest(unittest.TestCase):
@@ -13,3 +16,18 @@
         self.assertEqual([], ledger.broken)
         self.assertGreater(ledger.checked["run"], 100)
         self.assertGreater(ledger.faults.total(), 3)
+
+
+class FaultWorldTest(unittest.IsolatedAsyncioTestCase):
+    """Callers must know which limits may be in force."""
+
+    async def test_lowest_limits_since_some_time(self):
+        world = fault_world.FaultWorld(
+            folder=pathlib.Path(), rng=random.Random(1)
+        )
+        begin_s = world.clock.now()
+        world.change_limits(max_header_bytes=100)
+        world.change_limits(max_header_bytes=9000)
+        lowest = world.limits_since(begin_s)["max_header_bytes"]
+        now = world.limits_since(world.clock.now())["max_header_bytes"]
+        self.assertEqual((100, 9000), (lowest, now))
