Test watches that are answered by nobody or too early

Callers would see: 404 for added routes, and requests at targets that have left, from fronts that count their copy as the newest.

Cause: a change answers all watches at once, and all are opened again 0.8 s later. A silence of the store that covers this moment but no proof of contact leaves each of them without an answer for up to 31 s, and no front knows of a newer revision that would make another doubt. An answer to a watch that was opened before a pause ends the doubt that the pause raised.

Change: none of the product.

--- /dev/null
+++ b/tests/test_unanswered_watches.py
@@ -0,0 +1,108 @@
+"""Tests of watches that were opened in a short silence of the store."""
+
+import asyncio
+from unittest import mock
+
+from bench import virtual_loop
+from fuchsiacourse import errors
+from fuchsiacourse import store as stores
+from tests import test_config_follower
+from tests import test_store_relay
+
+ENTRY = test_store_relay.ENTRY
+
+
+class HangingLine(test_store_relay.Line):
+    """A line whose silence holds the watches opened in it to their end."""
+
+    async def watch(self, prefix, *, after_revision, timeout_s):
+        if self.is_silent:
+            self.calls += 1
+            await asyncio.sleep(timeout_s + test_store_relay.CALL_TIMEOUT_S)
+            raise errors.StoreUnavailable("no answer")
+        return await super().watch(
+            prefix, after_revision=after_revision, timeout_s=timeout_s
+        )
+
+
+class HeldStore(stores.Store):
+    """Store that answers watches when the test says so."""
+
+    def __init__(self) -> None:
+        self.answers: list[asyncio.Future[stores.WatchBatch]] = []
+
+    async def watch(self, prefix, *, after_revision, timeout_s):
+        self.answers.append(asyncio.get_running_loop().create_future())
+        return await self.answers[-1]
+
+    async def get(self, key):
+        raise AssertionError("not used")
+
+    async def list(self, prefix):
+        raise AssertionError("not used")
+
+    async def put(self, key, value, *, if_version):
+        raise AssertionError("not used")
+
+    async def delete(self, key, *, if_version):
+        raise AssertionError("not used")
+
+    async def hosts(self):
+        raise AssertionError("not used")
+
+
+class UnansweredWatchesTest(test_store_relay.Play):
+    """Contact on other connections must not vouch for a watch."""
+
+    def test_all_watches_that_are_opened_in_a_short_silence(self):
+        async def script(world):
+            for last in (1, 2):
+                world.start(f"10.0.1.{last}", "b")
+            await asyncio.sleep(5.0)
+            # All watches are answered now, and opened 0.8 seconds later.
+            world.store.set("servers/t2", ENTRY("t2", born=1))
+            await asyncio.sleep(0.6)
+            for front in world.live():
+                front.line.is_silent = True
+            await asyncio.sleep(0.5)
+            for front in world.live():
+                front.line.is_silent = False
+            await asyncio.sleep(3.0)
+            await self.check_drained_in_time(world, "t1")
+
+        with mock.patch.object(test_store_relay, "Line", HangingLine):
+            self.play(script)
+
+    def test_answer_from_before_a_pause_confirms_nothing(self):
+        async def main():
+            world = test_config_follower.World()
+            store = HeldStore()
+            world.follower._store = store
+            world.start()
+            item = stores.StoredObject(
+                key="config/main", value=b"4", version=4
+            )
+            await asyncio.sleep(0.01)
+            store.answers[0].set_result(
+                stores.WatchBatch(revision=4, objects=[item])
+            )
+            await asyncio.sleep(0.01)
+            store.answers[1].set_result(
+                stores.WatchBatch(revision=4, objects=[])
+            )
+            await asyncio.sleep(0.01)
+            self.assertTrue(world.follower.is_newest)
+            self.assertEqual(3, len(store.answers))
+            # What waited in the socket is read in the turn of the doubt.
+            world.follower.doubt()
+            item = stores.StoredObject(
+                key="config/main", value=b"5", version=5
+            )
+            store.answers[2].set_result(
+                stores.WatchBatch(revision=5, objects=[item])
+            )
+            await asyncio.sleep(0.1)
+            self.assertEqual([4, 5], world.adopted)
+            self.assertFalse(world.follower.is_newest)
+
+        virtual_loop.run(main())
