Test that a refusal by old limits says when to come back

Callers saw: 503 without Retry-After for a request beyond limits that may be old, so that they can't tell when to come back.

Cause: the connection writes the refusal itself, without the headers that the forwarder gives to its refusals.

Change: none of the product.

--- /dev/null
+++ b/tests/test_doubted_limits.py
@@ -0,0 +1,41 @@
+"""Tests of refusals by limits that may be old."""
+
+import types
+import unittest
+from unittest import mock
+
+from bench import front_fakes
+from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import caller_connection
+from fuchsiacourse.front import route_table
+
+LIMITS = route_table.CallerLimits(
+    max_head_bytes=1000,
+    max_body_bytes=2000,
+    head_timeout_s=5.0,
+    idle_timeout_s=5.0,
+)
+
+
+class DoubtedLimitsTest(unittest.TestCase):
+    """A caller that is refused must be told when to come back."""
+
+    def test_refusal_by_old_limits_without_a_time_to_come_back(self):
+        server = types.SimpleNamespace(
+            clock=front_fakes.ManualClock(),
+            budget=body_budget.BodyBudget(),
+            limits=LIMITS,
+            is_config_current=False,
+            is_stopping=False,
+            opened=lambda connection: None,
+            rejected=lambda request, rejection, **options: None,
+        )
+        transport = mock.Mock()
+        connection = caller_connection.CallerConnection(server=server)
+        connection.connection_made(transport)
+        connection.data_received(
+            b"PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2001\r\n\r\n"
+        )
+        answer = b"".join(call.args[0] for call in transport.write.mock_calls)
+        self.assertIn(b" 503 ", answer)
+        self.assertIn(b"retry-after:", answer.lower())
