Prove the contact at the moment at which a watch is opened

Callers would see: 404 for added routes, and requests at leaving targets, for up to 31 s from all fronts, if a short silence of the store meets the moment at which all watches are opened again after a change.

Cause: the proofs come each 0.7 s, so a silence of half a second can fall between two of them and swallow all watches.

Change: a front that vouches asks for a sign of life whenever it opens a long watch; a silence fails that call too and gives up the watch. The fake line of the tests now holds a silent watch for its wait and three seconds more, as the client does.

One cheap call more for each watch of the fronts that vouch.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -189,6 +189,9 @@
         """Is not called, because no front is named."""
         raise AssertionError("no front was named")
 
+    def opened_watch(self) -> None:
+        """Asks for nothing."""
+
     def changed(self) -> None:
         """Tells nobody."""
 
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -253,6 +253,8 @@
                 self.prefix, after_revision=after, timeout_s=timeout_s
             )
         )
+        if timeout_s > CHECK_S:
+            self._relay.opened_watch()
         news = asyncio.ensure_future(self._turned_away())
         try:
             await asyncio.wait(
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -198,6 +198,14 @@
             target_revision=targets,
         )
 
+    def opened_watch(self) -> None:
+        """Asks for a sign of life at the moment at which a watch is opened.
+
+        A silence between two other signs may have swallowed the watch.
+        """
+        if self._has_proof:
+            self._timers.spawn(self._prove())
+
     def changed(self) -> None:
         """Tells the region that a copy of this front is newer."""
         if self._is_proven():
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -55,7 +55,7 @@
         self._ended.set()
 
     async def watch(self, prefix, *, after_revision, timeout_s):
-        await self._admit()
+        await self._admit(timeout_s)
         self.watches += 1
         number = self.watches
         answer = asyncio.ensure_future(
@@ -85,10 +85,10 @@
         if self.store.failure is not None:
             raise self.store.failure
 
-    async def _admit(self):
+    async def _admit(self, timeout_s=0.0):
         self.calls += 1
         if self.is_silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(timeout_s + CALL_TIMEOUT_S)
             raise errors.StoreUnavailable("no answer")
         if self.failure is not None:
             raise self.failure
