Take no answer from before a doubt for its end

Callers would see: 404 for added routes right after a pause of a front.

Cause: the answer to a watch that was opened before the pause ended the doubt, though it told what was so then.

Change: only a call that was made after the doubt ends it, and changes are not gathered before it.

--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -224,6 +224,7 @@
         # a list was old or that an answer was lost.
         is_lost = self.lost_at_s is not None
         is_check = is_lost or self._unsure_at_s is not None
+        opened_s = self.clock.now()
         batch = await self._watch(after, CHECK_S if is_check else WATCH_S)
         if batch is None:
             return
@@ -237,9 +238,11 @@
             self._must_list = False
             self._take_all(batch.revision, batch.objects)
             return
-        self._unsure_at_s = None
+        if self._unsure_at_s is None or self._unsure_at_s <= opened_s:
+            # The store has said so since the doubt.
+            self._unsure_at_s = None
         self._take_changes(batch.revision, batch.objects)
-        if batch.objects:
+        if batch.objects and not self.unsure_s:
             await self.clock.sleep(GATHER_S)
 
     async def _watch(
