Say when to come back if limits may be old

Callers saw 503 without Retry-After for what limits that may be old would reject, and where no memory is left for a body.

Change: such a 503 asks the caller to come back after a second.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -23,6 +23,9 @@
 _UNAVAILABLE = 503
 # Statuses of requests that are beyond a limit.
 _BY_LIMITS = frozenset((413, 414, 431))
+# Time after which a refused caller may come back, in seconds; a copy of the
+# configuration is confirmed within it.
+RETRY_AFTER_S = 1
 # Time for which the rest of a body is read that nobody takes any more, in
 # seconds: a connection that is closed before is reset, and its caller may
 # lose the answer.
@@ -218,10 +221,13 @@
                 served=self._served,
                 limits=self._parser.limits,
             )
+            headers = [(b"content-type", b"text/plain")]
+            if self._rejection.status == _UNAVAILABLE:
+                headers.append((b"retry-after", b"%d" % RETRY_AFTER_S))
             self._write(
                 http_answer.HttpAnswer(
                     status=self._rejection.status,
-                    headers=[(b"content-type", b"text/plain")],
+                    headers=headers,
                     body=f"{self._rejection}\n".encode(),
                 ),
                 keeps_alive=False,
