Watch on after the oldest page of a list

Callers would see: 404 for routes, or requests at targets, that changed between an older page of a cheap list and its first one, for good.

Cause: the revision of the first page counted for all. Found by the review.

Lists of several pages are rare here.

Change: the smallest revision of the pages counts.

--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -155,8 +155,10 @@
             path = _path(kind) + ("?" + query if query else "")
             answer = await self._call("GET", path)
             content = _decoded(lambda: _content(answer))
-            # Later pages may be newer; the watch repeats those changes.
-            revision = revision or int(content.get("as_of", 0))
+            # Pages may be of different age; the watch repeats the changes
+            # since the oldest.
+            as_of = int(content.get("as_of", 0))
+            revision = min(revision or as_of, as_of)
             page = [
                 _decoded(lambda: _stored(kind, item))
                 for item in content.get("items", [])
