Name what turns the source of a copy

Cause: the name told of the start of a watch only, and a field had no word.

Result: tests of hung and unanswered watches pass; no behaviour changes.

--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -79,6 +79,8 @@
         # Monotonic time since which the copy may lack changes, None while
         # the store or a front in contact with it says that it has all.
         self._unsure_at_s: float | None = clock.now()
+        # Monotonic time at which the present watch was opened, None without
+        # one.
         self._watch_at_s: float | None = None
         # Set to give up the watch that is waiting.
         self._gives_up = False
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -244,7 +244,7 @@
             )
             if self._plan.is_chosen:
                 self._timers.spawn(self._prove())
-            self._start_watching()
+            self._change_source()
         if not self.watches and self._proven:
             for copying in self._copying:
                 copying.vouched()
@@ -336,8 +336,8 @@
         for copying in self._copying:
             copying.doubt()
 
-    def _start_watching(self) -> None:
-        """Lets the copies start or stop to come from the store."""
+    def _change_source(self) -> None:
+        """Lets the copies follow the store, or other fronts again."""
         for copying in self._copying:
             copying.wake()
             if self.watches and not self._proven and copying.copy.revision:
