Take news of a newer revision from any front

Cause: after an outage of the store no front proves its contact for ten seconds, and only the word of fronts with proven contact made a front give up its watch; five others had known the newer version for that time.

Change: a newer revision counts whoever knows it, because only the store gives revisions. Copies are still taken from proven fronts only.

--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -296,13 +296,17 @@
             return None
 
     def _check_watch(self, copying: Copying) -> None:
-        """Gives up a watch that has not brought what others know."""
+        """Gives up a watch that has not brought what others know.
+
+        Others may know it without a proof of contact: only the store gives
+        revisions.
+        """
         own = copying.copy.revision
         newest = max(
             (
                 copying.revision_of(member.view)
                 for member in self._fleet.heard_members()
-                if member.view is not None and member.view.is_proven
+                if member.view is not None
             ),
             default=0,
         )
--- a/tests/test_hung_watches.py
+++ b/tests/test_hung_watches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fuchsiacourse import errors
 from tests import test_store_relay
 
 IPS = test_store_relay.IPS
@@ -100,3 +101,16 @@
                 self.assertTrue(front.targets.is_sure, front.ip)
 
         self.play(script)
+
+    def test_lost_answer_soon_after_an_outage_of_the_store(self):
+        async def script(world):
+            for front in world.live():
+                front.line.fail(errors.StoreRefused("away"))
+            await asyncio.sleep(2.0)
+            for front in world.live():
+                front.line.fail(None)
+            await asyncio.sleep(3.0)
+            world.fronts[world.watching()[0]].line.lose_answers()
+            await self.check_drained_in_time(world, "t1")
+
+        self.play(script)
