Log the rate limits that targets state

A front forwarded the header with which a target states the requests a second that it takes, and wrote nothing about it.

The header is decoded, the front keeps what a target has stated last, and request_sent, sending_ended, target_limit_changed and front_targets_limited tell of it.

--- a/fuchsiacourse/front/evidence_collector.py
+++ b/fuchsiacourse/front/evidence_collector.py
@@ -191,6 +191,33 @@
         ):
             self._warn_regions(evidence)
 
+    def record_limit(
+        self,
+        target: targets.Target,
+        rate_per_s: float | None,
+        *,
+        took_s: float,
+    ) -> None:
+        """Records the rate limit that an answer of a target states.
+
+        Args:
+            target: Target that answered.
+            rate_per_s: Limit in requests per second, None if the answer
+                states none.
+            took_s: Time from the request to the answer, in seconds.
+        """
+        before = target.limit.rate_per_s
+        now_s = self._clock.now()
+        if target.limit.observe(rate_per_s, now_s, took_s=took_s):
+            logs.event(
+                self._log,
+                "target_limit_changed",
+                service=target.record.service,
+                target=target.record.id,
+                rate_limit=rate_per_s,
+                before=before,
+            )
+
     def apply_remote(
         self, evidence: evidences.Evidence, *, front: str, is_same_zone: bool
     ) -> None:
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -348,6 +348,9 @@
                 >= evidence_collector.SUSPECT_THRESHOLD
                 for target in targets
             ),
+            "front_targets_limited": sum(
+                target.limit.rate_per_s is not None for target in targets
+            ),
             "front_connections_opened_total": self._sender.opened_count,
             "front_log_lines_dropped_total": self._sink.dropped,
         }
--- a/fuchsiacourse/front/request_events.py
+++ b/fuchsiacourse/front/request_events.py
@@ -69,6 +69,7 @@
             target=target.record.id,
             sickness=round(target.failure_probability(now_s), 3),
             load=round(target.load.in_flight(now_s), 1),
+            rate_limit=target.limit.rate_per_s,
             left_ms=int(left_s * 1000.0),
             repeat_of=retry_of,
         )
@@ -82,8 +83,8 @@
     ) -> None:
         """Logs and counts the end of an attempt.
 
-        For an answer the line says whether the target has signed it and
-        whether it carries a request id.
+        For an answer the line says whether the target has signed it, whether
+        it carries a request id, and which rate limit it states.
 
         Args:
             target: Target of the attempt.
@@ -105,6 +106,7 @@
             status=None if result.answer is None else result.answer.status,
             signed=None if fields is None else fields.is_signed,
             named=None if fields is None else bool(fields.request_id),
+            rate_limit=None if fields is None else fields.rate_limit,
             took_ms=int(took_s * 1000.0),
             detail=result.detail,
         )
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -343,6 +343,11 @@
             fingerprint=self._fingerprint,
         )
         self._events.log_ended(item.target, result, took_s=took_s)
+        if result.states_limit:
+            assert result.fields is not None
+            self._front.collector.record_limit(
+                item.target, result.fields.rate_limit, took_s=took_s
+            )
 
     def _handle_late(self) -> None:
         now_s = self._front.clock.now()
--- a/fuchsiacourse/front/target.py
+++ b/fuchsiacourse/front/target.py
@@ -6,6 +6,7 @@
 
 from fuchsiacourse.front import decline_rate
 from fuchsiacourse.front import health_estimate
+from fuchsiacourse.front import target_limit
 from fuchsiacourse.front import target_load
 from fuchsiacourse.front import target_registration
 
@@ -31,6 +32,7 @@
         "path_health",
         "declines",
         "load",
+        "limit",
         "cold_until_s",
         "is_misdirected",
         "last_used_s",
@@ -53,6 +55,7 @@
         )
         self.declines = decline_rate.DeclineRate()
         self.load = target_load.TargetLoad()
+        self.limit = target_limit.TargetLimit()
         self.cold_until_s = now_s + record.remaining_cold_s
         # Whether another target has answered at the registered address.
         self.is_misdirected = False
--- a/fuchsiacourse/front/target_sender.py
+++ b/fuchsiacourse/front/target_sender.py
@@ -44,6 +44,20 @@
         self.detail = detail
         self.resends = resends
 
+    @property
+    def states_limit(self) -> bool:
+        """Whether the answer tells if the target has a rate limit.
+
+        An answer with a limit does. One without counts only if it certainly
+        comes from the target.
+        """
+        if self.fields is None:
+            return False
+        return self.fields.rate_limit is not None or (
+            self.outcome
+            in (outcomes.Outcome.ANSWERED, outcomes.Outcome.DECLINED)
+        )
+
 
 class TargetSender(abc.ABC):
     """Sends requests to targets."""
--- a/fuchsiacourse/front/wire_protocol.py
+++ b/fuchsiacourse/front/wire_protocol.py
@@ -52,6 +52,8 @@
         is_misdirected: Whether the request named another target than the
             one that answers.
         load: Load of the target, None if it is not reported.
+        rate_limit: Requests per second that the target takes from all fronts
+            together, None if it states no limit.
         idle_s: Time for which the target keeps an idle connection open, in
             seconds, None if it is not stated.
     """
@@ -62,6 +64,7 @@
         "is_not_run",
         "is_misdirected",
         "load",
+        "rate_limit",
         "idle_s",
     )
 
@@ -73,6 +76,7 @@
         is_not_run: bool,
         is_misdirected: bool,
         load: LoadReport | None,
+        rate_limit: float | None,
         idle_s: float | None,
     ) -> None:
         self.request_id = request_id
@@ -80,6 +84,7 @@
         self.is_not_run = is_not_run
         self.is_misdirected = is_misdirected
         self.load = load
+        self.rate_limit = rate_limit
         self.idle_s = idle_s
 
 
--- a/fuchsiacourse/platform/wire_headers.py
+++ b/fuchsiacourse/platform/wire_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import wire_protocol
@@ -12,6 +14,9 @@
 _SIGNATURE = b"x-fuchsiacourse-response-signature"
 _EXPECTED_TARGET = b"x-fuchsiacourse-expected-instance"
 _LOAD = b"x-fuchsiacourse-server-load"
+# Requests per second that a target takes from all fronts together; the only
+# header of the platform without its prefix.
+_RATE_LIMIT = b"server-limit"
 _NOT_RUN = b"x-fuchsiacourse-not-executed"
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
@@ -68,6 +73,7 @@
             is_not_run=is_misdirected or answer.header(_NOT_RUN) is not None,
             is_misdirected=is_misdirected,
             load=_load(answer.header(_LOAD)),
+            rate_limit=_rate_limit(answer.header(_RATE_LIMIT)),
             idle_s=_keep_alive_s(answer.header(_KEEP_ALIVE)),
         )
 
@@ -105,6 +111,16 @@
     )
 
 
+def _rate_limit(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0.0 else None
+
+
 def _keep_alive_s(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -294,6 +294,7 @@
                 headers=[
                     (b"x-fuchsiacourse-not-executed", b"1"),
                     (b"x-fuchsiacourse-server-load", b"3,1,8"),
+                    (b"server-limit", b"2.5"),
                     (b"keep-alive", b"timeout=9, max=10"),
                 ],
             )
@@ -301,6 +302,7 @@
         self.assertTrue(fields.is_not_run)
         self.assertEqual((3, 1, 8), _load(fields))
         self.assertEqual(9.0, fields.idle_s)
+        self.assertEqual(2.5, fields.rate_limit)
 
     def test_malformed_load_is_none(self):
         """Guards against an answer lost to a malformed load header."""
@@ -313,6 +315,16 @@
             )
             self.assertIsNone(fields.load, value)
 
+    def test_malformed_rate_limit_is_none(self):
+        """Guards against an answer lost to a malformed rate limit."""
+        for value in (b"", b"a", b"-1", b"nan", b"inf", b"1,2"):
+            fields = self.protocol.answer_fields(
+                http_answer.HttpAnswer(
+                    status=200, headers=[(b"server-limit", value)]
+                )
+            )
+            self.assertIsNone(fields.rate_limit, value)
+
     def test_unreadable_deadline_is_none(self):
         """Guards against a request lost to a malformed deadline."""
         request = front_fakes.request()
