--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -31,6 +31,7 @@
 from fuchsiacourse.front import target_registration
 from fuchsiacourse.front import target_sender
 from fuchsiacourse.front import target_table
+from fuchsiacourse.front import wire_protocol
 from fuchsiacourse import logs
 from fuchsiacourse.platform import wire_headers
 
@@ -269,9 +270,36 @@
     return target_sender.AttemptResult(outcome=outcome, answer=answer)
 
 
-def answered() -> target_sender.AttemptResult:
-    """Returns the result of a successful attempt."""
-    return result(outcomes.Outcome.ANSWERED, _OK)
+def answered(
+    *, rate_limit: float | None = None
+) -> target_sender.AttemptResult:
+    """Returns the result of a successful attempt.
+
+    Args:
+        rate_limit: Rate limit that the target states, None for none.
+    """
+    return stating(result(outcomes.Outcome.ANSWERED, _OK), rate_limit)
+
+
+def stating(
+    found: target_sender.AttemptResult, rate_limit: float | None
+) -> target_sender.AttemptResult:
+    """Returns a result with the header data of a target's answer.
+
+    Args:
+        found: Result that gets the header data.
+        rate_limit: Rate limit that the target states, None for none.
+    """
+    found.fields = wire_protocol.AnswerFields(
+        request_id="q1",
+        is_signed=True,
+        is_not_run=found.outcome is outcomes.Outcome.DECLINED,
+        is_misdirected=False,
+        load=None,
+        rate_limit=rate_limit,
+        idle_s=None,
+    )
+    return found
 
 
 def rejections(
@@ -294,16 +322,18 @@
     *records: target_registration.TargetRegistration,
     clock: clocks.Clock | None = None,
     seed: int = 1,
+    zone: str = "a",
     send_evidence: evidence_collector.EvidenceSender | None = None,
     **bound_changes: float,
 ) -> forwarders.Forwarder:
-    """Returns the forwarder of a front in zone ``a``.
+    """Returns the forwarder of a front.
 
     Args:
         sender: Sender for the attempts.
         records: Registrations of the targets.
         clock: Source of time, None for the virtual loop's.
         seed: Seed of the random decisions.
+        zone: Availability zone of the front.
         send_evidence: Sends evidence to other fronts, None for nowhere.
         bound_changes: Replaced values of the retry budget's bounds.
     """
@@ -336,7 +366,7 @@
         placement=placement.Placement(
             clock=front_clock,
             rng=rng,
-            availability_zone="a",
+            availability_zone=zone,
             regions_by_zone=ZONES,
             times=times,
             trials=floor_trials.FloorTrials(
--- /dev/null
+++ b/bench/front_fleet.py
@@ -0,0 +1,273 @@
+"""Fleet of fronts on virtual time that decide and exchange evidence.
+
+Each front has its real decisions and its real membership; packets travel over
+a fake network, targets are played by a function.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import typing
+
+from bench import fake_datagrams
+from bench import fake_links
+from bench import front_fakes
+from bench import virtual_loop
+from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import forwarder as forwarders
+from fuchsiacourse.front import front_status
+from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import membership as memberships
+from fuchsiacourse.front import route as routes
+from fuchsiacourse.front import store_view
+from fuchsiacourse.front import target as targets
+from fuchsiacourse.front import target_registration
+from fuchsiacourse.front import target_sender
+from fuchsiacourse import logs
+from fuchsiacourse import timers as timer_services
+
+SEEDS = ("10.0.0.1", "10.0.1.1", "10.0.2.1")
+# Time in which the fronts find each other, in seconds.
+START_S = 4.0
+ZONE_DELAY_S = 0.001
+REGION_DELAY_S = 0.008
+
+Behave = typing.Callable[
+    [targets.Target], tuple[float, target_sender.AttemptResult]
+]
+
+
+class Arrival:
+    """Arrival of a request at a target.
+
+    Args:
+        at_s: Loop time in seconds.
+        front: IP address of the front that sent it.
+    """
+
+    __slots__ = ("at_s", "front")
+
+    def __init__(self, *, at_s: float, front: str) -> None:
+        self.at_s = at_s
+        self.front = front
+
+
+class FleetFront:
+    """One front of a fleet.
+
+    Args:
+        ip: IP address of the front.
+        zone: Its availability zone.
+        network: Network of the fleet.
+        sender: Sender for the attempts.
+        records: Registrations of the targets.
+        route: Route of all requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        zone: str,
+        network: fake_datagrams.FakeDatagramNetwork,
+        sender: target_sender.TargetSender,
+        records: list[target_registration.TargetRegistration],
+        route: routes.Route,
+    ) -> None:
+        self.ip = ip
+        self.zone = zone
+        self.failures: list[Exception] = []
+        rng = random.Random(ip)
+        clock = virtual_loop.VirtualClock()
+        self.timers = timer_services.Timers(
+            clock=clock, rng=rng, on_error=self.failures.append
+        )
+        status = front_status.FrontStatus(
+            is_ready=True,
+            is_leaving=False,
+            config_version=1,
+            store_contact_s=9.0,
+            view=store_view.StoreView(
+                has_proven_contact=False,
+                has_lost_store=False,
+                capacity=20,
+                config_revision=1,
+                target_revision=1,
+            ),
+        )
+        self.membership = memberships.Membership(
+            clock=clock,
+            timers=self.timers,
+            rng=rng,
+            datagram=network.endpoint(f"{ip}:7000"),
+            settings=front_fakes.settings(ip, zone, SEEDS),
+            incarnation=1,
+            status=lambda: status,
+            log=logs.silent(),
+        )
+        self.forwarder: forwarders.Forwarder = front_fakes.forwarder(
+            sender,
+            *records,
+            clock=clock,
+            seed=rng.randrange(1 << 30),
+            zone=zone,
+            send_evidence=self.membership.send_evidence,
+        )
+        self.forwarder.config = front_fakes.config(route)
+        collector = self.forwarder.collector
+        self.membership.start(
+            lambda evidence, front, is_same_zone: collector.apply_remote(
+                evidence, front=front, is_same_zone=is_same_zone
+            )
+        )
+
+
+class FrontSender(front_fakes.FakeSender):
+    """Sender of one front that records the arrivals at the targets.
+
+    Args:
+        ip: IP address of the front.
+        behave: Decides how a target treats a request.
+        arrivals: Arrivals by id of the target, added to.
+    """
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        behave: Behave,
+        arrivals: dict[str, list[Arrival]],
+    ) -> None:
+        super().__init__(self._arrive)
+        self._ip = ip
+        self._behave_at = behave
+        self._arrivals = arrivals
+
+    def _arrive(
+        self, target: targets.Target, count: int
+    ) -> tuple[float, target_sender.AttemptResult]:
+        now_s = asyncio.get_running_loop().time()
+        self._arrivals[target.record.id].append(
+            Arrival(at_s=now_s, front=self._ip)
+        )
+        return self._behave_at(target)
+
+
+class FrontFleet:
+    """Fronts of all availability zones before the same targets.
+
+    Attributes:
+        fronts: The fronts, which callers choose at random.
+        arrivals_by_id: Arrivals at the targets by id.
+        answers: Answers to the callers.
+        links: Conditions of the links between the fronts.
+
+    Args:
+        seed: Seed of the arrivals.
+        per_zone: Number of fronts in each availability zone.
+        records: Registrations of the targets.
+        behave: Decides how a target treats a request: the time in seconds
+            and the result.
+        route: Route of all requests, None for one that may be retried.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        per_zone: int,
+        records: list[target_registration.TargetRegistration],
+        behave: Behave,
+        route: routes.Route | None = None,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self.links = fake_links.FakeLinks(
+            rng=random.Random(seed),
+            default=fake_links.Link(delay_s=ZONE_DELAY_S),
+        )
+        network = fake_datagrams.FakeDatagramNetwork(links=self.links)
+        self.arrivals_by_id: dict[str, list[Arrival]] = (
+            collections.defaultdict(list)
+        )
+        self.answers: list[http_answer.HttpAnswer] = []
+        self.fronts = [
+            FleetFront(
+                ip=f"10.0.{third}.{last}",
+                zone=zone,
+                network=network,
+                sender=FrontSender(
+                    ip=f"10.0.{third}.{last}",
+                    behave=behave,
+                    arrivals=self.arrivals_by_id,
+                ),
+                records=records,
+                route=route or front_fakes.route(),
+            )
+            for third, zone in enumerate(front_fakes.ZONES)
+            for last in range(1, per_zone + 1)
+        ]
+        self._tasks: set[asyncio.Task] = set()
+
+    async def send(
+        self,
+        for_s: float,
+        rate_per_s: float,
+        fronts: list[FleetFront] | None = None,
+    ) -> None:
+        """Sends requests at a rate, whatever the answers.
+
+        Args:
+            for_s: Time in seconds.
+            rate_per_s: Requests per second, to all fronts together.
+            fronts: Fronts that the callers use, None for all.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + for_s
+        number = len(self.answers)
+        while loop.time() < end_s:
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
+            number += 1
+            request = front_fakes.request(
+                f"/orders/{loop.time()}/{number}", received_s=loop.time()
+            )
+            front = self._rng.choice(fronts or self.fronts)
+            task = asyncio.ensure_future(self._handle(front, request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> list[Exception]:
+        """Stops all fronts; returns the errors of their timers."""
+        for task in self._tasks:
+            task.cancel()
+        for front in self.fronts:
+            front.timers.close()
+        return [error for front in self.fronts for error in front.failures]
+
+    def most_in(self, id: str, *, window_s: float, from_s: float) -> int:
+        """Returns the most arrivals at a target in any window.
+
+        Args:
+            id: Id of the target.
+            window_s: Length of the window in seconds.
+            from_s: Loop time from which arrivals count, in seconds.
+        """
+        times = sorted(
+            item.at_s
+            for item in self.arrivals_by_id[id]
+            if item.at_s >= from_s
+        )
+        most = first = 0
+        for last, at_s in enumerate(times):
+            while times[first] <= at_s - window_s:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+    async def _handle(self, front: FleetFront, request: typing.Any) -> None:
+        self.answers.append(
+            await front.forwarder.handle(
+                request, caller_presence.CallerPresence()
+            )
+        )
