Keep to the rate limits of targets across all fronts

What callers and operators saw: a target in need that named a limit of 1 or 2.1 requests a second got up to 14 a second, because to the fronts it was one of the healthiest of its service while others failed.

Cause: a decision that each front takes alone about something that all of them use up together, and a statement of the target that none of them read.

Change: target_limit spaces the starts at a target by its limit and keeps starts in excess as a debt. rate_limiter decides whether a target may get a request now; placement and the trials for the floor leave out those that may not. Each front counts the starts of all fronts of its region, told in their packets; in zones with hubs also the starts of first attempts, within 10 ms. Regions have fixed shares; fronts that are partitioned use only their own part. An answer without a limit ends it everywhere. Packets and reports of builds that don't know limits are read as before, and they ignore the rest. If no target of a service may get a request, the caller is refused at once; return_order tells refused callers when to return, one after the other.

Why it works: the fix doesn't depend on who sends: first attempts, retries, hedges, trials and resends all start at the same place.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -21,8 +21,10 @@
 from fuchsiacourse.front import object_copy
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import placement
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import retry_budget
+from fuchsiacourse.front import return_order
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
@@ -323,6 +325,7 @@
     clock: clocks.Clock | None = None,
     seed: int = 1,
     zone: str = "a",
+    live_share: typing.Callable[[], float] = lambda: 1.0,
     send_evidence: evidence_collector.EvidenceSender | None = None,
     **bound_changes: float,
 ) -> forwarders.Forwarder:
@@ -334,6 +337,7 @@
         clock: Source of time, None for the virtual loop's.
         seed: Seed of the random decisions.
         zone: Availability zone of the front.
+        live_share: Returns the share of the region's fronts in contact.
         send_evidence: Sends evidence to other fronts, None for nowhere.
         bound_changes: Replaced values of the retry budget's bounds.
     """
@@ -352,6 +356,12 @@
     )
     suspects = crash_suspects.CrashSuspects(clock=front_clock)
     failures = failure_share.FailureShare()
+    limiter = rate_limiter.RateLimiter(
+        clock=front_clock,
+        availability_zone=zone,
+        regions_by_zone=ZONES,
+        live_share=live_share,
+    )
     for item in records:
         table.put(item)
 
@@ -375,7 +385,9 @@
                 bounds=bounds(),
                 failures=failures,
                 lost_share=lambda: 0.0,
+                limiter=limiter,
             ),
+            limiter=limiter,
         ),
         collector=evidence_collector.EvidenceCollector(
             clock=front_clock,
@@ -384,6 +396,7 @@
             times=times,
             failures=failures,
             suspects=suspects,
+            limiter=limiter,
             send_evidence=send_evidence or ignore,
             warn_regions=ignore,
             log=log,
@@ -391,6 +404,9 @@
         budget=budget,
         times=times,
         suspects=suspects,
+        limiter=limiter,
+        returns=return_order.ReturnOrder(clock=front_clock, rng=rng),
+        front_count=lambda: 1,
         sender=sender,
         rejections=rejections(clock=front_clock, metrics=metrics),
         metrics=metrics,
--- a/bench/front_fleet.py
+++ b/bench/front_fleet.py
@@ -113,6 +113,7 @@
             clock=clock,
             seed=rng.randrange(1 << 30),
             zone=zone,
+            live_share=self.membership.peers.live_share,
             send_evidence=self.membership.send_evidence,
         )
         self.forwarder.config = front_fakes.config(route)
--- a/bench/measure_placement.py
+++ b/bench/measure_placement.py
@@ -18,6 +18,7 @@
 from fuchsiacourse.front import floor_trials
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import placement as placements
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import service_targets
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target as targets
@@ -55,6 +56,12 @@
         self._clock.now_s = 0.0
         times = service_times.ServiceTimes()
         times.add(front_fakes.SERVICE, WORK_S)
+        limiter = rate_limiter.RateLimiter(
+            clock=self._clock,
+            availability_zone="a",
+            regions_by_zone=front_fakes.ZONES,
+            live_share=lambda: 1.0,
+        )
         self.placement = placements.Placement(
             clock=self._clock,
             rng=random.Random(seed + 1),
@@ -67,7 +74,9 @@
                 bounds=front_fakes.bounds(),
                 failures=failure_share.FailureShare(),
                 lost_share=lambda: 0.0,
+                limiter=limiter,
             ),
+            limiter=limiter,
         )
         self.targets = service_targets.ServiceTargets()
         for number in range(size):
--- a/fuchsiacourse/front/bundle_relay.py
+++ b/fuchsiacourse/front/bundle_relay.py
@@ -12,9 +12,10 @@
 # front receives, and delays evidence by half of it on average, and by twice
 # as much from other zones.
 GATHER_REPORTS_S = 0.06
-# The same if a report tells of a failure, in seconds: until the others know of
-# it, they send requests to the same target.
-GATHER_FAILURES_S = 0.01
+# The same if a report tells of a failure or of a start at a target with a rate
+# limit, in seconds: until the others know of it, they send requests to the
+# same target.
+GATHER_URGENT_S = 0.01
 # The same if there are only packets with the states of fronts, in seconds.
 GATHER_PACKETS_S = 0.12
 
@@ -103,6 +104,6 @@
 
 
 def _gather_s(bundle: packet_bundle.PacketBundle) -> float:
-    if packet_bundle.has_failures(bundle.reports):
-        return GATHER_FAILURES_S
+    if packet_bundle.is_urgent(bundle.reports):
+        return GATHER_URGENT_S
     return GATHER_REPORTS_S if bundle.reports else GATHER_PACKETS_S
--- a/fuchsiacourse/front/evidence.py
+++ b/fuchsiacourse/front/evidence.py
@@ -5,6 +5,7 @@
 import enum
 
 from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import target_limit
 
 
 class AttemptKind(enum.IntEnum):
@@ -17,6 +18,9 @@
     REPLACEMENT = 2
     # A first attempt that counts at its end, as its start was not reported.
     FIRST_AT_END = 3
+    # Start of a first attempt at a target with a rate limit; the attempt
+    # counts at its end.
+    FIRST_PACED = 4
 
 
 class Evidence:
@@ -33,6 +37,11 @@
             if it has reported none.
         fingerprint: Fingerprint of the request if its connection was lost,
             otherwise 0.
+        rate_limit: Requests per second that the target states to take from
+            all fronts, target_limit.UNLIMITED if it states no limit, None if
+            the attempt doesn't tell.
+        is_paced: Whether the target states a limit, so that the other fronts
+            need to know of each start.
     """
 
     __slots__ = (
@@ -43,6 +52,8 @@
         "took_s",
         "reported_load",
         "fingerprint",
+        "rate_limit",
+        "is_paced",
     )
 
     def __init__(
@@ -55,6 +66,8 @@
         took_s: float = 0.0,
         reported_load: int | None = None,
         fingerprint: int = 0,
+        rate_limit: float | None = None,
+        is_paced: bool = False,
     ) -> None:
         self.target_key = target_key
         self.outcome = outcome
@@ -63,3 +76,18 @@
         self.took_s = took_s
         self.reported_load = reported_load
         self.fingerprint = fingerprint
+        self.rate_limit = rate_limit
+        self.is_paced = is_paced
+
+    @property
+    def states_limit(self) -> bool:
+        """Whether the target states a rate limit."""
+        return (
+            self.rate_limit is not None
+            and self.rate_limit < target_limit.UNLIMITED
+        )
+
+    def set_unlimited(self) -> None:
+        """Records that the target states no limit if the outcome tells."""
+        if self.outcome in outcomes.LIMIT_TELLING:
+            self.rate_limit = target_limit.UNLIMITED
--- a/fuchsiacourse/front/evidence_collector.py
+++ b/fuchsiacourse/front/evidence_collector.py
@@ -9,6 +9,7 @@
 from fuchsiacourse.front import evidence as evidences
 from fuchsiacourse.front import failure_share
 from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import retry_budget
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target as targets
@@ -56,6 +57,7 @@
         times: Usual response times of the services.
         failures: Share of the attempts that fail, by service.
         suspects: Requests suspected of crashing targets.
+        limiter: Spaces the starts at targets with a rate limit.
         send_evidence: Sends evidence to the other fronts of the region.
         warn_regions: Sends evidence to the other regions.
         log: Logger.
@@ -70,6 +72,7 @@
         times: service_times.ServiceTimes,
         failures: failure_share.FailureShare,
         suspects: crash_suspects.CrashSuspects,
+        limiter: rate_limiter.RateLimiter,
         send_evidence: EvidenceSender,
         warn_regions: EvidenceSender,
         log: typing.Any,
@@ -80,6 +83,7 @@
         self._times = times
         self._failures = failures
         self._suspects = suspects
+        self._limiter = limiter
         self._send_evidence = send_evidence
         self._warn_regions = warn_regions
         self._log = log
@@ -92,12 +96,14 @@
         target.last_used_s = now_s
         target.load.change(1, now_s)
         self._count_attempt(target.record.service, kind)
+        self._limiter.record_start(target)
         self._send_evidence(
             evidences.Evidence(
                 target_key=target.key,
                 outcome=None,
                 kind=kind,
                 in_flight=target.load.own,
+                is_paced=target.limit.is_stated,
             )
         )
 
@@ -114,6 +120,7 @@
             self._count_attempt(
                 target.record.service, evidences.AttemptKind.REPEAT
             )
+            self._limiter.record_start(target)
             self._send_evidence(
                 evidences.Evidence(
                     target_key=target.key,
@@ -145,6 +152,7 @@
         kind: evidences.AttemptKind,
         took_s: float,
         reported_load: int | None,
+        rate_limit: float | None,
         fingerprint: int,
     ) -> None:
         """Records the end of an attempt of this front.
@@ -158,6 +166,9 @@
             took_s: Time from the start to the end, in seconds.
             reported_load: Load that the target has reported, in requests;
                 None if it has reported none.
+            rate_limit: Limit that the target has stated, in requests per
+                second; target_limit.UNLIMITED if it has stated that there is
+                none, None if it has stated nothing.
             fingerprint: Fingerprint of the request.
         """
         now_s = self._clock.now()
@@ -180,8 +191,9 @@
             took_s=took_s,
             reported_load=reported_load,
             fingerprint=lost_fingerprint,
+            rate_limit=rate_limit,
         )
-        self._apply(target, evidence)
+        self._apply(target, evidence, front="")
         if outcome is outcomes.Outcome.ANSWERED:
             self._suspects.clear(fingerprint)
         self._send_evidence(evidence)
@@ -191,33 +203,6 @@
         ):
             self._warn_regions(evidence)
 
-    def record_limit(
-        self,
-        target: targets.Target,
-        rate_per_s: float | None,
-        *,
-        took_s: float,
-    ) -> None:
-        """Records the rate limit that an answer of a target states.
-
-        Args:
-            target: Target that answered.
-            rate_per_s: Limit in requests per second, None if the answer
-                states none.
-            took_s: Time from the request to the answer, in seconds.
-        """
-        before = target.limit.rate_per_s
-        now_s = self._clock.now()
-        if target.limit.observe(rate_per_s, now_s, took_s=took_s):
-            logs.event(
-                self._log,
-                "target_limit_changed",
-                service=target.record.service,
-                target=target.record.id,
-                rate_limit=rate_per_s,
-                before=before,
-            )
-
     def apply_remote(
         self, evidence: evidences.Evidence, *, front: str, is_same_zone: bool
     ) -> None:
@@ -238,6 +223,7 @@
         if evidence.outcome is None:
             target.last_used_s = now_s
             self._count_attempt(target.record.service, evidence.kind)
+            self._limiter.record_start(target)
             return
         if evidence.kind is evidences.AttemptKind.FIRST_AT_END:
             start_s = now_s - evidence.took_s
@@ -257,11 +243,17 @@
             weight=weight,
             front=front,
         )
-        self._apply(target, evidence)
+        self._apply(target, evidence, front=front)
 
     def _apply(
-        self, target: targets.Target, evidence: evidences.Evidence
+        self,
+        target: targets.Target,
+        evidence: evidences.Evidence,
+        *,
+        front: str,
     ) -> None:
+        if evidence.rate_limit is not None:
+            self._record_limit(target, evidence, front)
         if evidence.reported_load is not None:
             target.load.report(evidence.reported_load, self._clock.now())
         if evidence.outcome is not None:
@@ -281,6 +273,27 @@
                     fingerprint=f"{evidence.fingerprint:016x}",
                 )
 
+    def _record_limit(
+        self,
+        target: targets.Target,
+        evidence: evidences.Evidence,
+        front: str,
+    ) -> None:
+        before = target.limit.rate_per_s
+        assert evidence.rate_limit is not None
+        if self._limiter.record_limit(
+            target, evidence.rate_limit, took_s=evidence.took_s
+        ):
+            logs.event(
+                self._log,
+                "target_limit_changed",
+                service=target.record.service,
+                target=target.record.id,
+                rate_limit=evidence.rate_limit,
+                before=before,
+                seen_by=front or "self",
+            )
+
     def _count_attempt(
         self, service: str, kind: evidences.AttemptKind
     ) -> None:
--- a/fuchsiacourse/front/final_answers.py
+++ b/fuchsiacourse/front/final_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 from fuchsiacourse.front import http_answer
@@ -87,19 +88,48 @@
         )
 
     def unavailable(
-        self, reason: str, attempts: int
+        self,
+        reason: str,
+        attempts: int,
+        *,
+        retry_after_s: float = NOT_RUN_RETRY_S,
     ) -> http_answer.HttpAnswer:
         """Returns a 503: the request has not run and never will.
 
         Args:
             reason: Explanation for the caller and cause for the log.
             attempts: Number of attempts so far.
+            retry_after_s: Time after which the caller may return, in seconds.
         """
         answer = self._front.local_answer(
-            self._fields, _UNAVAILABLE, reason, retry_after_s=NOT_RUN_RETRY_S
+            self._fields, _UNAVAILABLE, reason, retry_after_s=retry_after_s
         )
         return self._log(answer, reason, attempts)
 
+    def no_target(
+        self, found: collections.abc.Sequence[targets.Target]
+    ) -> http_answer.HttpAnswer:
+        """Returns a 503 for a request that no target may get now.
+
+        If the targets are at their rate limits, the caller learns when one of
+        them takes its request.
+
+        Args:
+            found: Targets of the service.
+        """
+        opens_in_s = self._front.limiter.wait_s(found)
+        if opens_in_s is None:
+            return self.unavailable("no target is known", 0)
+        wait_s = self._front.returns.next_wait_s(
+            self._service,
+            opens_in_s=opens_in_s,
+            rate_per_s=self._front.limiter.rate_per_s(found)
+            / self._front.front_count(),
+        )
+        return self.unavailable(
+            "all targets are at their limits", 0, retry_after_s=wait_s
+        )
+
     def all_attempts_failed(
         self,
         failure: target_sender.AttemptResult | None,
--- a/fuchsiacourse/front/floor_trials.py
+++ b/fuchsiacourse/front/floor_trials.py
@@ -14,6 +14,7 @@
 from fuchsiacourse import clock as clocks
 from fuchsiacourse.front import failure_share
 from fuchsiacourse.front import front_settings
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import target as targets
 
 # Time for which a target counts as in use after a request, in seconds; the
@@ -58,6 +59,7 @@
         failures: Attempts of each service, and the share of them that fails.
         lost_share: Returns the share of the region's fronts that went down
             lately.
+        limiter: Spaces the starts at targets with a rate limit.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "_bounds",
         "_failures",
         "_lost_share",
+        "_limiter",
         "_in_use_by_service",
     )
 
@@ -77,12 +80,14 @@
         bounds: front_settings.Bounds,
         failures: failure_share.FailureShare,
         lost_share: typing.Callable[[], float],
+        limiter: rate_limiter.RateLimiter,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._bounds = bounds
         self._failures = failures
         self._lost_share = lost_share
+        self._limiter = limiter
         # Result of the last check of the floor: monotonic time until which it
         # is used, in seconds, targets in use and usable targets.
         self._in_use_by_service: dict[str, tuple[float, int, int]] = {}
@@ -116,6 +121,7 @@
             and now_s - item.last_used_s > IN_USE_S
             and item.failure_probability(now_s) < MAX_FAILURE_PROBABILITY
             and item.load.in_flight(now_s) < item.record.slots
+            and self._limiter.permits(item)
         ]
         return min(
             idle,
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -13,9 +13,11 @@
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import placement as placements
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import request_run
 from fuchsiacourse.front import retry_budget
+from fuchsiacourse.front import return_order
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target_sender
@@ -47,6 +49,10 @@
         budget: Retry budget.
         times: Usual response times of the services.
         suspects: Requests suspected of crashing targets.
+        limiter: Spaces the starts at targets with a rate limit.
+        returns: Decides when refused callers return.
+        front_count: Returns the number of the region's fronts in contact,
+            with this one.
         sender: Sends requests to targets.
         rejections: Logs and counts rejected requests.
         metrics: Metrics of the front.
@@ -65,6 +71,9 @@
         budget: retry_budget.RetryBudget,
         times: service_times.ServiceTimes,
         suspects: crash_suspects.CrashSuspects,
+        limiter: rate_limiter.RateLimiter,
+        returns: return_order.ReturnOrder,
+        front_count: typing.Callable[[], int],
         sender: target_sender.TargetSender,
         rejections: rejection_log.RejectionLog,
         metrics: front_metrics.FrontMetrics,
@@ -79,6 +88,9 @@
         self.budget = budget
         self.times = times
         self.suspects = suspects
+        self.limiter = limiter
+        self.returns = returns
+        self.front_count = front_count
         self.sender = sender
         self._rejections = rejections
         self.metrics = metrics
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -27,8 +27,10 @@
 from fuchsiacourse.front import membership as memberships
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import pooled_sender
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import retry_budget
+from fuchsiacourse.front import return_order
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import settings_watch
@@ -210,6 +212,12 @@
         )
         suspects = crash_suspects.CrashSuspects(clock=self._clock)
         failures = failure_share.FailureShare()
+        limiter = rate_limiter.RateLimiter(
+            clock=self._clock,
+            availability_zone=settings.availability_zone,
+            regions_by_zone=settings.regions_by_zone,
+            live_share=self._membership.peers.live_share,
+        )
         return forwarders.Forwarder(
             clock=self._clock,
             rng=self._rng,
@@ -227,7 +235,9 @@
                     bounds=settings.bounds,
                     failures=failures,
                     lost_share=self._membership.peers.lost_share,
+                    limiter=limiter,
                 ),
+                limiter=limiter,
             ),
             collector=evidence_collector.EvidenceCollector(
                 clock=self._clock,
@@ -236,6 +246,7 @@
                 times=times,
                 failures=failures,
                 suspects=suspects,
+                limiter=limiter,
                 send_evidence=self._membership.send_evidence,
                 warn_regions=self._membership.warn_regions,
                 log=self._log,
@@ -243,6 +254,9 @@
             budget=budget,
             times=times,
             suspects=suspects,
+            limiter=limiter,
+            returns=return_order.ReturnOrder(clock=self._clock, rng=self._rng),
+            front_count=self._membership.peers.live_count,
             sender=self._sender,
             rejections=self._rejections,
             metrics=self._metrics,
@@ -349,7 +363,7 @@
                 for target in targets
             ),
             "front_targets_limited": sum(
-                target.limit.rate_per_s is not None for target in targets
+                target.limit.is_stated for target in targets
             ),
             "front_connections_opened_total": self._sender.opened_count,
             "front_log_lines_dropped_total": self._sink.dropped,
--- a/fuchsiacourse/front/membership.py
+++ b/fuchsiacourse/front/membership.py
@@ -213,12 +213,19 @@
         """Sends evidence to the fronts of the region through a hub.
 
         The starts of first attempts are left out, which are most starts: the
-        load is known from the ends and from what the targets report.
+        load is known from the ends and from what the targets report. Those at
+        targets with a rate limit are told, as all fronts keep to it together.
         """
         ip, zone = self._settings.ip, self.peers.zone
-        pending = [item for item in pending if not _is_first_start(item)]
+        pending = [
+            item
+            for item in pending
+            if item.is_paced or not _is_first_start(item)
+        ]
         for item in pending:
-            if item.kind is _FIRST and item.outcome not in _UNFINISHED:
+            if _is_first_start(item):
+                item.kind = evidences.AttemptKind.FIRST_PACED
+            elif item.kind is _FIRST and item.outcome not in _UNFINISHED:
                 item.kind = evidences.AttemptKind.FIRST_AT_END
         if not pending:
             return
@@ -227,12 +234,12 @@
             reports=b"".join(
                 packet_bundle.encode_report(ip, zone, item)
                 for item in pending
-                if not item.fingerprint
+                if not _needs_packet(item)
             ),
             packets=[
                 self._sequenced(self._packet(evidence=[item]))
                 for item in pending
-                if item.fingerprint
+                if _needs_packet(item)
             ],
         )
         self._send_bundle(bundle, [hub])
@@ -340,6 +347,9 @@
             self._receive_sequenced(packet)
         for ip, zone, evidence in packet_bundle.decode_reports(bundle.reports):
             if ip != self._settings.ip:
+                origin = self.peers.by_ip.get(ip)
+                if origin is not None and origin.tells_limits:
+                    evidence.set_unlimited()
                 is_same_zone = zone == self.peers.zone
                 self._on_evidence(evidence, ip, is_same_zone)
 
@@ -438,6 +448,7 @@
         peer.config_version = packet.config_version
         peer.store_contact_s = packet.store_contact_s
         peer.has_bundles = packet.has_bundles
+        peer.tells_limits = packet.tells_limits
         peer.last_packet_s = now_s
         self._peers_by_heartbeat.pop(peer.heartbeat, None)
         if packet.view is not None:
@@ -516,6 +527,7 @@
             relay_in_region=relay_in_region,
             requests_members=requests_members,
             has_bundles=True,
+            tells_limits=True,
             evidence=evidence,
             members=members,
             view=status.view if has_view else None,
@@ -529,6 +541,11 @@
     return item.outcome is None and item.kind is _FIRST
 
 
+def _needs_packet(item: evidences.Evidence) -> bool:
+    """Returns whether a report has no room for a piece of evidence."""
+    return bool(item.fingerprint) or item.states_limit
+
+
 def _ignore_view_change() -> None:
     """Default callback for changes of a peer's view of the store."""
 
--- a/fuchsiacourse/front/membership_packet.py
+++ b/fuchsiacourse/front/membership_packet.py
@@ -26,6 +26,11 @@
 # View of the store: flags, capacity in Mbit/s, revisions of the configuration
 # and of the registrations.
 _VIEW = struct.Struct("<BBQQ")
+# Number of rate limits at the end of the packet. Builds that don't know them
+# ignore what follows the parts that they know.
+_LIMIT_COUNT = struct.Struct("<B")
+# Rate limit: index of the piece of evidence, requests per second.
+_LIMIT = struct.Struct("<Bf")
 # Flags of the header.
 _READY = 1
 _LEAVING = 2
@@ -34,6 +39,7 @@
 _RELAY_IN_REGION = 16
 _HAS_VIEW = 32
 _HAS_BUNDLES = 64
+_TELLS_LIMITS = 128
 # Flags of the view of the store.
 _PROVEN = 1
 _LOST = 2
@@ -65,6 +71,8 @@
             the fronts of its region.
         requests_members: Whether the receiver is to reply with its members.
         has_bundles: Whether that front understands bundles.
+        tells_limits: Whether that front reports the rate limits of targets,
+            so that evidence without one shows that there is none.
         evidence: Evidence of the health of targets.
         members: IP address and zone index of fronts.
         view: That front's view of the store, None in packets without it.
@@ -82,6 +90,7 @@
         "relay_in_region",
         "requests_members",
         "has_bundles",
+        "tells_limits",
         "evidence",
         "members",
         "view",
@@ -101,6 +110,7 @@
         relay_in_region: bool = False,
         requests_members: bool = False,
         has_bundles: bool = False,
+        tells_limits: bool = False,
         evidence: list[evidences.Evidence] | None = None,
         members: list[tuple[str, int]] | None = None,
         view: store_view.StoreView | None = None,
@@ -116,6 +126,7 @@
         self.relay_in_region = relay_in_region
         self.requests_members = requests_members
         self.has_bundles = has_bundles
+        self.tells_limits = tells_limits
         self.evidence = evidence or []
         self.members = members or []
         self.view = view
@@ -130,6 +141,7 @@
         flags |= _RELAY_IN_REGION * self.relay_in_region
         flags |= _HAS_VIEW * (self.view is not None)
         flags |= _HAS_BUNDLES * self.has_bundles
+        flags |= _TELLS_LIMITS * self.tells_limits
         head = _HEAD.pack(
             _MAGIC,
             flags,
@@ -149,6 +161,8 @@
         )
         if self.view is not None:
             parts.append(_encoded_view(self.view))
+        if self.tells_limits:
+            parts.extend(_encoded_limits(self.evidence))
         return b"".join(parts)
 
 
@@ -188,7 +202,12 @@
         ip, member_zone = _MEMBER.unpack_from(data, offset)
         members.append((ip_bytes.to_text(ip), member_zone))
         offset += _MEMBER.size
-    view = _decoded_view(data, offset) if flags & _HAS_VIEW else None
+    view = None
+    if flags & _HAS_VIEW:
+        view = _decoded_view(data, offset)
+        offset += _VIEW.size
+    if flags & _TELLS_LIMITS:
+        _decode_limits(data, offset, evidence)
     return MembershipPacket(
         ip=ip_bytes.to_text(origin),
         zone=zone,
@@ -201,12 +220,45 @@
         relay_in_region=bool(flags & _RELAY_IN_REGION),
         requests_members=bool(flags & _REQUESTS_MEMBERS),
         has_bundles=bool(flags & _HAS_BUNDLES),
+        tells_limits=bool(flags & _TELLS_LIMITS),
         evidence=evidence,
         members=members,
         view=view,
     )
 
 
+def _encoded_limits(found: list[evidences.Evidence]) -> list[bytes]:
+    stated = [
+        (index, item.rate_limit)
+        for index, item in enumerate(found)
+        if item.states_limit
+    ]
+    return [
+        _LIMIT_COUNT.pack(len(stated)),
+        *(_LIMIT.pack(index, rate_limit) for index, rate_limit in stated),
+    ]
+
+
+def _decode_limits(
+    data: bytes, offset: int, found: list[evidences.Evidence]
+) -> None:
+    """Sets the rate limits of decoded evidence.
+
+    Raises:
+        ValueError: A limit belongs to no evidence.
+    """
+    for item in found:
+        item.set_unlimited()
+    (count,) = _LIMIT_COUNT.unpack_from(data, offset)
+    offset += _LIMIT_COUNT.size
+    for _ in range(count):
+        index, rate_limit = _LIMIT.unpack_from(data, offset)
+        offset += _LIMIT.size
+        if index >= len(found) or not rate_limit >= 0.0:
+            raise ValueError("rate limit without evidence, or negative")
+        found[index].rate_limit = rate_limit
+
+
 def _encoded_view(view: store_view.StoreView) -> bytes:
     return _VIEW.pack(
         _PROVEN * view.has_proven_contact | _LOST * view.has_lost_store,
--- a/fuchsiacourse/front/packet_bundle.py
+++ b/fuchsiacourse/front/packet_bundle.py
@@ -202,14 +202,17 @@
     )
 
 
-def has_failures(reports: bytes) -> bool:
-    """Returns whether an outcome among encoded reports is a failure.
+def is_urgent(reports: bytes) -> bool:
+    """Returns whether encoded reports change what others do at once.
+
+    That is a failure, or a start at a target with a rate limit.
 
     Args:
         reports: Encoded reports, one after the other.
     """
     return any(
         reports[at] & _OUTCOME_MASK in _FAILURES
+        or reports[at] >> _KIND_SHIFT == evidences.AttemptKind.FIRST_PACED
         for at in range(_CODE_OFFSET, len(reports), REPORT_BYTES)
     )
 
--- a/fuchsiacourse/front/peer_state.py
+++ b/fuchsiacourse/front/peer_state.py
@@ -27,6 +27,7 @@
         "discovered_s",
         "view",
         "has_bundles",
+        "tells_limits",
         "last_bundle_s",
         "sequence",
         "heartbeat",
@@ -49,6 +50,8 @@
         self.view: store_view.StoreView | None = None
         # Whether it understands bundles.
         self.has_bundles = False
+        # Whether it reports the rate limits of targets.
+        self.tells_limits = False
         # Monotonic time of the last bundle that came directly from it, in
         # seconds.
         self.last_bundle_s = float("-inf")
--- a/fuchsiacourse/front/peer_table.py
+++ b/fuchsiacourse/front/peer_table.py
@@ -199,6 +199,12 @@
                 lost += 1
         return lost / (live + lost + 1)
 
+    def live_count(self) -> int:
+        """Returns the number of the region's live fronts, with this one."""
+        now_s = self._clock.now()
+        known = self.in_region(self._settings.region)
+        return 1 + sum(self.is_live(peer, now_s) for peer in known)
+
     def live_share(self) -> float:
         """Returns the fraction of the region's known fronts that are live.
 
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -14,6 +14,7 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse.front import floor_trials
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import service_targets
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target as targets
@@ -67,6 +68,7 @@
         regions_by_zone: Region of each availability zone.
         times: Usual response times of the services.
         trials: Chooses idle targets while too few are in use.
+        limiter: Spaces the starts at targets with a rate limit.
     """
 
     __slots__ = (
@@ -76,6 +78,7 @@
         "_regions",
         "_times",
         "_trials",
+        "_limiter",
     )
 
     def __init__(
@@ -87,6 +90,7 @@
         regions_by_zone: dict[str, str],
         times: service_times.ServiceTimes,
         trials: floor_trials.FloorTrials,
+        limiter: rate_limiter.RateLimiter,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -94,6 +98,7 @@
         self._regions = regions_by_zone
         self._times = times
         self._trials = trials
+        self._limiter = limiter
 
     def choose(
         self,
@@ -103,7 +108,7 @@
         is_retryable: bool,
         avoid: typing.Collection[targets.Target] = (),
     ) -> targets.Target | None:
-        """Returns the best target, None if none is usable.
+        """Returns the best target, None if none may get a request now.
 
         Args:
             candidates: Targets of the service.
@@ -124,7 +129,7 @@
                 return trial
         best, lowest = None, float("inf")
         for part in self._samples(candidates, groups):
-            others = _usable(part, avoid)
+            others = self._open(part, avoid)
             found, loss = self._best(others, objective_s, is_retryable)
             if found is not None and loss < lowest:
                 best, lowest = found, loss
@@ -132,7 +137,7 @@
                 break
         if best is not None:
             return best
-        left = _usable(candidates, avoid) or _usable(candidates, ())
+        left = self._open(candidates, avoid) or self._open(candidates, ())
         return self._best(left, objective_s, is_retryable)[0]
 
     def _samples(
@@ -239,14 +244,23 @@
         if target.is_cold(now_s):
             slots = max(1.0, slots * COLD_SLOT_SHARE)
         if load < slots:
-            return loss + BUSY_LOSS * load / slots
+            # A target that states a limit is as loaded as it wants to be.
+            use = 1.0 if target.limit.is_stated else load / slots
+            return loss + BUSY_LOSS * use
         usual_s = self._times.usual_s(target.record.service)
         wait_s = (load - slots + 1.0) / slots * usual_s
         return loss + BUSY_LOSS + wait_s / objective_s
 
-
-def _usable(
-    found: collections.abc.Iterable[targets.Target],
-    avoid: typing.Collection[targets.Target],
-) -> list[targets.Target]:
-    return [item for item in found if item.is_usable and item not in avoid]
+    def _open(
+        self,
+        found: collections.abc.Iterable[targets.Target],
+        avoid: typing.Collection[targets.Target],
+    ) -> list[targets.Target]:
+        """Returns the targets that may get a request now."""
+        return [
+            item
+            for item in found
+            if item.is_usable
+            and item not in avoid
+            and self._limiter.permits(item)
+        ]
--- a/fuchsiacourse/front/request_events.py
+++ b/fuchsiacourse/front/request_events.py
@@ -69,7 +69,9 @@
             target=target.record.id,
             sickness=round(target.failure_probability(now_s), 3),
             load=round(target.load.in_flight(now_s), 1),
-            rate_limit=target.limit.rate_per_s,
+            rate_limit=(
+                target.limit.rate_per_s if target.limit.is_stated else None
+            ),
             left_ms=int(left_s * 1000.0),
             repeat_of=retry_of,
         )
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -120,8 +120,8 @@
 
     async def _run(self) -> http_answer.HttpAnswer:
         if not self._send(evidences.AttemptKind.FIRST):
-            return self._answers.unavailable(
-                "no target is known", self._attempts
+            return self._answers.no_target(
+                self._front.table.of_service(self._service)
             )
         while self._running or self._retry_declined_at_s is not None:
             now_s = self._front.clock.now()
@@ -340,14 +340,10 @@
             reported_load=(
                 None if load is None else load.running + load.waiting
             ),
+            rate_limit=result.rate_limit,
             fingerprint=self._fingerprint,
         )
         self._events.log_ended(item.target, result, took_s=took_s)
-        if result.states_limit:
-            assert result.fields is not None
-            self._front.collector.record_limit(
-                item.target, result.fields.rate_limit, took_s=took_s
-            )
 
     def _handle_late(self) -> None:
         now_s = self._front.clock.now()
@@ -382,6 +378,7 @@
             kind=item.kind,
             took_s=self._front.clock.now() - item.started_s,
             reported_load=None,
+            rate_limit=None,
             fingerprint=self._fingerprint,
         )
 
--- a/fuchsiacourse/front/target_sender.py
+++ b/fuchsiacourse/front/target_sender.py
@@ -11,6 +11,7 @@
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import target as targets
+from fuchsiacourse.front import target_limit
 from fuchsiacourse.front import wire_protocol
 
 
@@ -45,18 +46,19 @@
         self.resends = resends
 
     @property
-    def states_limit(self) -> bool:
-        """Whether the answer tells if the target has a rate limit.
+    def rate_limit(self) -> float | None:
+        """Limit that the target has stated, in requests per second.
 
-        An answer with a limit does. One without counts only if it certainly
-        comes from the target.
+        It is target_limit.UNLIMITED if an answer that certainly comes from
+        the target states none, and None if the attempt doesn't tell.
         """
         if self.fields is None:
-            return False
-        return self.fields.rate_limit is not None or (
-            self.outcome
-            in (outcomes.Outcome.ANSWERED, outcomes.Outcome.DECLINED)
-        )
+            return None
+        if self.fields.rate_limit is not None:
+            return self.fields.rate_limit
+        if self.outcome in outcomes.LIMIT_TELLING:
+            return target_limit.UNLIMITED
+        return None
 
 
 class TargetSender(abc.ABC):
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -6,6 +6,7 @@
 from bench import front_fakes
 from bench import front_fleet
 from bench import virtual_loop
+from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import outcome
 
 # The operator's bound for a target that takes a number of requests a second,
@@ -91,3 +92,86 @@
         """Guards against the same where reports go through hubs."""
         fleet = self.run_day(per_zone=16, rate_limit=2.1)
         self.assertLessEqual(self.most(fleet), allowed(2.1))
+
+    def test_retries_keep_to_the_limit(self):
+        """Guards against retries of requests that may run once."""
+        fleet = self.run_day(per_zone=8, rate_limit=2.1, is_idempotent=False)
+        self.assertLessEqual(self.most(fleet), allowed(2.1))
+
+    def test_lost_packets_and_a_partition_keep_to_the_limit(self):
+        """Guards against fronts that don't hear of each other's starts."""
+
+        async def part_the_zones(fleet):
+            fleet.links.default.loss = 0.03
+            # Until the fronts count each other as down.
+            await asyncio.sleep(1.0)
+            for here in range(1, 9):
+                for there in range(1, 9):
+                    first, second = f"10.0.0.{here}", f"10.0.1.{there}"
+                    fleet.links.cut(first, second)
+                    fleet.links.cut(second, first)
+
+        fleet = self.run_day(
+            per_zone=8, rate_limit=4.0, script=part_the_zones, for_s=18.0
+        )
+        self.assertLessEqual(self.most(fleet), allowed(4.0))
+
+    def test_limit_is_used(self):
+        """Guards against a limited target that gets far less than it takes."""
+        fleet = self.run_day(per_zone=8, rate_limit=4.0)
+        late = [
+            item
+            for item in fleet.arrivals_by_id[LIMITED_ID]
+            if item.at_s >= self.stated_s + SETTLE_S
+        ]
+        self.assertGreaterEqual(len(late), 0.5 * 4.0 * (12.0 - SETTLE_S))
+
+    def test_target_without_a_limit_again_is_used(self):
+        """Guards against a limit that fronts keep when the need is over."""
+
+        async def end_the_need(fleet):
+            await asyncio.sleep(6.0)
+            self.limit = None
+            self.ended_s = asyncio.get_running_loop().time()
+
+        fleet = self.run_day(per_zone=8, rate_limit=1.0, script=end_the_need)
+        after = fleet.most_in(
+            LIMITED_ID, window_s=WINDOW_S, from_s=self.ended_s + SETTLE_S
+        )
+        self.assertGreater(after, 5 * allowed(1.0) / 2)
+
+
+class FullServiceTest(unittest.TestCase):
+    """Callers must be refused at once when no target takes their request."""
+
+    def test_callers_are_refused_at_once_and_return_in_order(self):
+        """Guards against callers that wait in vain or return together."""
+
+        async def main():
+            sender = front_fakes.FakeSender(
+                lambda *_: (WORK_S, front_fakes.answered(rate_limit=1.0))
+            )
+            front = front_fakes.forwarder(
+                sender, front_fakes.record("t0"), front_fakes.record("t1")
+            )
+            front.config = front_fakes.config(front_fakes.route())
+            presence = caller_presence.CallerPresence()
+            await front.handle(front_fakes.request(), presence)
+            await front.handle(front_fakes.request(), presence)
+            loop = asyncio.get_running_loop()
+            waits = []
+            for number in range(4):
+                before_s = loop.time()
+                answer = await front.handle(
+                    front_fakes.request(f"/orders/{number}"), presence
+                )
+                self.assertEqual(503, answer.status)
+                self.assertEqual(before_s, loop.time())
+                waits.append(float(answer.header(b"retry-after")))
+            self.assertEqual(2, len(sender.sent_ids))
+            return waits
+
+        waits = virtual_loop.run(main())
+        self.assertEqual(sorted(waits), waits)
+        self.assertGreater(waits[0], 0.1)
+        self.assertGreater(waits[-1] - waits[0], 1.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
 from fuchsiacourse.front import floor_trials
 from fuchsiacourse.front import outcome
 from fuchsiacourse.front import placement
+from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import target as targets
 
@@ -23,6 +24,12 @@
         times.add(front_fakes.SERVICE, 0.3)
         self.failures = failure_share.FailureShare()
         self.lost_share = 0.0
+        self.limiter = rate_limiter.RateLimiter(
+            clock=self.clock,
+            availability_zone="a",
+            regions_by_zone=front_fakes.ZONES,
+            live_share=lambda: 1.0,
+        )
         self.placement = placement.Placement(
             clock=self.clock,
             rng=random.Random(1),
@@ -35,7 +42,9 @@
                 bounds=front_fakes.bounds(),
                 failures=self.failures,
                 lost_share=lambda: self.lost_share,
+                limiter=self.limiter,
             ),
+            limiter=self.limiter,
         )
 
     def target(self, id: str, zone: str = "a", **changes) -> targets.Target:
--- a/tests/test_target_limit.py
+++ b/tests/test_target_limit.py
@@ -4,6 +4,8 @@
 
 from fuchsiacourse.front import target_limit
 
+UNLIMITED = target_limit.UNLIMITED
+
 
 class TargetLimitTest(unittest.TestCase):
     """The limit must be the one that the target stated last."""
@@ -14,11 +16,47 @@
     def test_limit_ends_with_an_answer_without_it(self):
         """Guards against a limit that outlives the target's need."""
         self.assertTrue(self.limit.observe(2.0, 10.0, took_s=0.2))
-        self.assertTrue(self.limit.observe(None, 12.0, took_s=0.2))
-        self.assertIsNone(self.limit.rate_per_s)
+        self.assertTrue(self.limit.observe(UNLIMITED, 12.0, took_s=0.2))
+        self.assertFalse(self.limit.is_stated)
 
     def test_older_answer_does_not_end_the_limit(self):
         """Guards against a limit lost to an answer that overtook another."""
         self.limit.observe(2.0, 10.0, took_s=0.2)
-        self.assertFalse(self.limit.observe(None, 10.1, took_s=0.5))
+        self.assertFalse(self.limit.observe(UNLIMITED, 10.1, took_s=0.5))
         self.assertEqual(2.0, self.limit.rate_per_s)
+
+    def starts_in(self, for_s: float, *, share: float = 1.0) -> int:
+        """Returns how many starts the limit allows to eager fronts."""
+        now_s, starts = 10.0, 0
+        while now_s < 10.0 + for_s:
+            if now_s >= self.limit.opens_at_s:
+                self.limit.record_start(now_s, share=share)
+                starts += 1
+            now_s += 0.01
+        return starts
+
+    def test_starts_are_spaced_by_the_limit(self):
+        """Guards against more starts than a target takes, or far fewer."""
+        for rate_per_s in (1.0, 2.1, 20.0):
+            self.setUp()
+            self.limit.observe(rate_per_s, 10.0, took_s=0.2)
+            starts = self.starts_in(10.0)
+            self.assertLessEqual(starts, 10.0 * rate_per_s * 1.05 + 2)
+            self.assertGreaterEqual(starts, 10.0 * rate_per_s * 0.9)
+
+    def test_share_of_the_limit(self):
+        """Guards against partitioned fronts that each use the whole limit."""
+        self.limit.observe(4.0, 10.0, took_s=0.2)
+        self.assertLessEqual(self.starts_in(10.0, share=0.5), 22)
+
+    def test_limit_of_zero_is_asked_again(self):
+        """Guards against a target that is never used again."""
+        self.limit.observe(0.0, 10.0, took_s=0.2)
+        self.assertEqual(2, self.starts_in(15.0))
+
+    def test_starts_of_others_do_not_delay_without_end(self):
+        """Guards against a target closed for long by starts in excess."""
+        self.limit.observe(1.0, 10.0, took_s=0.2)
+        for _ in range(100):
+            self.limit.record_start(10.0, share=1.0)
+        self.assertLessEqual(self.limit.opens_at_s, 14.0)
