--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,30 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="LIMIT: starts of other fronts",
+        module="evidence_collector.py",
+        before=(
+            "            self._limiter.record_start(target)\n"
+            "            return\n"
+        ),
+        after="            return\n",
+        test="tests.test_limited_targets",
+    ),
+    Mutation(
+        rule="LIMIT: choice of targets",
+        module="placement.py",
+        before="            and self._limiter.permits(item)\n",
+        after="",
+        test="tests.test_limited_targets",
+    ),
+    Mutation(
+        rule="LIMIT: starts told through hubs",
+        module="membership.py",
+        before="if item.is_paced or not _is_first_start(item)",
+        after="if not _is_first_start(item)",
+        test="tests.test_limited_targets",
+    ),
     Mutation(
         rule="MIXED: late answers",
         module="client_connection.py",
