Log the era that the store states, and changes that are ignored

The logs of the restored store couldn't tell lost history from a lost copy, nor a watch that goes on in another history from any other.

The store's port carries the era of an answer; the client decodes it from each answer and refuses a list whose pages have different eras. A front logs store_era_changed with the revisions of its copies, and target_change_ignored when a registration is dropped for its revision. The stand-in can come back from a copy.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -216,6 +216,9 @@
     def on_store_lost(self) -> None:
         """Does nothing."""
 
+    def observe_era(self, era: int) -> None:
+        """Does nothing."""
+
     def on_store_regained(self) -> None:
         """Does nothing."""
 
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -247,6 +247,7 @@
         )
         if batch is None:
             return
+        self._relay.observe_era(batch.era)
         if batch.revision <= 0:
             # A watch can't continue from there, and reading a snapshot again
             # doesn't wait, so the loop would spin without a back-off.
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -164,6 +164,8 @@
         # Packets that arrive before this monotonic time may date from before a
         # pause.
         self._backlog_until_s = float("-inf")
+        # Latest era that the store has stated to this front.
+        self._store_era = 0
         # Whether the last ping was answered.
         self._has_proof = False
         # Whether the last report to the peers stated proven contact.
@@ -259,6 +261,19 @@
         if self._is_proven():
             self._membership.announce()
 
+    def observe_era(self, era: int) -> None:
+        """Records the era that an answer of the store states."""
+        if era <= self._store_era:
+            return
+        before, self._store_era = self._store_era, era
+        logs.event(
+            self._log,
+            "store_era_changed",
+            era=era,
+            before=before,
+            revisions=[item.copy.revision for item in self._followers],
+        )
+
     def on_store_lost(self) -> None:
         """Records that the store is unreachable."""
         self._lost_until_s = self._clock.now() + STORE_LOST_HOLD_S
@@ -438,7 +453,7 @@
             self._has_proof = False
             return
         try:
-            await asyncio.wait_for(self._store.ping(), PING_TIMEOUT_S)
+            era = await asyncio.wait_for(self._store.ping(), PING_TIMEOUT_S)
         except (errors.StoreError, TimeoutError) as error:
             if self._has_proof:
                 logs.warning(self._log, "store_silent", error=repr(error))
@@ -448,6 +463,7 @@
             self._has_proof = False
             self._report_contact()
             return
+        self.observe_era(era)
         self._has_proof = True
         self._report_contact()
 
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -76,6 +76,14 @@
             return
         known = self.by_key.get(item.key)
         if known is not None and known.version >= item.version:
+            if known.value != item.value:
+                logs.event(
+                    self.log,
+                    "target_change_ignored",
+                    target=_id(item.key),
+                    revision=item.version,
+                    known_revision=known.version,
+                )
             return
         self.by_key[item.key] = item
         try:
--- a/fuchsiacourse/object_table.py
+++ b/fuchsiacourse/object_table.py
@@ -20,15 +20,43 @@
     """The value exceeds MAX_VALUE_BYTES; nothing was written."""
 
 
+class SavedTable:
+    """Copy of a table.
+
+    Args:
+        revision: Revision of the last change.
+        objects: All objects.
+        changes: Change log.
+    """
+
+    __slots__ = ("revision", "objects", "changes")
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        objects: list[store.StoredObject],
+        changes: list[store.StoredObject],
+    ) -> None:
+        self.revision = revision
+        self.objects = objects
+        self.changes = changes
+
+
 class ObjectTable:
     """Stores objects by key under one revision counter.
 
+    Attributes:
+        revision: Revision of the last change.
+        era: Number of the history; it rises with each restore.
+
     Args:
         history_limit: Number of changes that the change log holds.
     """
 
     def __init__(self, *, history_limit: int = DEFAULT_HISTORY_LIMIT) -> None:
         self.revision = 0
+        self.era = 1
         self._objects_by_key: sortedcontainers.SortedDict[
             str, store.StoredObject
         ] = sortedcontainers.SortedDict()
@@ -140,6 +168,30 @@
         recorded = len(self._changes)
         return after_revision >= self.revision - recorded
 
+    def saved(self) -> SavedTable:
+        """Returns a copy of the objects and of the change log."""
+        return SavedTable(
+            revision=self.revision,
+            objects=list(self._objects_by_key.values()),
+            changes=list(self._changes),
+        )
+
+    def restore(self, saved: SavedTable) -> None:
+        """Comes back from a copy: later changes are lost.
+
+        All waiters are called, as the watches are cut.
+        """
+        self.era += 1
+        self.revision = saved.revision
+        self._objects_by_key.clear()
+        self._objects_by_key.update({item.key: item for item in saved.objects})
+        self._changes.clear()
+        self._changes.extend(saved.changes)
+        waiters = list(self._waiters_by_id.values())
+        self._waiters_by_id.clear()
+        for _, waiter in waiters:
+            waiter()
+
     def _require(self, key: str, if_version: int | None) -> None:
         if if_version is None:
             return
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -21,6 +21,8 @@
 MAX_ANSWER_BYTES = 8_000_000
 
 _BASE = "/fuchsiacourse/objects/"
+# Number of the store's history; the platform calls it an era too.
+_ERA = b"store-era"
 _ALLOW_STALE = "serializable=1"
 # Kind without objects; it is read only to check that the store answers.
 _EMPTY_KIND = "front-proofs"
@@ -69,13 +71,14 @@
         kind = key.partition("/")[0]
         return _decoded(lambda: _stored(kind, _content(answer)))
 
-    async def ping(self) -> None:
-        """Returns once the store has answered a call.
+    async def ping(self) -> int:
+        """Returns the store's era once the store has answered a call.
 
         The read may be stale, because its content is not used and a stale
         read costs a tenth.
         """
-        await self._call("GET", _path(_EMPTY_KIND) + "?" + _ALLOW_STALE)
+        path = _path(_EMPTY_KIND) + "?" + _ALLOW_STALE
+        return _era(await self._call("GET", path))
 
     async def list(self, prefix: str) -> list[store.StoredObject]:
         """Returns all objects of a kind."""
@@ -146,6 +149,7 @@
                     _stored(kind, event["object"], bool(event["deleted"]))
                     for event in content["events"]
                 ],
+                era=_era(answer),
             )
 
         return _decoded(decode)
@@ -165,13 +169,18 @@
         # A list that may be some seconds stale costs a tenth.
         stale_query = _ALLOW_STALE if may_be_stale else ""
         objects: list[store.StoredObject] = []
-        revision = 0
+        revision = era = 0
         after = ""
         while True:
             query = "&".join(part for part in (after, stale_query) if part)
             path = _path(kind) + ("?" + query if query else "")
             answer = await self._call("GET", path)
             content = _decoded(lambda: _content(answer))
+            if after and _era(answer) != era:
+                raise errors.StoreUnavailable(
+                    "the store has changed its era between two pages"
+                )
+            era = _era(answer)
             # Pages may have different revisions; a watch from the oldest one
             # returns the changes between them again.
             as_of = int(content.get("as_of", 0))
@@ -182,7 +191,9 @@
             ]
             objects.extend(page)
             if not content.get("has_more") or not page:
-                return store.WatchBatch(revision=revision, objects=objects)
+                return store.WatchBatch(
+                    revision=revision, objects=objects, era=era
+                )
             last = page[-1].key.partition("/")[2]
             after = "after=" + urllib.parse.quote(last, safe="")
 
@@ -271,6 +282,12 @@
     return json.loads(answer.body)
 
 
+def _era(answer: http_answer.HttpAnswer) -> int:
+    """Returns the era that an answer states, 0 if it states none."""
+    value = (answer.header(_ERA) or b"").strip()
+    return int(value) if value.isdigit() else 0
+
+
 def _stored(
     kind: str, item: Json, is_deleted: bool = False
 ) -> store.StoredObject:
--- a/fuchsiacourse/platform/objects_app.py
+++ b/fuchsiacourse/platform/objects_app.py
@@ -41,13 +41,23 @@
         self.model = model
         self._clock = clock
         self._closing = asyncio.Event()
-        self.asgi = falcon.asgi.App()
+        self.asgi = falcon.asgi.App(middleware=[self])
         self.asgi.add_error_handler(errors.StoreError, _answer_store_error)
         base = "/fuchsiacourse/objects/{kind}"
         self.asgi.add_route(base, self, suffix="kind")
         self.asgi.add_route(base + "/{name}", self, suffix="object")
         self.asgi.add_route(base + "/{name}/status", self, suffix="status")
 
+    async def process_response(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        resource: typing.Any,
+        req_succeeded: bool,
+    ) -> None:
+        """States the store's era in an answer."""
+        resp.set_header("Store-Era", str(self.model.table.era))
+
     def close(self) -> None:
         """Ends pending calls, so that a server's shutdown needn't wait."""
         self._closing.set()
@@ -64,6 +74,7 @@
         if after is None:
             resp.media = self._page(kind, req.get_param("after", default=""))
             return
+        era = self.model.table.era
         if not self.model.table.covers_revision(after):
             raise falcon.HTTPGone(title="this history is gone")
         wait_ms = req.get_param_as_int("wait_ms", default=0)
@@ -75,7 +86,8 @@
             )
         )
         batch = await self._wait_unless_closing(waiting)
-        if not self.model.table.covers_revision(after):
+        table = self.model.table
+        if era != table.era or not table.covers_revision(after):
             raise falcon.HTTPGone(title="this history is gone")
         resp.media = {
             "events": [
--- a/fuchsiacourse/store.py
+++ b/fuchsiacourse/store.py
@@ -46,13 +46,19 @@
     Args:
         revision: Store-wide revision after which to continue the watch.
         objects: Objects changed after the requested revision, in order.
+        era: Number of the store's history that the revision belongs to. It
+            rises when the store comes back from an older copy and gives out
+            revisions again; 0 if the store states none.
     """
 
-    __slots__ = ("revision", "objects")
+    __slots__ = ("revision", "objects", "era")
 
-    def __init__(self, *, revision: int, objects: list[StoredObject]) -> None:
+    def __init__(
+        self, *, revision: int, objects: list[StoredObject], era: int = 0
+    ) -> None:
         self.revision = revision
         self.objects = objects
+        self.era = era
 
 
 class HostRecord:
@@ -150,12 +156,16 @@
             The changes, or an empty batch after the timeout.
         """
 
-    async def ping(self) -> None:
-        """Returns once the store has answered a call.
+    async def ping(self) -> int:
+        """Returns the store's era once the store has answered a call.
 
         An implementation may use a call that costs less than a read.
+
+        Returns:
+            The era, 0 if the store states none.
         """
         await self.get(_PING_KEY)
+        return 0
 
     @abc.abstractmethod
     async def hosts(self) -> list[HostRecord]:
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -55,6 +55,30 @@
                 if_version=stores.CREATE_ONLY,
             )
 
+    async def test_answers_state_the_era(self):
+        """Guards against revisions whose history isn't known."""
+        await self.fill(2)
+        saved = self.model.table.saved()
+        await self.fill(3, "other")
+        batch = await self.store.watch(
+            "boxes/", after_revision=0, timeout_s=1.0
+        )
+        waiting = asyncio.ensure_future(
+            self.store.watch(
+                "boxes/", after_revision=batch.revision, timeout_s=9.0
+            )
+        )
+        await asyncio.sleep(0.1)
+        self.model.table.restore(saved)
+        with self.assertRaises(errors.StoreHistoryGone):
+            await waiting
+        self.assertEqual(1, batch.era)
+        self.assertEqual(2, await self.store.ping())
+        after = await self.store.watch(
+            "boxes/", after_revision=0, timeout_s=1.0
+        )
+        self.assertEqual((2, 2), (after.era, after.revision))
+
     async def test_objects_and_conditions(self):
         """Guards against writes that ignore their version condition."""
         version = await self.store.put(
