--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -89,12 +89,15 @@
         try:
             return answer.result()
         except TimeoutError:
-            return stores.WatchBatch(revision=self.store.revision, objects=[])
+            return stores.WatchBatch(
+                revision=self.store.revision, objects=[], era=self.store.era
+            )
 
     async def ping(self):
         await self._admit()
         if self.store.failure is not None:
             raise self.store.failure
+        return self.store.era
 
     async def _admit(self, timeout_s=0.0):
         self.calls += 1
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -37,6 +37,7 @@
         failure: Error that each call raises, None for none.
         calls: Number of watch calls.
         first_revision: Revision at which the history starts.
+        era: Number of the history.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
         self.failure: Exception | None = None
         self.calls = 0
         self.first_revision = 0
+        self.era = 1
         self._changed = asyncio.Event()
 
     def set(self, key: str, value: bytes | None) -> None:
@@ -66,6 +68,17 @@
         self.failure = error
         self._changed.set()
 
+    def saved(self) -> tuple:
+        """Returns a copy for restore()."""
+        return dict(self.objects), list(self.changes), self.revision
+
+    def restore(self, saved: tuple) -> None:
+        """Comes back from a copy; the open watches are cut."""
+        objects, changes, self.revision = saved
+        self.objects, self.changes = dict(objects), list(changes)
+        self.era += 1
+        self._changed.set()
+
     def lose_history(self) -> None:
         """Drops the changes so far and cuts the open watches."""
         self.revision += 10
@@ -77,25 +90,29 @@
         self.calls += 1
         if self.failure is not None:
             raise self.failure
-        if 0 < after_revision < self.first_revision:
-            raise errors.StoreHistoryGone("410")
         if after_revision == 0:
-            return stores.WatchBatch(
-                revision=self.revision, objects=list(self.objects.values())
-            )
+            return self._batch(list(self.objects.values()))
+        era = self.era
         while True:
+            if not self.first_revision <= after_revision <= self.revision:
+                raise errors.StoreHistoryGone("410")
+            if era != self.era:
+                raise errors.StoreUnavailable("cut")
             found = [c for c in self.changes if c.version > after_revision]
             if found:
-                return stores.WatchBatch(revision=self.revision, objects=found)
+                return self._batch(found)
             self._changed.clear()
             try:
                 await asyncio.wait_for(self._changed.wait(), timeout_s)
             except TimeoutError:
-                return stores.WatchBatch(revision=self.revision, objects=[])
+                return self._batch([])
             if self.failure is not None:
                 raise self.failure
-            if after_revision < self.first_revision:
-                raise errors.StoreHistoryGone("410")
+
+    def _batch(self, objects) -> stores.WatchBatch:
+        return stores.WatchBatch(
+            revision=self.revision, objects=objects, era=self.era
+        )
 
     async def get(self, key):
         return self.objects.get(key)
