Keep packets with many rate limits within a frame

Sixty pieces of evidence, each with a rate limit, made a packet of 1,645 bytes, which would be sent in two fragments. A packet holds fifty at most. test_packet_of_evidence_fits_a_frame, now with limits, failed before (1,645 bytes, bound 1,472); two more tests guard the coding of limits.

--- a/fuchsiacourse/front/membership_packet.py
+++ b/fuchsiacourse/front/membership_packet.py
@@ -49,7 +49,7 @@
 _MAX_MS = 65_535
 # Each of these limits keeps a packet within one Ethernet frame; no packet
 # holds both evidence and members.
-MAX_EVIDENCE = 60
+MAX_EVIDENCE = 50
 MAX_MEMBERS = 200
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import struct
 import unittest
 
 from bench import fake_datagrams
@@ -16,6 +17,7 @@
 from fuchsiacourse.front import membership_packet
 from fuchsiacourse.front import outcome
 from fuchsiacourse.front import peer_table
+from fuchsiacourse.front import target_limit
 from fuchsiacourse import logs
 from fuchsiacourse import timers as timer_services
 
@@ -283,5 +285,36 @@
     def test_packet_of_evidence_fits_a_frame(self):
         """Guards against fragmented packets, which are lost more often."""
         full = self.packet()
-        full.evidence = [evidence()] * membership_packet.MAX_EVIDENCE
+        full.tells_limits = True
+        stated = evidence()
+        stated.rate_limit = 2.0
+        full.evidence = [stated] * membership_packet.MAX_EVIDENCE
         self.assertLess(len(full.encode()), 1472)
+
+    def test_rate_limits(self):
+        """Guards against limits that get lost, or that nobody stated."""
+        sent = self.packet()
+        sent.tells_limits = True
+        sent.evidence[0].rate_limit = 2.5
+        sent.evidence[1].outcome = outcome.Outcome.ANSWERED
+        sent.evidence.append(evidence(3))
+        found = membership_packet.decode(sent.encode()).evidence
+        self.assertEqual(
+            [2.5, target_limit.UNLIMITED, None],
+            [item.rate_limit for item in found],
+        )
+        sent.tells_limits = False
+        found = membership_packet.decode(sent.encode()).evidence
+        self.assertEqual([None] * 3, [item.rate_limit for item in found])
+
+    def test_malformed_rate_limits(self):
+        """Guards against limits of no evidence, or no number."""
+        sent = self.packet()
+        sent.tells_limits = True
+        sent.evidence[0].rate_limit = 2.5
+        data = sent.encode()
+        for index, limit in ((2, 1.0), (0, -1.0), (0, float("nan"))):
+            with self.assertRaises(errors.PeerError):
+                membership_packet.decode(
+                    data[:-5] + struct.pack("<Bf", index, limit)
+                )
