Order the store's states by era and revision

Cause: a revision was taken for a state of the store. The store gives revisions out again after such a loss, and whatever compared them (copies of peers, changes since a revision, single registrations, overdue watches, the watch that is opened again) mixed two histories. The trace shows a front at revision 49 of the lost history that asked for what came after 49 of the new.

Change: a position is the era and the revision, for copies, in packets and in the exchange of copies; only positions are compared. A front in contact with an earlier era, or of a build that states none, proves nothing.

Packets and copies of the old build are read as era 0, and the old build ignores what it doesn't know.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -192,6 +192,7 @@
     has_proven_peer = False
     is_recovery_poller = True
     has_paused = False
+    store_era = 0
 
     def source_of(self, follower: store_relay.CopyFollower) -> str | None:
         """Returns None: copies never come from another front."""
--- a/fuchsiacourse/front/config_follower.py
+++ b/fuchsiacourse/front/config_follower.py
@@ -5,6 +5,7 @@
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import object_copy
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import store_follower
 from fuchsiacourse.front import store_view
@@ -74,9 +75,9 @@
         if item.key == self._key and not item.deleted:
             self.adopt_if_newer(item.value, source=f"revision {item.version}")
 
-    def revision_of(self, view: store_view.StoreView) -> int:
-        """Returns the revision of a peer's copy of the configuration."""
-        return view.config_revision
+    def position_of(self, view: store_view.StoreView) -> object_copy.Position:
+        """Returns the position of a peer's copy of the configuration."""
+        return view.config_era, view.config_revision
 
     def adopt_if_newer(self, content: bytes, *, source: str) -> None:
         """Puts a configuration in force if it is newer.
--- a/fuchsiacourse/front/copy_exchange.py
+++ b/fuchsiacourse/front/copy_exchange.py
@@ -37,14 +37,14 @@
 
     @abc.abstractmethod
     async def fetch(
-        self, ip: str, prefix: str, after_revision: int
+        self, ip: str, prefix: str, after: object_copy.Position
     ) -> object_copy.CopyUpdate:
-        """Returns the changes of another front's copy after a revision.
+        """Returns the changes of another front's copy after a position.
 
         Args:
             ip: IP address of the front.
             prefix: Prefix of the copy's keys.
-            after_revision: Revision that this front's copy has reached, 0
+            after: Position that this front's copy has reached; revision 0
                 for none.
 
         Raises:
@@ -65,11 +65,12 @@
         self._port = port
 
     async def fetch(
-        self, ip: str, prefix: str, after_revision: int
+        self, ip: str, prefix: str, after: object_copy.Position
     ) -> object_copy.CopyUpdate:
-        """Returns the changes of another front's copy after a revision."""
+        """Returns the changes of another front's copy after a position."""
+        era, revision = after
         query = urllib.parse.urlencode(
-            {"prefix": prefix, "after": after_revision}
+            {"prefix": prefix, "after": revision, "era": era}
         )
         data = f"GET {_PATH}?{query} HTTP/1.1\r\nHost: {ip}\r\n\r\n".encode()
         try:
@@ -125,19 +126,24 @@
         path, _, query = request.target.decode("latin-1").partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         after = fields.get("after", "")
+        # Builds that don't know eras state none.
+        era = fields.get("era", "")
         copy = self._find(fields.get("prefix", ""))
         if path != _PATH or copy is None or not after.isdecimal():
             return http_answer.HttpAnswer(status=_NOT_FOUND, headers=[])
         return http_answer.HttpAnswer(
             status=_OK,
             headers=[(b"content-type", b"application/json")],
-            body=_encoded(copy.since(int(after))),
+            body=_encoded(
+                copy.since(int(after), int(era) if era.isdecimal() else None)
+            ),
         )
 
 
 def _encoded(update: object_copy.CopyUpdate) -> bytes:
     content = {
         "revision": update.revision,
+        "era": update.era,
         "is_whole": update.is_snapshot,
         "objects": [
             [item.key, item.version, item.deleted, item.value.decode()]
@@ -151,6 +157,7 @@
     content = json.loads(data)
     return object_copy.CopyUpdate(
         revision=int(content["revision"]),
+        era=int(content.get("era", 0)),
         is_snapshot=bool(content["is_whole"]),
         objects=[
             stores.StoredObject(
--- a/fuchsiacourse/front/membership_packet.py
+++ b/fuchsiacourse/front/membership_packet.py
@@ -31,6 +31,8 @@
 _LIMIT_COUNT = struct.Struct("<B")
 # Rate limit: index of the piece of evidence, requests per second.
 _LIMIT = struct.Struct("<Bf")
+# Eras of the view's two revisions, at its end.
+_ERAS = struct.Struct("<II")
 # Flags of the header.
 _READY = 1
 _LEAVING = 2
@@ -43,10 +45,12 @@
 # Flags of the view of the store.
 _PROVEN = 1
 _LOST = 2
+_HAS_ERAS = 4
 # Reported load if the target reported none; other values end at 254.
 _NO_LOAD = 255
 _MAX_BYTE = 254
 _MAX_MS = 65_535
+_MAX_ERA = 2**32 - 1
 # Each of these limits keeps a packet within one Ethernet frame; no packet
 # holds both evidence and members.
 MAX_EVIDENCE = 50
@@ -204,8 +208,7 @@
         offset += _MEMBER.size
     view = None
     if flags & _HAS_VIEW:
-        view = _decoded_view(data, offset)
-        offset += _VIEW.size
+        view, offset = _decoded_view(data, offset)
     if flags & _TELLS_LIMITS:
         _decode_limits(data, offset, evidence)
     return MembershipPacket(
@@ -260,25 +263,41 @@
 
 
 def _encoded_view(view: store_view.StoreView) -> bytes:
-    return _VIEW.pack(
-        _PROVEN * view.has_proven_contact | _LOST * view.has_lost_store,
-        view.capacity,
-        view.config_revision,
-        view.target_revision,
+    flags = _PROVEN * view.has_proven_contact | _LOST * view.has_lost_store
+    eras = b""
+    if view.config_era or view.target_era:
+        flags |= _HAS_ERAS
+        eras = _ERAS.pack(
+            min(_MAX_ERA, view.config_era), min(_MAX_ERA, view.target_era)
+        )
+    encoded = _VIEW.pack(
+        flags, view.capacity, view.config_revision, view.target_revision
     )
+    return encoded + eras
 
 
-def _decoded_view(data: bytes, offset: int) -> store_view.StoreView:
+def _decoded_view(
+    data: bytes, offset: int
+) -> tuple[store_view.StoreView, int]:
+    """Returns the view at an offset, and the offset behind it."""
     flags, capacity, config_revision, target_revision = _VIEW.unpack_from(
         data, offset
     )
-    return store_view.StoreView(
+    offset += _VIEW.size
+    config_era = target_era = 0
+    if flags & _HAS_ERAS:
+        config_era, target_era = _ERAS.unpack_from(data, offset)
+        offset += _ERAS.size
+    view = store_view.StoreView(
         has_proven_contact=bool(flags & _PROVEN),
         has_lost_store=bool(flags & _LOST),
         capacity=capacity,
         config_revision=config_revision,
         target_revision=target_revision,
+        config_era=config_era,
+        target_era=target_era,
     )
+    return view, offset
 
 
 def _encoded_evidence(item: evidences.Evidence) -> bytes:
--- a/fuchsiacourse/front/object_copy.py
+++ b/fuchsiacourse/front/object_copy.py
@@ -10,6 +10,11 @@
 # snapshot. A release of the largest service deletes fewer targets than this.
 MAX_DELETIONS = 1000
 
+# Era of the store and revision within it. A store that comes back from an
+# older copy gives out revisions again, in a new era, so only both together
+# order its states.
+Position = tuple[int, int]
+
 
 class CopyUpdate:
     """Snapshot of a copy, or its changes after a revision.
@@ -18,9 +23,10 @@
         revision: Store-wide revision that the copy has reached.
         is_snapshot: Whether the update is a snapshot of all objects.
         objects: Objects; deleted ones occur only among changes.
+        era: Era of the revision, 0 if it isn't known.
     """
 
-    __slots__ = ("revision", "is_snapshot", "objects")
+    __slots__ = ("revision", "is_snapshot", "objects", "era")
 
     def __init__(
         self,
@@ -28,10 +34,17 @@
         revision: int,
         is_snapshot: bool,
         objects: list[stores.StoredObject],
+        era: int = 0,
     ) -> None:
         self.revision = revision
         self.is_snapshot = is_snapshot
         self.objects = objects
+        self.era = era
+
+    @property
+    def position(self) -> Position:
+        """Position in the store's history that the copy has reached."""
+        return self.era, self.revision
 
 
 class ObjectCopy:
@@ -43,12 +56,14 @@
             0 without a copy.
         changed_revision: Revision of the last change under the prefix, or of
             a snapshot that may contain one; 0 without a copy.
+        era: Era of all revisions, 0 if it isn't known.
     """
 
     __slots__ = (
         "by_key",
         "revision",
         "changed_revision",
+        "era",
         "_deleted_by_key",
         "_first_revision",
     )
@@ -57,16 +72,35 @@
         self.by_key: dict[str, stores.StoredObject] = {}
         self.revision = 0
         self.changed_revision = 0
+        self.era = 0
         self._deleted_by_key: collections.OrderedDict[
             str, stores.StoredObject
         ] = collections.OrderedDict()
         # All deletions after this store-wide revision are remembered.
         self._first_revision = 0
 
+    @property
+    def position(self) -> Position:
+        """Position in the store's history up to which all is known."""
+        return self.era, self.revision
+
     def replace(
-        self, revision: int, objects: list[stores.StoredObject]
+        self,
+        revision: int,
+        objects: list[stores.StoredObject],
+        *,
+        era: int = 0,
     ) -> None:
-        """Replaces all objects by a snapshot at a revision."""
+        """Replaces all objects by a snapshot at a revision of an era.
+
+        The deletions of another era are forgotten: a peer that has a copy of
+        that era receives a snapshot.
+        """
+        if era != self.era:
+            self.by_key = {}
+            self._deleted_by_key.clear()
+            self.revision = self.changed_revision = 0
+            self.era = era
         if self.revision == 0:
             self._first_revision = revision
         present = {item.key: item for item in objects}
@@ -92,16 +126,20 @@
             self.changed_revision = revision
         self.revision = revision
 
-    def since(self, revision: int) -> CopyUpdate:
+    def since(self, revision: int, era: int | None = None) -> CopyUpdate:
         """Returns the changes after a revision.
 
-        The result is a snapshot if the deletions since then are no longer
-        known.
+        The result is a snapshot if the revision belongs to another era, or if
+        the deletions since then are no longer known.
 
         Args:
             revision: Revision that the other copy has reached, 0 for none.
+            era: Era of that revision, None if the other front is of a build
+                that doesn't know eras.
         """
-        is_snapshot = revision < max(1, self._first_revision)
+        is_snapshot = revision < max(1, self._first_revision) or (
+            era is not None and era != self.era
+        )
         objects = list(self.by_key.values())
         if not is_snapshot:
             # Deletions come first: a deleted key may have been created again.
@@ -111,7 +149,10 @@
                 if item.version > revision
             ]
         return CopyUpdate(
-            revision=self.revision, is_snapshot=is_snapshot, objects=objects
+            revision=self.revision,
+            is_snapshot=is_snapshot,
+            objects=objects,
+            era=self.era,
         )
 
     def _delete(self, key: str, revision: int) -> None:
--- a/fuchsiacourse/front/relay_election.py
+++ b/fuchsiacourse/front/relay_election.py
@@ -110,7 +110,7 @@
         self.is_elected = not own.has_lost_store and self._ranks_first(
             own, candidates
         )
-        proven = sum(1 for peer in peers if is_proven(peer))
+        proven = sum(1 for peer in peers if is_proven(peer, own.era))
         if self.watches:
             self.watches = self._keeps_watching(now_s, proven)
         else:
@@ -149,9 +149,19 @@
         return better_count < WATCHERS_PER_ZONE
 
 
-def is_proven(peer: peer_state.PeerState) -> bool:
-    """Returns whether a peer reports proven contact with the store."""
-    return peer.view is not None and peer.view.has_proven_contact
+def is_proven(peer: peer_state.PeerState, era: int) -> bool:
+    """Returns whether a peer reports proven contact with the store.
+
+    Args:
+        peer: The peer.
+        era: Era that its copies must have reached. A build that doesn't know
+            eras can't tell whether its copies are of this one.
+    """
+    return (
+        peer.view is not None
+        and peer.view.has_proven_contact
+        and peer.view.era >= era
+    )
 
 
 def _is_lost(peer: peer_state.PeerState) -> bool:
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -150,6 +150,12 @@
             away_s: Time for which it was unreachable, in seconds.
         """
 
+    def on_store_restored(self) -> None:
+        """Called before the first snapshot of another era is applied.
+
+        Revisions that are known from before have no meaning any more.
+        """
+
     def wake(self) -> None:
         """Makes the follower choose the source of its copy again."""
         self._wakeup.set()
@@ -202,11 +208,12 @@
             front=peer_ip,
             before=self.copy.revision,
             revision=update.revision,
+            era=update.era,
             objects=len(update.objects),
             whole=update.is_snapshot,
         )
         if update.is_snapshot:
-            self._replace_copy(update.revision, update.objects)
+            self._replace_copy(update.revision, update.objects, update.era)
         else:
             self._update_copy(update.revision, update.objects)
 
@@ -234,7 +241,9 @@
             await self._wait(self._retry_delay_s(self._backoff.next()))
 
     async def _watch_once(self) -> None:
-        after = 0 if self._needs_snapshot else self.copy.revision
+        is_other_era = self.copy.era < self._relay.store_era
+        needs_snapshot = self._needs_snapshot or is_other_era
+        after = 0 if needs_snapshot else self.copy.revision
         # If the store was unreachable or the copy may be stale, polls for the
         # changes so far. A watch without changes would take long to show that
         # the store is back, that a snapshot was old or that an answer was
@@ -254,12 +263,22 @@
             raise errors.StoreUnavailable(
                 "the store answered a watch without a positive revision"
             )
+        if batch.era < self.copy.era:
+            raise errors.StoreUnavailable(
+                f"answer of era {batch.era}, after era {self.copy.era}"
+            )
+        if after and batch.era != self.copy.era:
+            # The revision that the watch started from belongs to a history
+            # that the store has lost.
+            self._record_stale()
+            self._needs_snapshot = True
+            return
         if is_lost:
             self._relay.on_store_regained()
         self._record_reached()
         if after == 0:
             self._needs_snapshot = False
-            self._replace_copy(batch.revision, batch.objects)
+            self._replace_copy(batch.revision, batch.objects, batch.era)
             return
         if self._stale_since_s is None or self._stale_since_s <= opened_s:
             # The store has answered a watch that was opened after the copy
@@ -342,9 +361,12 @@
                 wakeup.cancel()
 
     def _replace_copy(
-        self, revision: int, objects: list[stores.StoredObject]
+        self, revision: int, objects: list[stores.StoredObject], era: int
     ) -> None:
-        self.copy.replace(revision, objects)
+        is_restored = self.has_snapshot and era != self.copy.era
+        self.copy.replace(revision, objects, era=era)
+        if is_restored:
+            self.on_store_restored()
         self.apply_snapshot(objects)
         self.has_snapshot = True
         self._relay.on_copy_changed()
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -84,8 +84,8 @@
         """Seconds for which the open watch has waited, 0 without one."""
 
     @abc.abstractmethod
-    def revision_of(self, view: store_view.StoreView) -> int:
-        """Returns the revision of a peer's copy of the same objects."""
+    def position_of(self, view: store_view.StoreView) -> object_copy.Position:
+        """Returns the position of a peer's copy of the same objects."""
 
     @abc.abstractmethod
     def wake(self) -> None:
@@ -178,6 +178,11 @@
         """Whether this front watches the store itself."""
         return self._election.watches
 
+    @property
+    def store_era(self) -> int:
+        """Latest era that the store has stated to this front."""
+        return self._store_era
+
     @property
     def may_read_store(self) -> bool:
         """Whether a copy that was never filled may be read from the store."""
@@ -236,15 +241,20 @@
 
     def view(self) -> store_view.StoreView:
         """Returns this front's store contact and its copies' revisions."""
-        revisions = [item.copy.changed_revision for item in self._followers]
-        config, targets = revisions or (0, 0)
+        positions = [
+            (item.copy.era, item.copy.changed_revision)
+            for item in self._followers
+        ]
+        config, targets = positions or ((0, 0), (0, 0))
         return store_view.StoreView(
             has_proven_contact=self._is_proven(),
             has_lost_store=self._clock.now()
             < max(self._lost_until_s, self._silent_until_s),
             capacity=self._capacity,
-            config_revision=config,
-            target_revision=targets,
+            config_era=config[0],
+            config_revision=config[1],
+            target_era=targets[0],
+            target_revision=targets[1],
         )
 
     def on_watch_opened(self) -> None:
@@ -262,7 +272,11 @@
             self._membership.announce()
 
     def observe_era(self, era: int) -> None:
-        """Records the era that an answer of the store states."""
+        """Records the era that an answer of the store states.
+
+        Copies of an earlier era are stale: the store has lost changes that
+        they hold, and gives out their revisions again.
+        """
         if era <= self._store_era:
             return
         before, self._store_era = self._store_era, era
@@ -273,6 +287,9 @@
             before=before,
             revisions=[item.copy.revision for item in self._followers],
         )
+        for follower in self._followers:
+            if follower.copy.revision and follower.copy.era < era:
+                follower.mark_stale()
 
     def on_store_lost(self) -> None:
         """Records that the store is unreachable."""
@@ -305,13 +322,14 @@
             self._recover_from_pause(now_s)
         self._evaluated_at_s = self._clock.time_since_boot()
         peers = self._peers()
+        own = self.view()
         self._proven_peers = [
             peer
             for peer in peers
-            if relay_election.is_proven(peer)
+            if relay_election.is_proven(peer, own.era)
             and peer.last_packet_s > self._backlog_until_s
         ]
-        if self._election.update(now_s, self.view(), peers):
+        if self._election.update(now_s, own, peers):
             logs.event(
                 self._log,
                 "store_relay_changed",
@@ -349,7 +367,7 @@
             peer
             for peer in peers
             if peer.view is not None
-            and follower.revision_of(peer.view) > follower.copy.revision
+            and follower.position_of(peer.view) > follower.copy.position
             and self._backoff_until_s_by_ip.get(peer.ip, 0.0) <= now_s
         ]
         zone = self._membership.peers.zone
@@ -364,12 +382,18 @@
 
         A peer that fails or has none is not used for ``PEER_BACKOFF_S``.
         """
-        revision = follower.copy.revision
+        position = follower.copy.position
         try:
-            update = await self._source.fetch(ip, follower.prefix, revision)
-            if update.revision <= revision:
+            update = await self._source.fetch(ip, follower.prefix, position)
+            if update.position <= position:
                 raise errors.PeerError(
                     f"{ip} has no newer revision than {update.revision}"
+                    f" of era {update.era}"
+                )
+            if update.era != position[0] and not update.is_snapshot:
+                raise errors.PeerError(
+                    f"{ip} has sent changes of era {update.era} in place of"
+                    " a snapshot"
                 )
             return update
         except errors.PeerError as error:
@@ -378,7 +402,8 @@
                 "copy_not_given",
                 front=ip,
                 prefix=follower.prefix,
-                revision=revision,
+                revision=position[1],
+                era=position[0],
                 error=str(error),
             )
             self._backoff_until_s_by_ip[ip] = (
@@ -390,17 +415,17 @@
     def _check_watch(self, follower: CopyFollower) -> None:
         """Gives up a watch that has not delivered changes that peers have.
 
-        A peer's revision counts even without proven contact, because only
-        the store assigns revisions.
+        A peer's position counts even without proven contact, because only
+        the store assigns revisions and eras.
         """
-        own = follower.copy.revision
+        own = follower.copy.position
         newest = max(
             (
-                follower.revision_of(peer.view)
+                follower.position_of(peer.view)
                 for peer in self._membership.peers.live()
                 if peer.view is not None
             ),
-            default=0,
+            default=(0, 0),
         )
         if newest <= own:
             self._behind_since_s_by_prefix.pop(follower.prefix, None)
@@ -416,8 +441,10 @@
             self._log,
             "store_watch_given_up",
             prefix=follower.prefix,
-            revision=own,
-            newest=newest,
+            revision=own[1],
+            newest=newest[1],
+            era=own[0],
+            newest_era=newest[0],
             waited_s=round(follower.waited_s, 2),
         )
         follower.mark_stale()
@@ -481,6 +508,7 @@
             and self.watches
             and all(
                 item.copy.revision > 0
+                and item.copy.era >= self._store_era
                 and max(item.unreachable_s, item.stale_s) <= MAX_CONTACT_GAP_S
                 for item in self._followers
             )
--- a/fuchsiacourse/front/store_view.py
+++ b/fuchsiacourse/front/store_view.py
@@ -15,6 +15,8 @@
         config_revision: Store-wide revision of the last change of its copy
             of the configuration, 0 without a copy.
         target_revision: The same for its copy of the targets' registrations.
+        config_era: Era of the first of these revisions, 0 if it isn't known.
+        target_era: Era of the second one.
     """
 
     __slots__ = (
@@ -23,6 +25,8 @@
         "capacity",
         "config_revision",
         "target_revision",
+        "config_era",
+        "target_era",
     )
 
     def __init__(
@@ -33,12 +37,21 @@
         capacity: int,
         config_revision: int,
         target_revision: int,
+        config_era: int = 0,
+        target_era: int = 0,
     ) -> None:
         self.has_proven_contact = has_proven_contact
         self.has_lost_store = has_lost_store
         self.capacity = capacity
         self.config_revision = config_revision
         self.target_revision = target_revision
+        self.config_era = config_era
+        self.target_era = target_era
+
+    @property
+    def era(self) -> int:
+        """Era that both copies have reached."""
+        return min(self.config_era, self.target_era)
 
     def is_equal(self, other: StoreView | None) -> bool:
         """Returns whether another view has the same values."""
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -5,6 +5,7 @@
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import object_copy
 from fuchsiacourse.front import store_follower
 from fuchsiacourse.front import store_view
 from fuchsiacourse.front import target_registration
@@ -60,6 +61,10 @@
         self.by_key: dict[str, stores.StoredObject] = {}
         # Monotonic time at which the grace time ends.
         self._grace_until_s = 0.0
+        # Keys of registrations whose revision is of an earlier era.
+        self._earlier_keys: set[str] = set()
+        # Whether the snapshot that is being applied is an older copy.
+        self._is_restored = False
 
     def apply_snapshot(self, objects: list[stores.StoredObject]) -> None:
         """Applies a snapshot: all objects under the prefix."""
@@ -68,6 +73,7 @@
             self.apply_change(item)
         for key in set(self.by_key) - present:
             self._remove(key, "not in the snapshot")
+        self._is_restored = False
 
     def apply_change(self, item: stores.StoredObject) -> None:
         """Applies one changed or deleted object."""
@@ -75,7 +81,9 @@
             self._remove(item.key, "deleted")
             return
         known = self.by_key.get(item.key)
-        if known is not None and known.version >= item.version:
+        if item.key in self._earlier_keys:
+            self._earlier_keys.discard(item.key)
+        elif known is not None and known.version >= item.version:
             if known.value != item.value:
                 logs.event(
                     self.log,
@@ -87,14 +95,23 @@
             return
         self.by_key[item.key] = item
         try:
-            self._table.put(self._decode(item.key, item.value))
+            record = self._decode(item.key, item.value)
+            if self._is_restored and self._is_leaving(record):
+                # The older copy is from before the target said that it leaves.
+                record.is_draining = True
+            self._table.put(record)
         except errors.TargetRegistrationRejected as error:
             logs.warning(self.log, "target_entry_unreadable", error=str(error))
             self._table.remove(_id(item.key), reason="unreadable registration")
 
-    def revision_of(self, view: store_view.StoreView) -> int:
-        """Returns the revision of a peer's copy of the registrations."""
-        return view.target_revision
+    def position_of(self, view: store_view.StoreView) -> object_copy.Position:
+        """Returns the position of a peer's copy of the registrations."""
+        return view.target_era, view.target_revision
+
+    def on_store_restored(self) -> None:
+        """Makes each registration of the snapshot count as newer."""
+        self._earlier_keys = set(self.by_key)
+        self._is_restored = True
 
     def on_store_regained(self, away_s: float) -> None:
         """Starts the grace time, unless the outage was short.
@@ -105,6 +122,17 @@
         if away_s >= SHORT_OUTAGE_S:
             self._grace_until_s = self.clock.now() + OUTAGE_GRACE_S
 
+    def _is_leaving(
+        self, record: target_registration.TargetRegistration
+    ) -> bool:
+        """Returns whether the same incarnation is known to leave."""
+        known = self._table.by_id.get(record.id)
+        return (
+            known is not None
+            and known.record.is_draining
+            and known.record.started_ms == record.started_ms
+        )
+
     def _remove(self, key: str, reason: str) -> None:
         """Removes a target, or keeps it until the grace time ends.
 
--- a/tests/test_copy_exchange.py
+++ b/tests/test_copy_exchange.py
@@ -46,7 +46,7 @@
         self.copy.update(
             7, [stores.StoredObject(key="servers/a", value=value, version=6)]
         )
-        update = await self.source.fetch(IP, "servers/", 5)
+        update = await self.source.fetch(IP, "servers/", (0, 5))
         self.assertEqual((7, False), (update.revision, update.is_snapshot))
         found = update.objects[0]
         self.assertEqual(
@@ -54,13 +54,23 @@
             (found.key, found.value, found.version, found.deleted),
         )
 
+    async def test_copy_of_another_era_arrives_whole(self):
+        """Guards against changes of one history applied to another's copy."""
+        item = stores.StoredObject(key="servers/a", value=b"{}", version=4)
+        self.copy.replace(5, [item], era=3)
+        same = await self.source.fetch(IP, "servers/", (3, 5))
+        other = await self.source.fetch(IP, "servers/", (2, 5))
+        self.assertEqual((3, False), (same.era, same.is_snapshot))
+        self.assertEqual((3, True), (other.era, other.is_snapshot))
+        self.assertEqual(["servers/a"], [found.key for found in other.objects])
+
     async def test_unknown_copy_is_an_error(self):
         """Guards against a missing copy that is taken for an empty one."""
         with self.assertRaises(errors.PeerError):
-            await self.source.fetch(IP, "boxes/", 0)
+            await self.source.fetch(IP, "boxes/", (0, 0))
 
     async def test_front_that_is_gone_is_an_error(self):
         """Guards against a connection error that ends the follower."""
         self.server.stop_listening()
         with self.assertRaises(errors.PeerError):
-            await self.source.fetch(IP, "servers/", 0)
+            await self.source.fetch(IP, "servers/", (0, 0))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,6 +17,7 @@
 from fuchsiacourse.front import membership_packet
 from fuchsiacourse.front import outcome
 from fuchsiacourse.front import peer_table
+from fuchsiacourse.front import store_view
 from fuchsiacourse.front import target_limit
 from fuchsiacourse import logs
 from fuchsiacourse import timers as timer_services
@@ -318,3 +319,19 @@
                 membership_packet.decode(
                     data[:-5] + struct.pack("<Bf", index, limit)
                 )
+
+    def test_eras_of_the_view(self):
+        """Guards against an era that is lost, or seen in an old packet."""
+        sent = self.packet()
+        for eras in ((0, 0), (4, 3), (0, 1)):
+            sent.view = store_view.StoreView(
+                has_proven_contact=True,
+                has_lost_store=False,
+                capacity=7,
+                config_revision=8,
+                target_revision=9,
+                config_era=eras[0],
+                target_era=eras[1],
+            )
+            found = membership_packet.decode(sent.encode()).view
+            self.assertTrue(sent.view.is_equal(found), eras)
--- a/tests/test_relay_election.py
+++ b/tests/test_relay_election.py
@@ -55,6 +55,22 @@
         election.update(0.3, view(), [])
         self.assertFalse(election.watches)
 
+    def test_peer_of_an_earlier_era_proves_nothing(self):
+        """Guards against contact with a store of before a restore."""
+        for eras, watches in (((2, 2), False), ((1, 2), True), ((0, 0), True)):
+            election = self.election(5)
+            peers = [
+                peer(
+                    last,
+                    has_proven_contact=True,
+                    config_era=eras[0],
+                    target_era=eras[1],
+                )
+                for last in (1, 2)
+            ]
+            election.update(9.0, view(config_era=2, target_era=2), peers)
+            self.assertEqual(watches, election.watches, eras)
+
     def test_front_without_proven_peers_watches_itself(self):
         """Guards against a front that relies on peers without contact."""
         election = self.election(5)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -189,13 +189,14 @@
             view=self.relay.view(),
         )
 
-    async def fetch(self, ip, prefix, after_revision):
+    async def fetch(self, ip, prefix, after):
         await asyncio.sleep(0.002)
         front = self.fixture.fronts[ip]
         copy = front.relay.find(prefix)
         if not front.is_up or copy is None:
             raise errors.PeerError("the call timed out")
-        return copy.since(after_revision)
+        era, revision = after
+        return copy.since(revision, era)
 
     def stop(self) -> None:
         self.is_up = False
