Give targets time to register again after a restored store

Cause: the grace time of an outage starts only if the store was away for a second and no peer was in contact meanwhile. A store that comes back from an older copy within 0.3 s has lost registrations all the same, for all fronts, and they dropped the targets at once.

--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -61,6 +61,9 @@
         self.by_key: dict[str, stores.StoredObject] = {}
         # Monotonic time at which the grace time ends.
         self._grace_until_s = 0.0
+        # Monotonic time at which the grace time after a restore of the store
+        # ends.
+        self._restored_until_s = 0.0
         # Keys of registrations whose revision is of an earlier era.
         self._earlier_keys: set[str] = set()
         # Whether the snapshot that is being applied is an older copy.
@@ -109,7 +112,12 @@
         return view.target_era, view.target_revision
 
     def on_store_restored(self) -> None:
-        """Makes each registration of the snapshot count as newer."""
+        """Makes each registration of the snapshot count as newer.
+
+        Targets that the older copy lacks have the grace time of an outage,
+        however short it was.
+        """
+        self._restored_until_s = self.clock.now() + OUTAGE_GRACE_S
         self._earlier_keys = set(self.by_key)
         self._is_restored = True
 
@@ -151,8 +159,12 @@
         self._lapsed.add(key)
 
     def _is_in_grace(self) -> bool:
+        now_s = self.clock.now()
+        if now_s < self._restored_until_s:
+            # All fronts have lost them, whatever their contact was.
+            return True
         return (
-            self.clock.now() < self._grace_until_s
+            now_s < self._grace_until_s
             and self._store_contact_s() < OUTAGE_GRACE_S
         )
 
