Hold back targets that an older copy of the store brings back

What operators saw could be a request to a target that had left: the copy from which the store comes back may be from before a target registered as leaving or was removed, and shows it ready.

Cause: the front believed the copy about targets of which it knew better.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -103,6 +103,7 @@
         cores=1.0,
         link_mbps=100.0,
         is_first_start=True,
+        registration_lifetime_s=4.5,
         bounds=bounds(),
     )
 
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -303,6 +303,7 @@
             timers=self._timers,
             decode=self._adapter.decode_target,
             store_contact_s=self._membership.peers.store_contact_s,
+            lifetime_s=self._settings.registration_lifetime_s,
             clock=self._clock,
             rng=self._rng,
             store=store,
--- a/fuchsiacourse/front/front_settings.py
+++ b/fuchsiacourse/front/front_settings.py
@@ -84,6 +84,8 @@
         link_mbps: Bandwidth of the host's link, in Mbit/s.
         is_first_start: Whether the whole deployment starts for the first
             time.
+        registration_lifetime_s: Time after which the store removes the
+            registration of a silent target, in seconds.
         bounds: Operator's bounds.
     """
 
@@ -104,6 +106,7 @@
         "cores",
         "link_mbps",
         "is_first_start",
+        "registration_lifetime_s",
         "bounds",
     )
 
@@ -126,6 +129,7 @@
         cores: float,
         link_mbps: float,
         is_first_start: bool,
+        registration_lifetime_s: float,
         bounds: Bounds,
     ) -> None:
         self.name = name
@@ -144,6 +148,7 @@
         self.cores = cores
         self.link_mbps = link_mbps
         self.is_first_start = is_first_start
+        self.registration_lifetime_s = registration_lifetime_s
         self.bounds = bounds
 
     def update_from(self, newer: FrontSettings) -> list[str]:
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import functools
+import math
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import departed_targets
 from fuchsiacourse.front import object_copy
 from fuchsiacourse.front import store_follower
 from fuchsiacourse.front import store_view
+from fuchsiacourse.front import target as targets
 from fuchsiacourse.front import target_registration
 from fuchsiacourse.front import target_table
 from fuchsiacourse import logs
@@ -38,6 +42,8 @@
         store_contact_s: Returns the longest contact of a peer with the store,
             in seconds. If a peer has been in contact for OUTAGE_GRACE_S,
             the store had no outage, so there is no grace time.
+        lifetime_s: Time after which the store removes the registration of a
+            silent target, in seconds.
         **options: Arguments of StoreFollower.
     """
 
@@ -48,6 +54,7 @@
         timers: timer_services.Timers,
         decode: Decode,
         store_contact_s: typing.Callable[[], float],
+        lifetime_s: float,
         **options: typing.Any,
     ) -> None:
         super().__init__(**options)
@@ -66,6 +73,11 @@
         self._restored_until_s = 0.0
         # Keys of registrations whose revision is of an earlier era.
         self._earlier_keys: set[str] = set()
+        self._departed = departed_targets.DepartedTargets(
+            clock=self.clock, lifetime_s=lifetime_s
+        )
+        # Registrations of an older copy that are not used yet, by key.
+        self._held_by_key: dict[str, stores.StoredObject] = {}
         # Whether the snapshot that is being applied is an older copy.
         self._is_restored = False
 
@@ -97,11 +109,11 @@
                 )
             return
         self.by_key[item.key] = item
+        self._held_by_key.pop(item.key, None)
         try:
             record = self._decode(item.key, item.value)
-            if self._is_restored and self._is_leaving(record):
-                # The older copy is from before the target said that it leaves.
-                record.is_draining = True
+            if self._is_restored and self._holds_back(item, record):
+                return
             self._table.put(record)
         except errors.TargetRegistrationRejected as error:
             logs.warning(self.log, "target_entry_unreadable", error=str(error))
@@ -130,6 +142,41 @@
         if away_s >= SHORT_OUTAGE_S:
             self._grace_until_s = self.clock.now() + OUTAGE_GRACE_S
 
+    def _holds_back(
+        self,
+        item: stores.StoredObject,
+        record: target_registration.TargetRegistration,
+    ) -> bool:
+        """Corrects a registration of an older copy by what is known.
+
+        Returns:
+            Whether the registration is not used until it changes, or until
+            it has outlived the departure of the target.
+        """
+        if self._is_leaving(record):
+            record.is_draining = True
+            return False
+        hold_s = self._departed.hold_s(record)
+        if hold_s is None or record.id in self._table.by_id:
+            return False
+        logs.event(self.log, "target_held_back", target=record.id)
+        self._held_by_key[item.key] = item
+        if math.isfinite(hold_s):
+            self._timers.after(
+                hold_s, functools.partial(self._release, item, record)
+            )
+        return True
+
+    def _release(
+        self,
+        item: stores.StoredObject,
+        record: target_registration.TargetRegistration,
+    ) -> None:
+        """Uses a registration that is still the same after its time."""
+        if self._held_by_key.get(item.key) is item:
+            del self._held_by_key[item.key]
+            self._table.put(record)
+
     def _is_leaving(
         self, record: target_registration.TargetRegistration
     ) -> bool:
@@ -147,11 +194,12 @@
         A draining target is removed in any case.
         """
         known = self.by_key.pop(key, None)
+        self._held_by_key.pop(key, None)
         target = self._table.by_id.get(_id(key))
         if known is None or target is None:
             return
         if not self._is_in_grace() or target.record.is_draining:
-            self._table.remove(_id(key), reason=reason)
+            self._drop(target, reason)
             return
         logs.event(self.log, "target_lapsed", target=_id(key), reason=reason)
         if not self._lapsed:
@@ -176,11 +224,15 @@
             self._timers.after(GRACE_CHECK_S, self._check_lapsed)
             return
         for key in self._lapsed:
-            self._table.remove(
-                _id(key), reason="not registered again after an outage"
-            )
+            target = self._table.by_id.get(_id(key))
+            if target is not None:
+                self._drop(target, "not registered again after an outage")
         self._lapsed.clear()
 
+    def _drop(self, target: targets.Target, reason: str) -> None:
+        self._departed.add(target)
+        self._table.remove(target.record.id, reason=reason)
+
 
 def _id(key: str) -> str:
     return key.rpartition("/")[2]
--- a/fuchsiacourse/platform/settings_file.py
+++ b/fuchsiacourse/platform/settings_file.py
@@ -13,6 +13,10 @@
 # Without it no metrics are served.
 METRICS_VARIABLE = "METRICS_PORT"
 
+# Heartbeats of a target that the store waits for before it removes the
+# target's registration.
+_LIFETIME_HEARTBEATS = 3.0
+
 Fields = dict[str, str]
 
 
@@ -98,6 +102,9 @@
         * float(fields.get("self.limits.cores", "1")),
         link_mbps=float(fields.get("self.limits.link_mbps", "100")),
         is_first_start=fields.get("self.bootstrap") == "true",
+        registration_lifetime_s=_LIFETIME_HEARTBEATS
+        * float(fields.get("platform.heartbeat_ms", "1500"))
+        / 1000.0,
         bounds=_bounds(fields),
     )
 
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -27,6 +27,9 @@
 
 # Time in which a front must stop using a leaving target, in seconds.
 DRAIN_S = 2.0
+# Time after which the store removes the registration of a silent target, in
+# seconds.
+LIFETIME_S = 4.5
 # Time after which an unanswered call to the store fails, in seconds.
 CALL_TIMEOUT_S = 3.0
 target_object = test_target_follower.target_object
@@ -165,6 +168,7 @@
             timers=self.timers,
             decode=target_codec.decode,
             store_contact_s=self.membership.peers.store_contact_s,
+            lifetime_s=LIFETIME_S,
             clock=clock,
             rng=rng,
             store=self.store_link,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -151,6 +151,38 @@
 
         self.run_script(script)
 
+    def test_target_that_left_for_good_is_never_used_again(self):
+        """Guards against use of a target that was leaving before it went."""
+
+        async def script(fixture):
+            saved = fixture.store.saved()
+            await self.check_drained_in_time(fixture, "t1")
+            fixture.store.set("servers/t1", None)
+            await asyncio.sleep(2.0)
+            await self.restore(fixture, saved)
+            await asyncio.sleep(20.0)
+            for front in fixture.live():
+                self.assertNotIn("t1", front.usable(), front.ip)
+
+        self.run_script(script)
+
+    def test_registration_that_outlives_a_departure_is_used(self):
+        """Guards against a target unused for good because it was cut off."""
+
+        async def script(fixture):
+            saved = fixture.store.saved()
+            fixture.store.set("servers/t1", None)
+            await asyncio.sleep(2.0)
+            await self.restore(fixture, saved)
+            await asyncio.sleep(test_store_relay.LIFETIME_S)
+            for front in fixture.live():
+                self.assertNotIn("t1", front.usable(), front.ip)
+            await asyncio.sleep(4.0)
+            for front in fixture.live():
+                self.assertIn("t1", front.usable(), front.ip)
+
+        self.run_script(script)
+
     def test_targets_that_the_copy_lacks_have_time_to_register(self):
         """Guards against unused targets, and against use after that time."""
 
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -151,6 +151,7 @@
             timers=self.timers,
             decode=target_codec.decode,
             store_contact_s=lambda: self.peer_contact_s,
+            lifetime_s=4.5,
             clock=self.clock,
             rng=random.Random(2),
             store=self.store,
