Play restored stores and rate limits in the fault soak

The soak brings the store back from a copy of up to six seconds before, with what was lost written again, and lets a target state a rate limit, whose arrivals it counts by the fronts that were told, as the operator does.

--- a/bench/fault_checker.py
+++ b/bench/fault_checker.py
@@ -5,6 +5,7 @@
 import collections
 import hashlib
 
+from bench import fault_limits
 from fuchsiacourse import clock as clocks
 
 # Time after a fault in which a front need not keep its time bounds, in
@@ -134,10 +135,14 @@
 
     def time_bounds_hold(self, front: str) -> bool:
         """Returns whether a front must keep its time bounds now."""
+        return self._is_calm(front, "store", MACHINE)
+
+    def _is_calm(self, *components: str) -> bool:
+        """Returns whether components have had no fault for some time."""
         since_s = self._clock.now() - STABILITY_S - SLACK_S
         return all(
             until_s_by_component.get(component, 0.0) < since_s
-            for component in (front, "store", MACHINE)
+            for component in components
             for until_s_by_component in (
                 self._fault_until_s,
                 self._planned_until_s,
@@ -193,6 +198,39 @@
             )
         self.checked["drain"] += 1
 
+    def record_limited_answer(
+        self, id: str, limit: fault_limits.LimitCheck
+    ) -> None:
+        """Records that a target answers a request with its rate limit."""
+        sent = self.sent_by_id.get(id)
+        if sent is not None:
+            limit.record_answer(sent.front, self._clock.now())
+
+    def record_limited_arrival(
+        self, id: str, target: str, limit: fault_limits.LimitCheck
+    ) -> None:
+        """Records the arrival of a request at a target with a rate limit.
+
+        Args:
+            id: Request id.
+            target: Id of the target.
+            limit: Its limit.
+        """
+        sent = self.sent_by_id.get(id)
+        if sent is None:
+            return
+        if not self._is_calm(sent.front, MACHINE):
+            # It may have started anew.
+            limit.forget(sent.front)
+            return
+        self.checked["limited"] += 1
+        count = limit.record_arrival(sent.front, self._clock.now())
+        if count is not None:
+            self._add_violation(
+                f"LIMIT: {target} takes {limit.rate_per_s:g} a second and got"
+                f" {count} in {fault_limits.WINDOW_S:g} s"
+            )
+
     def record_late_body(self, id: str, body: bytes) -> None:
         """Records the body that a target has read after its answer."""
         sent = self.sent_by_id.get(id)
--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -19,6 +19,7 @@
 
 from bench import fault_callers
 from bench import fault_checker
+from bench import fault_limits
 from bench import fault_series
 from bench import fault_target
 from bench import fault_testbed
@@ -46,6 +47,15 @@
 # Range of the time until the registration of a crashed target lapses, in
 # seconds; at most three heartbeats.
 LAPSE_S = (0.5, 4.5)
+# Ranges of the rate limit that a target states, in requests per second, and of
+# the time for which it does, in seconds.
+LIMIT_PER_S = (0.5, 6.0)
+LIMIT_S = (5.0, 12.0)
+# Ranges of the age of the copy from which the store comes back, of the time
+# for which it is away, and until what was lost is written again, in seconds.
+COPY_AGE_S = (0.5, 6.0)
+RESTORE_S = (0.1, 2.0)
+WRITTEN_AGAIN_S = (0.1, 2.0)
 # Share of the "kill_all" faults that do kill all fronts. If all of them did,
 # the fronts would serve too few requests to check.
 KILL_ALL_SHARE = 0.3
@@ -115,6 +125,8 @@
             "store_loses": self._store_drops_answers,
             "target_mode": self._target_mode,
             "target_link": self._target_link,
+            "store_restored": self._store_restored,
+            "target_limit": self._target_limit,
             "target_leaves": self._target_leaves,
             "target_crashes": self._target_crashes,
             "route_moves": self._series.move_route,
@@ -269,6 +281,35 @@
         for number in range(fault_testbed.HISTORY + 10):
             self._testbed.put("fillers/one", b'{"spec": %d}' % number)
 
+    async def _store_restored(self) -> None:
+        """Brings the store back from a copy that is some seconds old."""
+        table = self._testbed.model.table
+        saved = table.saved()
+        await asyncio.sleep(self._rng.uniform(*COPY_AGE_S))
+        faults = self._testbed.model.faults
+        away_s = self._rng.uniform(*RESTORE_S)
+        again_s = self._rng.uniform(*WRITTEN_AGAIN_S)
+        self._checker.record_fault("store", away_s + again_s)
+        faults.outage = True
+        await asyncio.sleep(away_s)
+        table.restore(saved)
+        faults.outage = False
+        await asyncio.sleep(again_s)
+        self._checker.record_fault("store")
+        self._testbed.write_again()
+        # The registrations of targets that are gone lapse.
+        await asyncio.sleep(self._rng.uniform(*LAPSE_S))
+        self._testbed.remove_unknown_targets()
+
+    async def _target_limit(self) -> None:
+        target = self._random_target()
+        target.limit = fault_limits.LimitCheck(
+            rate_per_s=self._rng.uniform(*LIMIT_PER_S),
+            now_s=self._clock.now(),
+        )
+        await asyncio.sleep(self._rng.uniform(*LIMIT_S))
+        target.limit = None
+
     async def _store_cut(self) -> None:
         fronts = self._rng.sample(
             self._testbed.fronts, self._rng.randint(1, 3)
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -9,6 +9,7 @@
 import random
 
 from bench import fault_checker
+from bench import fault_limits
 from bench import fault_proxy
 from bench import fault_wire
 from fuchsiacourse import clock as clocks
@@ -118,6 +119,8 @@
         # Monotonic time at which the store accepted the registration as
         # draining, in seconds.
         self.draining_s: float | None = None
+        # Check of the rate limit that the target states, None without one.
+        self.limit: fault_limits.LimitCheck | None = None
         self._ip = ip
         self._checker = checker
         self._rng = rng
@@ -189,8 +192,10 @@
         if expected != self.id:
             writer.write(_answer(421, id, b"", _NOT_RUN))
             return True
+        if self.limit is not None:
+            self._checker.record_limited_arrival(id, self.id, self.limit)
         if self.mode is Mode.DECLINES and self._rng.random() < 0.5:
-            writer.write(_answer(503, id, b"", _NOT_RUN))
+            writer.write(self._with_limit(id, _answer(503, id, b"", _NOT_RUN)))
             return True
         if self.mode in (Mode.REJECTS, Mode.REJECTS_WITHOUT_ID):
             writer.write(self._rejection(id))
@@ -204,6 +209,15 @@
         )
         return await self._run(id, body_for(id, body), writer)
 
+    def _with_limit(self, id: str, answer: bytes) -> bytes:
+        """Returns an answer that states the rate limit, if there is one."""
+        if self.limit is None:
+            return answer
+        self._checker.record_limited_answer(id, self.limit)
+        line, _, rest = answer.partition(b"\r\n")
+        header = b"Server-Limit: %g" % self.limit.rate_per_s
+        return b"\r\n".join((line, header, rest))
+
     def _rejection(self, id: str) -> bytes:
         status = self._rng.choice(REJECTIONS)
         if self.mode is Mode.REJECTS:
@@ -245,14 +259,14 @@
     ) -> bool:
         mode = self.mode
         if mode is Mode.FAILS:
-            writer.write(_answer(500, id, b"failed"))
+            writer.write(self._with_limit(id, _answer(500, id, b"failed")))
             return True
         await asyncio.sleep(
             {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, WORK_S)
         )
         if mode in (Mode.ENDLESS_HEAD, Mode.ENDLESS_BODY):
             await self._answer_endlessly(id, writer)
-        signed = _answer(200, id, body)
+        signed = self._with_limit(id, _answer(200, id, body))
         if mode is Mode.RESETS:
             writer.transport.abort()
             return False
--- a/bench/fault_testbed.py
+++ b/bench/fault_testbed.py
@@ -215,6 +215,8 @@
         # Whether processes that exit are not restarted.
         self.is_stopping = False
         self._version = 0
+        # What the operator and the targets have written last, by key.
+        self._written_by_key: dict[str, bytes] = {}
         self._target_count = 0
         self._tasks: list[asyncio.Task] = []
         self._server: uvicorn.Server | None = None
@@ -272,8 +274,22 @@
 
     def put(self, key: str, value: bytes) -> None:
         """Writes an object to the store, as the operator or a target does."""
+        self._written_by_key[key] = value
         self.model.table.put(key, value, if_version=None)
 
+    def write_again(self) -> None:
+        """Writes again what a store that was restored has lost."""
+        for key, value in self._written_by_key.items():
+            held = self.model.table.get(key)
+            if held is None or held.value != value:
+                self.model.table.put(key, value, if_version=None)
+
+    def remove_unknown_targets(self) -> None:
+        """Removes the registrations of targets that are gone."""
+        for item in self.model.table.list("servers/"):
+            if item.key not in self._written_by_key:
+                self.model.table.delete(item.key, if_version=None)
+
     def set_route(self, route: str, service: str) -> None:
         """Adds a route, or moves it to another service."""
         now_s = self.clock.now()
@@ -362,4 +378,5 @@
         if self.targets_by_id.pop(target.id, None) is None:
             return
         await target.stop()
+        self._written_by_key.pop(f"servers/{target.id}", None)
         self.model.table.delete(f"servers/{target.id}", if_version=None)
