Take a target's rate limit only from its own answers

An answer of another target at the same address (421) or of foreign software could set a target's limit, and a declined request, whose answer may have no more than its status, could end it. Now an answer that may be foreign tells nothing, and only a successful answer without a limit ends one. tests.test_target_limit.StatedLimitTest failed before (UNLIMITED told by a declined request) and passes now.

--- a/fuchsiacourse/front/evidence.py
+++ b/fuchsiacourse/front/evidence.py
@@ -88,6 +88,6 @@
         )
 
     def set_unlimited(self) -> None:
-        """Records that the target states no limit if the outcome tells."""
-        if self.outcome in outcomes.LIMIT_TELLING:
+        """Records that the target states no limit, if it has answered."""
+        if self.outcome is outcomes.Outcome.ANSWERED:
             self.rate_limit = target_limit.UNLIMITED
--- a/fuchsiacourse/front/outcome.py
+++ b/fuchsiacourse/front/outcome.py
@@ -43,7 +43,3 @@
 _NOT_RUN = frozenset(
     (Outcome.DECLINED, Outcome.UNREACHED, Outcome.MISDIRECTED)
 )
-
-# Outcomes whose answer certainly comes from the target, so that it tells
-# whether the target states a rate limit.
-LIMIT_TELLING = frozenset((Outcome.ANSWERED, Outcome.DECLINED))
--- a/fuchsiacourse/front/target_sender.py
+++ b/fuchsiacourse/front/target_sender.py
@@ -14,6 +14,11 @@
 from fuchsiacourse.front import target_limit
 from fuchsiacourse.front import wire_protocol
 
+# Outcomes whose answer may come from something other than the target.
+_FOREIGN = frozenset(
+    (outcomes.Outcome.MISDIRECTED, outcomes.Outcome.BAD_ANSWER)
+)
+
 
 class AttemptResult:
     """Result of one attempt.
@@ -49,14 +54,14 @@
     def rate_limit(self) -> float | None:
         """Limit that the target has stated, in requests per second.
 
-        It is target_limit.UNLIMITED if an answer that certainly comes from
-        the target states none, and None if the attempt doesn't tell.
+        It is target_limit.UNLIMITED if the target has answered the request
+        and states none, and None if the attempt doesn't tell.
         """
-        if self.fields is None:
+        if self.fields is None or self.outcome in _FOREIGN:
             return None
         if self.fields.rate_limit is not None:
             return self.fields.rate_limit
-        if self.outcome in outcomes.LIMIT_TELLING:
+        if self.outcome is outcomes.Outcome.ANSWERED:
             return target_limit.UNLIMITED
         return None
 
--- a/tests/test_target_limit.py
+++ b/tests/test_target_limit.py
@@ -2,11 +2,34 @@
 
 import unittest
 
+from bench import front_fakes
+from fuchsiacourse.front import outcome
 from fuchsiacourse.front import target_limit
 
 UNLIMITED = target_limit.UNLIMITED
 
 
+class StatedLimitTest(unittest.TestCase):
+    """Only what the target itself has answered may change its limit."""
+
+    def test_limit_that_an_attempt_tells(self):
+        """Guards against the limit of another target, or one lost early."""
+        for kind, stated, expected in (
+            (outcome.Outcome.ANSWERED, 2.0, 2.0),
+            (outcome.Outcome.ANSWERED, None, UNLIMITED),
+            (outcome.Outcome.FAILED, 2.0, 2.0),
+            (outcome.Outcome.FAILED, None, None),
+            (outcome.Outcome.DECLINED, 0.0, 0.0),
+            (outcome.Outcome.DECLINED, None, None),
+            (outcome.Outcome.MISDIRECTED, 2.0, None),
+            (outcome.Outcome.BAD_ANSWER, 2.0, None),
+        ):
+            found = front_fakes.stating(front_fakes.result(kind, 200), stated)
+            self.assertEqual(expected, found.rate_limit, (kind, stated))
+        lost = front_fakes.result(outcome.Outcome.LOST)
+        self.assertIsNone(lost.rate_limit)
+
+
 class TargetLimitTest(unittest.TestCase):
     """The limit must be the one that the target stated last."""
 
