Switch the safeguards for a restored store off

Four mutations (revisions of two eras, watch in another era, answers of an earlier era, registrations of an older copy) are each seen by the test that they name, run one by one. The second was not seen by tests.test_store_restored, because the relay marks such a copy stale a moment later; tests.test_target_follower has tests for a follower alone.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,39 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="CONFIG: revisions of two eras",
+        module="object_copy.py",
+        before=(
+            'up to which all is known."""\n'
+            "        return self.era, self.revision"
+        ),
+        after=(
+            'up to which all is known."""\n' "        return 9, self.revision"
+        ),
+        test="tests.test_store_restored",
+    ),
+    Mutation(
+        rule="CONFIG: watch in another era",
+        module="store_follower.py",
+        before="if after and batch.era != self.copy.era:",
+        after="if False:",
+        test="tests.test_target_follower",
+    ),
+    Mutation(
+        rule="CONFIG: answers of an earlier era",
+        module="store_follower.py",
+        before="if batch.era < self.copy.era:",
+        after="if False:",
+        test="tests.test_target_follower",
+    ),
+    Mutation(
+        rule="DRAIN: registrations of an older copy",
+        module="target_follower.py",
+        before="if self._is_restored and self._holds_back(item, record):",
+        after="if False:",
+        test="tests.test_store_restored",
+    ),
     Mutation(
         rule="LIMIT: starts of other fronts",
         module="evidence_collector.py",
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -200,6 +200,44 @@
 
         self.run_script(script)
 
+    def test_watch_answered_from_another_era_leads_to_a_snapshot(self):
+        """Guards against changes of one history applied to another's copy."""
+
+        async def script(fixture):
+            saved = fixture.store.saved()
+            for number in range(4):
+                fixture.store.set("servers/t3", target_object(f"o{number}"))
+            await asyncio.sleep(2.0)
+            fixture.store.fail(errors.StoreUnavailable("reset"))
+            await asyncio.sleep(0.1)
+            fixture.store.restore(saved)
+            fixture.store.set("servers/t1", target_object("t1", "draining"))
+            for number in range(6):
+                fixture.store.set("servers/t3", target_object(f"p{number}"))
+            fixture.store.fail(None)
+            await asyncio.sleep(2.0)
+            self.assertNotIn("t1", fixture.usable())
+            self.assertEqual(2, fixture.follower.copy.era)
+
+        self.run_script(script)
+
+    def test_answer_of_an_earlier_era_is_not_used(self):
+        """Guards against a late answer that brings a lost history back."""
+
+        async def script(fixture):
+            saved = fixture.store.saved()
+            fixture.store.restore(saved)
+            fixture.store.set("servers/t2", None)
+            await asyncio.sleep(4.0)
+            self.assertEqual({"t1"}, fixture.usable())
+            fixture.store.restore(saved)
+            fixture.store.era = 1
+            await asyncio.sleep(4.0)
+            self.assertEqual(2, fixture.follower.copy.era)
+            self.assertEqual({"t1"}, fixture.usable())
+
+        self.run_script(script)
+
     def test_changes_in_quick_succession_take_few_calls(self):
         """Guards against one priced call per change."""
 
