--- a/fuchsiacourse/platform/wire_headers.py
+++ b/fuchsiacourse/platform/wire_headers.py
@@ -14,8 +14,8 @@
 _SIGNATURE = b"x-fuchsiacourse-response-signature"
 _EXPECTED_TARGET = b"x-fuchsiacourse-expected-instance"
 _LOAD = b"x-fuchsiacourse-server-load"
-# Requests per second that a target takes from all fronts together. The platform
-# sends it without the prefix of its other headers.
+# Requests per second that a target takes from all fronts together. Unlike the
+# other headers of the platform it has no prefix.
 _RATE_LIMIT = b"server-limit"
 _NOT_RUN = b"x-fuchsiacourse-not-executed"
 _RETRY_AFTER = b"retry-after"
