Read no stale list when a front starts again

Cause: the first list of a process may be some seconds old, because the watch from its revision returns what is missing or reports that it is gone. After a restore of the store such a list may be of the lost history, and the watch goes on from a revision that the new history has given out again. Found by reading.

Change: only at the first start of the whole deployment may the list be stale. test_first_list_may_be_stale_at_the_first_start_only fails on the code before, whose client knows no first start and reads a stale list each time.

--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -44,16 +44,23 @@
 
     A key is ``kind/name``; a prefix is ``kind/``. A value is a JSON object
     with ``spec`` and ``status``. A watch from revision 0 returns a list, which
-    may be stale if it is the first call for its kind.
+    may be stale if it is the first call for its kind and the deployment starts
+    for the first time. Later, a stale list may be of a history that the store
+    has lost since, and a watch would go on from a revision of that.
 
     Args:
         address: IP address and port of the store.
+        is_first_start: Whether the whole deployment starts for the first
+            time.
     """
 
-    def __init__(self, *, address: tuple[str, int]) -> None:
+    def __init__(
+        self, *, address: tuple[str, int], is_first_start: bool = False
+    ) -> None:
         self._address = address
         self._host = f"{address[0]}:{address[1]}"
         self._idle: list[client_connection.ClientConnection] = []
+        self._is_first_start = is_first_start
         # Prefixes that have been listed or watched.
         self._requested_prefixes: set[str] = set()
 
@@ -127,13 +134,15 @@
         Raises:
             StoreHistoryGone: The store has dropped changes since then.
         """
-        is_first = prefix not in self._requested_prefixes
+        may_be_stale = (
+            self._is_first_start and prefix not in self._requested_prefixes
+        )
         self._requested_prefixes.add(prefix)
         if after_revision <= 0:
             # A stale list is good enough for the first call: the watch from
             # its revision then returns all later changes, or reports that
             # they are gone.
-            return await self._list(prefix, may_be_stale=is_first)
+            return await self._list(prefix, may_be_stale=may_be_stale)
         wait_ms = int(timeout_s * 1000.0)
         query = f"?watch={after_revision}&wait_ms={wait_ms}"
         answer = await self._call(
--- a/fuchsiacourse/platform/platform_adapter.py
+++ b/fuchsiacourse/platform/platform_adapter.py
@@ -48,7 +48,10 @@
 
     def store(self, settings: front_settings.FrontSettings) -> stores.Store:
         """Returns a client of the platform's store."""
-        return object_store.ObjectStore(address=settings.store_address)
+        return object_store.ObjectStore(
+            address=settings.store_address,
+            is_first_start=settings.is_first_start,
+        )
 
     def decode_config(self, value: bytes) -> route_table.RouteTable:
         """Returns the configuration that a stored object holds."""
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -155,6 +155,28 @@
         await self.store.watch("boxes/", after_revision=0, timeout_s=1.0)
         self.assertNotIn("serializable", queries[-1])
 
+    async def test_first_list_may_be_stale_at_the_first_start_only(self):
+        """Guards against a stale list of a history that the store lost."""
+        for is_first_start in (True, False):
+            client = object_store.ObjectStore(
+                address=self.store._address, is_first_start=is_first_start
+            )
+            queries: list[str] = []
+            call = client._call
+
+            async def record(method, path, call=call, queries=queries):
+                queries.append(path)
+                return await call(method, path)
+
+            client._call = record
+            for _ in range(2):
+                await client.watch("boxes/", after_revision=0, timeout_s=1.0)
+            client.close()
+            self.assertEqual(
+                [is_first_start, False],
+                ["serializable" in query for query in queries],
+            )
+
     async def test_outage_and_rate_limit(self):
         """Guards against refusals that are taken for other failures."""
         self.model.faults.outage = True
