Keep a target that an older copy registers with an earlier start

Cause: a target that starts again under its id replaces its earlier incarnation, whichever of the two the registration names. The older copy of a restored store names the earlier one, which replaced a target that was leaving by one that was ready.

--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -153,11 +153,15 @@
             Whether the registration is not used until it changes, or until
             it has outlived the departure of the target.
         """
-        if self._is_leaving(record):
-            record.is_draining = True
-            return False
         hold_s = self._departed.hold_s(record)
-        if hold_s is None or record.id in self._table.by_id:
+        known = self._table.by_id.get(record.id)
+        if known is not None:
+            age_ms = known.record.started_ms - record.started_ms
+            # A positive age means that the target has started anew since.
+            hold_s = math.inf if age_ms > 0 else None
+            if not age_ms and known.record.is_draining:
+                record.is_draining = True
+        if hold_s is None:
             return False
         logs.event(self.log, "target_held_back", target=record.id)
         self._held_by_key[item.key] = item
@@ -177,17 +181,6 @@
             del self._held_by_key[item.key]
             self._table.put(record)
 
-    def _is_leaving(
-        self, record: target_registration.TargetRegistration
-    ) -> bool:
-        """Returns whether the same incarnation is known to leave."""
-        known = self._table.by_id.get(record.id)
-        return (
-            known is not None
-            and known.record.is_draining
-            and known.record.started_ms == record.started_ms
-        )
-
     def _remove(self, key: str, reason: str) -> None:
         """Removes a target, or keeps it until the grace time ends.
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -131,6 +131,22 @@
 
         self.run_script(script)
 
+    def test_earlier_incarnation_is_registered_in_the_copy(self):
+        """Guards against a target that an earlier start of it replaces."""
+
+        async def script(fixture):
+            saved = fixture.store.saved()
+            leaving = target_object("t1", "draining", born=9)
+            fixture.store.set("servers/t1", leaving)
+            await asyncio.sleep(3.0)
+            await self.restore(fixture, saved)
+            for _ in range(20):
+                await asyncio.sleep(0.2)
+                for front in fixture.live():
+                    self.assertNotIn("t1", front.usable(), front.ip)
+
+        self.run_script(script)
+
     def test_target_that_is_gone_is_registered_again_in_the_copy(self):
         """Guards against requests to a target that has left."""
 
