Send rate limits beyond the range of a packet

A target that states an absurd limit (1e300 a second) made the encoding of the packet raise OverflowError, and the evidence of that turn was lost. The packet holds at most 1e9. test_rate_limit_beyond_the_range_of_the_packet failed with that error before and passes now.

--- a/fuchsiacourse/front/membership_packet.py
+++ b/fuchsiacourse/front/membership_packet.py
@@ -51,6 +51,9 @@
 _MAX_BYTE = 254
 _MAX_MS = 65_535
 _MAX_ERA = 2**32 - 1
+# Highest rate limit that a packet holds, in requests per second; more than any
+# fleet sends to a target.
+_MAX_RATE_PER_S = 1e9
 # Each of these limits keeps a packet within one Ethernet frame; no packet
 # holds both evidence and members.
 MAX_EVIDENCE = 50
@@ -232,7 +235,7 @@
 
 def _encoded_limits(found: list[evidences.Evidence]) -> list[bytes]:
     stated = [
-        (index, item.rate_limit)
+        (index, min(_MAX_RATE_PER_S, item.rate_limit))
         for index, item in enumerate(found)
         if item.states_limit
     ]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -308,6 +308,15 @@
         found = membership_packet.decode(sent.encode()).evidence
         self.assertEqual([None] * 3, [item.rate_limit for item in found])
 
+    def test_rate_limit_beyond_the_range_of_the_packet(self):
+        """Guards against evidence lost to an absurd limit of a target."""
+        sent = self.packet()
+        sent.tells_limits = True
+        sent.evidence[0].rate_limit = 1e300
+        found = membership_packet.decode(sent.encode()).evidence
+        self.assertGreater(found[0].rate_limit, 1e6)
+        self.assertTrue(found[0].states_limit)
+
     def test_malformed_rate_limits(self):
         """Guards against limits of no evidence, or no number."""
         sent = self.packet()
