--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -200,7 +200,7 @@
         content = json.loads(found.body)
         return [item.rpartition(":")[0] for item in content["addresses"]]
 
-    def signal(self, front: Front, number: signal.Signals) -> None:
+    def send_signal(self, front: Front, number: signal.Signals) -> None:
         """Sends a signal to a machine's process."""
         assert front.process is not None
         self.record.note(f"signal    {number.name} to {front.name}")
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -208,8 +208,7 @@
     ) -> bytes:
         headers = {
             wire.PREFIX + "Instance-Id": self.id,
-            wire.PREFIX
-            + "Server-Load": f"{self.running},{len(self._waiting)}"
+            wire.PREFIX + "Server-Load": f"{self.running},{len(self._waiting)}"
             f",{self._slots}",
             "Keep-Alive": f"timeout={KEEP_ALIVE_S}",
         }
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -60,7 +60,10 @@
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
     parts = []
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line:
+            raise EOFError
+        size = int(line.split(b";")[0], 16)
         part = await reader.readexactly(size + 2)
         if not size:
             return b"".join(parts)
