--- a/review/3/case.py
+++ b/review/3/case.py
@@ -164,17 +164,15 @@
     record.note(f"config    r{version} acknowledged")
     tasks += await send_for(fleet, record, AFTER_S, fleet.fronts)
     front = fleet.fronts[0]
-    sending = asyncio.ensure_future(
-        send_for(fleet, record, 1.0, fleet.fronts)
-    )
+    sending = asyncio.ensure_future(send_for(fleet, record, 1.0, fleet.fronts))
     await asyncio.sleep(0.9)
     stop_s = record.now_s()
-    fleet.signal(front, signal.SIGTERM)
+    fleet.send_signal(front, signal.SIGTERM)
     assert front.process is not None
     try:
         await asyncio.wait_for(front.process.wait(), GRACE_S)
     except asyncio.TimeoutError:
-        fleet.signal(front, signal.SIGKILL)
+        fleet.send_signal(front, signal.SIGKILL)
         await front.process.wait()
     record.note(f"ended     {front.name} exit {front.process.returncode}")
     print(
