--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,13 +11,13 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins import case  # noqa: E402
-from standins import fleet as fleets  # noqa: E402
-from standins import record as records  # noqa: E402
-from standins import upstream as upstreams  # noqa: E402
-from standins import wire  # noqa: E402
+import standin_case as case  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
+import standin_record as records  # noqa: E402
+import standin_upstream as upstreams  # noqa: E402
+import standin_wire as wire  # noqa: E402
 
-SERVICE = "reservations"
+SERVICE = "dispatch"
 UPSTREAMS = 5
 SLOTS = 6
 QUEUE = 3
@@ -209,5 +209,5 @@
 
 
 if __name__ == "__main__":
-    ZONES = ["ariana"] * 3 + ["bizerte"] * 3
-    case.main(FOLDER, play, {"tunis-nord": ZONES})
+    ZONES = ["tay-a"] * 3 + ["tay-b"] * 3
+    case.main(FOLDER, play, {"tayside": ZONES})
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,14 +12,14 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins import case  # noqa: E402
-from standins import fleet as fleets  # noqa: E402
-from standins import record as records  # noqa: E402
-from standins import upstream as upstreams  # noqa: E402
-from standins import wire  # noqa: E402
-
-OLD_SERVICE = "horaires"
-NEW_SERVICE = "couloirs"
+import standin_case as case  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
+import standin_record as records  # noqa: E402
+import standin_upstream as upstreams  # noqa: E402
+import standin_wire as wire  # noqa: E402
+
+OLD_SERVICE = "larder"
+NEW_SERVICE = "kettlebook"
 UPSTREAMS = 3
 RATE_PER_S = 20.0
 DEADLINE_MS = 10_000
@@ -219,4 +219,4 @@
 
 
 if __name__ == "__main__":
-    case.main(FOLDER, play, {"tunis-nord": ["ariana", "ariana", "bizerte"]})
+    case.main(FOLDER, play, {"tayside": ["tay-a", "tay-a", "tay-b"]})
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 # built by the command of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q standins [0-9]*/
+python3 -m compileall -q ./*.py [0-9]*/
--- a/review/standins/case.py
+++ b/review/standin_case.py
@@ -8,9 +8,9 @@
 import sys
 import typing
 
-from standins import fleet as fleets
-from standins import record as records
-from standins import store as stores
+import standin_fleet as fleets
+import standin_record as records
+import standin_store as stores
 
 BROKEN = 1
 HELD = 0
--- a/review/standins/fleet.py
+++ b/review/standin_fleet.py
@@ -14,11 +14,11 @@
 import tempfile
 import tomllib
 
-from standins import record as records
-from standins import store as stores
-from standins import wire
+import standin_record as records
+import standin_store as stores
+import standin_wire as wire
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 READY_TIMEOUT_S = 25.0
 _PORTS = ("front", "ready", "control", "directory", "internal")
 
@@ -263,7 +263,7 @@
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
 
-# Bounds of the site file piste-carthage.toml, as the settings name them.
+# Bounds of the site file glenmorach-gw.toml, as the settings name them.
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -278,7 +278,7 @@
     "max_stretch_ms": 5000,
     "retry_budget_ratio": 0.2,
     "budget_window_s": 10,
-    "retry_budget_extra": 58,
+    "retry_budget_extra": 62,
     "recovery_s": 15,
     "ttl_max_s": 5,
     "probes_per_s": 3,
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -11,7 +11,7 @@
 import typing
 import urllib.parse
 
-from standins import wire
+import standin_wire as wire
 
 PAGE = 50
 MAX_WAIT_S = 30.0
--- a/review/standins/upstream.py
+++ b/review/standin_upstream.py
@@ -14,9 +14,9 @@
 import time
 import typing
 
-from standins import record as records
-from standins import store as stores
-from standins import wire
+import standin_record as records
+import standin_store as stores
+import standin_wire as wire
 
 HEARTBEAT_S = 1.5
 KEEP_ALIVE_S = 10
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins for the platform, the upstreams and the clients."""
