--- a/review/standin_case.py
+++ b/review/standin_case.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import sys
+import traceback
 import typing
 
 import standin_fleet as fleets
@@ -58,9 +59,9 @@
         found = await asyncio.wait_for(
             play(fleet, record, has_trouble), TIME_LIMIT_S
         )
-    except (fleets.CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:
         record.note(f"can't run {error!r}")
-        print(f"can't run: {error!r}")
+        traceback.print_exc()
         return CANNOT_RUN
     finally:
         if fleet is not None:
