Keep compiled files out of the review's folder

Cause: build.sh and the scripts left a folder beside the cases' folders.

Added: build.sh parses the files only, and the scripts run with -B.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 cd "$(dirname "$0")" || exit 2
 python3 -c 'import tomllib' || exit 2
-exec python3 case.py
+exec python3 -B case.py
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the scripts. They need Python's standard library
-# only, so it compiles them to show that they can be read. The fronts are
-# built by the command of deploy/system.toml.
+# The stand-ins need Python's standard library only and no build, so this only
+# checks that they can be read. The fronts are built by the command of
+# deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q ./*.py [0-9]*/
+for file in ./*.py [0-9]*/*.py; do
+  python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
+done
