--- a/review/standin_fleet.py
+++ b/review/standin_fleet.py
@@ -66,8 +66,8 @@
         self.store = store
         self.record = record
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self._network = f"127.{random.randint(20, 220)}"
         self._role = self._read_role()
+        self._network = self._free_network()
         self.regions_by_zone = {
             zone: region
             for region, zones in zones_by_region.items()
@@ -97,6 +97,18 @@
         """Port that is free at all addresses, for upstreams and the store."""
         return self.ports["front"]
 
+    def _free_network(self) -> str:
+        """Returns a loopback network in which the metrics port is free.
+
+        The deploy file sets that port, so two fleets can't share addresses.
+        """
+        port = int(self._role.get("env", {}).get("METRICS_PORT", "0"))
+        for _ in range(100):
+            network = f"127.{random.randint(20, 220)}"
+            if _is_free(f"{network}.1.1", port):
+                return network
+        raise CannotRun("no free loopback network")
+
     def _read_role(self) -> dict:
         deploy = tomllib.loads(
             (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
