Log how long a lost call to the store waited and who proved contact again

A call that the store has swallowed looks like one that it refused, and a front that copies from a peer like one that the store answers, so the hypotheses on late configurations after a silent store can't be told apart. store_lost states waited_s, store_regained its source. 55 tests of the followers and of the operations page pass.

--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -163,7 +163,7 @@
     def on_contact_confirmed(self) -> None:
         """Records that a peer of the zone has contact with the store."""
         if self.has_snapshot:
-            self._record_reached()
+            self._record_reached("peers")
             if self._relay.source_of(self) is None:
                 self._stale_since_s = None
 
@@ -199,7 +199,7 @@
         if self._relay.has_proven_peer:
             # This must precede the update, because it starts the grace time
             # in which registrations that lapsed in an outage are kept.
-            self._record_reached()
+            self._record_reached(peer_ip)
             self._stale_since_s = None
         logs.event(
             self.log,
@@ -218,6 +218,7 @@
             self._update_copy(update.revision, update.objects)
 
     async def _follow_store(self) -> None:
+        called_s = self.clock.now()
         try:
             await self._watch_once()
         except errors.StoreHistoryGone as error:
@@ -234,10 +235,10 @@
                 return
             await self._wait(self._backoff.next())
         except errors.StoreRefused as error:
-            self._record_lost(error)
+            self._record_lost(error, called_s)
             await self._wait(self._retry_delay_s(REFUSED_RETRY_S))
         except errors.StoreError as error:
-            self._record_lost(error)
+            self._record_lost(error, called_s)
             await self._wait(self._retry_delay_s(self._backoff.next()))
 
     async def _watch_once(self) -> None:
@@ -275,7 +276,7 @@
             return
         if is_lost:
             self._relay.on_store_regained()
-        self._record_reached()
+        self._record_reached("store")
         if after == 0:
             self._needs_snapshot = False
             self._replace_copy(batch.revision, batch.objects, batch.era)
@@ -384,7 +385,13 @@
         if self._stale_since_s is None:
             self._stale_since_s = self.clock.now()
 
-    def _record_reached(self) -> None:
+    def _record_reached(self, source: str) -> None:
+        """Records contact with the store.
+
+        Args:
+            source: Who has proven it, for the log: ``store``, ``peers`` or the
+                IP address of a peer.
+        """
         self._backoff.reset()
         if self.unreachable_since_s is None:
             return
@@ -396,10 +403,11 @@
             "store_regained",
             prefix=self.prefix,
             away_s=round(away_s, 2),
+            source=source,
         )
         self.on_store_regained(away_s)
 
-    def _record_lost(self, error: errors.StoreError) -> None:
+    def _record_lost(self, error: errors.StoreError, called_s: float) -> None:
         if self.unreachable_since_s is not None:
             if self.unreachable_s > store_relay.MAX_CONTACT_GAP_S:
                 self._relay.on_store_lost()
@@ -410,5 +418,6 @@
             "store_lost",
             prefix=self.prefix,
             revision=self.copy.revision,
+            waited_s=round(self.clock.now() - called_s, 2),
             error=str(error),
         )
