--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -11,16 +11,16 @@
 
 
 class SilentStoreTest(test_store_relay.ZoneTestCase):
-    """The store swallows calls, so it matters when the next ones are sent."""
+    """A change made when the store is back must be in use in time."""
 
-    def test_change_after_a_silence_reaches_all_fronts_in_time(self):
+    def test_calls_swallowed_by_a_silent_store_delay_no_change(self):
         """Guards against fronts that wait for answers that never come."""
-        for silent_s in (2.0, 5.3, 7.7, 8.0, 8.3, 9.0, 9.7, 10.4):
+        for quarters in range(2, 52):
+            silent_s = quarters / 4.0
             with self.subTest(silent_s=silent_s):
-                self.run_script(self._silence(silent_s))
+                self.run_script(self._script(silent_s))
 
-    @staticmethod
-    def _silence(silent_s: float):
+    def _script(self, silent_s: float):
         async def script(fixture):
             for front in fixture.live():
                 front.store_link.is_silent = True
@@ -30,6 +30,6 @@
             fixture.store.set("servers/t1", target_object("t1", "draining"))
             await asyncio.sleep(APPLY_S)
             late = [f.ip for f in fixture.live() if "t1" in f.usable()]
-            assert not late, f"{len(late)} fronts use a leaving target"
+            self.assertEqual([], late)
 
         return script
