Find out within a second that a silent store answers again

Cause: a call that a silent store has swallowed is never answered, and only its timeout of 3 s ends it. Fronts that lost the store together call it in step, so a whole zone could wait until 4.8 s after the store's return. A front that was answered again stayed unelected for 10 s after a failed ping, so the others could not copy from it.

Change: the two fronts of a zone that poll a lost store also ping it each 0.7 s. The first answer after a silence replaces open calls by new ones. A front that is answered again may be elected if no peer has contact.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,20 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="CONFIG: pings in an outage of the store",
+        module="store_relay.py",
+        before="is_lost and self._election.is_recovery_poller",
+        after="is_lost and False",
+        test="tests.test_silent_store",
+    ),
+    Mutation(
+        rule="CONFIG: calls that a silent store has swallowed",
+        module="store_follower.py",
+        before="            return\n        self._gives_up_watch = True",
+        after="            return\n        self._gives_up_watch = False",
+        test="tests.test_silent_store",
+    ),
     Mutation(
         rule="CONFIG: revisions of two eras",
         module="object_copy.py",
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -178,6 +178,17 @@
         if self._watch_task is not None:
             self._watch_task.cancel()
 
+    def retry_now(self) -> None:
+        """Calls a lost store again at once, in place of an open call.
+
+        The store has answered another call, so one that it had not answered
+        before may be lost.
+        """
+        if self.unreachable_since_s is None:
+            return
+        self._gives_up_watch = True
+        self.wake()
+
     async def run(self) -> None:
         """Follows the store, or a peer, until the task is cancelled."""
         while True:
--- a/fuchsiacourse/front/store_relay.py
+++ b/fuchsiacourse/front/store_relay.py
@@ -103,6 +103,10 @@
     def cancel_watch(self) -> None:
         """Cancels the open watch because the store does not answer."""
 
+    @abc.abstractmethod
+    def retry_now(self) -> None:
+        """Calls a lost store again at once, in place of an open call."""
+
 
 class StoreRelay:
     """Decides whether copies follow the store or are fetched from a peer.
@@ -168,6 +172,9 @@
         self._store_era = 0
         # Whether the last ping was answered.
         self._has_proof = False
+        # Monotonic time of the first ping in a row without an answer, None
+        # if the last one was answered.
+        self._silent_since_s: float | None = None
         # Whether the last report to the peers stated proven contact.
         self._was_proven = False
         # Peers of the zone with proven contact, as of the last evaluation.
@@ -298,8 +305,14 @@
         self._report_contact()
 
     def on_store_regained(self) -> None:
-        """Records that the store is reachable again."""
+        """Records that the store is reachable again.
+
+        A front that was silent to pings stays unelected for its time only
+        if a peer has contact; otherwise nobody would prove the contact.
+        """
         self._lost_until_s = float("-inf")
+        if not self._proven_peers:
+            self._silent_until_s = float("-inf")
 
     def _wake_followers(self) -> None:
         for follower in self._followers:
@@ -476,21 +489,50 @@
                 follower.mark_stale()
 
     async def _ping_store(self) -> None:
-        if not (self.watches and self._election.is_elected):
+        if not (self.watches and self._must_ping()):
             self._has_proof = False
             return
         try:
             era = await asyncio.wait_for(self._store.ping(), PING_TIMEOUT_S)
         except (errors.StoreError, TimeoutError) as error:
-            if self._has_proof:
-                logs.warning(self._log, "store_silent", error=repr(error))
-                for follower in self._followers:
-                    follower.cancel_watch()
-            self._silent_until_s = self._clock.now() + STORE_LOST_HOLD_S
-            self._has_proof = False
-            self._report_contact()
+            self._record_silence(error)
             return
         self.observe_era(era)
+        self._record_answer()
+
+    def _must_ping(self) -> bool:
+        """Returns whether this front pings the store on behalf of its zone.
+
+        In an outage nobody is elected. A ping then finds out that the store
+        answers again, long before the calls that it has swallowed time out.
+        """
+        is_lost = any(item.unreachable_s for item in self._followers)
+        return self._election.is_elected or (
+            is_lost and self._election.is_recovery_poller
+        )
+
+    def _record_silence(self, error: Exception) -> None:
+        now_s = self._clock.now()
+        if self._has_proof:
+            logs.warning(self._log, "store_silent", error=repr(error))
+            for follower in self._followers:
+                follower.cancel_watch()
+        if self._silent_since_s is None:
+            self._silent_since_s = now_s
+        self._silent_until_s = now_s + STORE_LOST_HOLD_S
+        self._has_proof = False
+        self._report_contact()
+
+    def _record_answer(self) -> None:
+        if self._silent_since_s is not None:
+            logs.event(
+                self._log,
+                "store_answers_again",
+                silent_s=round(self._clock.now() - self._silent_since_s, 2),
+            )
+            self._silent_since_s = None
+            for follower in self._followers:
+                follower.retry_now()
         self._has_proof = True
         self._report_contact()
 
