Count trials for the floor and idle targets

Neither logs nor metrics say how many targets are idle, nor how many requests are trials, so the hypotheses on a missed floor can't be told apart.

--- a/fuchsiacourse/front/floor_trials.py
+++ b/fuchsiacourse/front/floor_trials.py
@@ -51,6 +51,9 @@
 class FloorTrials:
     """Chooses idle targets for trials while too few targets are in use.
 
+    Attributes:
+        count: Number of trials so far.
+
     Args:
         clock: Source of time.
         rng: Source of randomness.
@@ -63,6 +66,7 @@
     """
 
     __slots__ = (
+        "count",
         "_clock",
         "_rng",
         "_bounds",
@@ -82,6 +86,7 @@
         lost_share: typing.Callable[[], float],
         limiter: rate_limiter.RateLimiter,
     ) -> None:
+        self.count = 0
         self._clock = clock
         self._rng = rng
         self._bounds = bounds
@@ -123,6 +128,7 @@
             and item.load.in_flight(now_s) < item.record.slots
             and self._limiter.permits(item)
         ]
+        self.count += bool(idle)
         return min(
             idle,
             key=lambda item: item.failure_probability(now_s)
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -363,6 +363,14 @@
                 >= evidence_collector.SUSPECT_THRESHOLD
                 for target in targets
             ),
+            "front_targets_idle": sum(
+                target.is_usable
+                and now_s - target.last_used_s > floor_trials.IN_USE_S
+                for target in targets
+            ),
+            "front_floor_trials_total": (
+                self._forwarder.placement.trial_count
+            ),
             "front_targets_limited": sum(
                 target.limit.is_stated for target in targets
             ),
--- a/fuchsiacourse/front/placement.py
+++ b/fuchsiacourse/front/placement.py
@@ -100,6 +100,11 @@
         self._trials = trials
         self._limiter = limiter
 
+    @property
+    def trial_count(self) -> int:
+        """Number of requests so far that were trials of idle targets."""
+        return self._trials.count
+
     def choose(
         self,
         candidates: collections.abc.Sequence[targets.Target],
