Choose the target of a trial at random among the idle ones

In zones with hubs the start of a first attempt isn't reported, so fronts that look for an idle target all find the same one until the first trial ends, and most trials bring no other target into use.

Change: the target is drawn among those that are eligible, weighted by their probability of being healthy.

--- a/fuchsiacourse/front/floor_trials.py
+++ b/fuchsiacourse/front/floor_trials.py
@@ -43,9 +43,6 @@
 MAX_FAILURE_PROBABILITY = 0.6
 # Most targets among which the one for a trial is chosen.
 SAMPLE = 24
-# Upper limit of a random difference, so that fronts that choose at the same
-# moment choose different targets.
-_TIE_PROBABILITY = 0.004
 
 
 class FloorTrials:
@@ -128,13 +125,13 @@
             and item.load.in_flight(now_s) < item.record.slots
             and self._limiter.permits(item)
         ]
-        self.count += bool(idle)
-        return min(
-            idle,
-            key=lambda item: item.failure_probability(now_s)
-            + _TIE_PROBABILITY * self._rng.random(),
-            default=None,
-        )
+        if not idle:
+            return None
+        self.count += 1
+        # Other fronts hear of a trial only when it ends, so the best target
+        # would get the trials of all of them.
+        weights = [1.0 - item.failure_probability(now_s) for item in idle]
+        return self._rng.choices(idle, weights)[0]
 
     def _trial_share(
         self,
