Control the trials for the floor so that they reach it

In a window in which all fronts lost power, 14 of 24 sound targets of a service of unsafe requests had got requests (58 %, the floor is 70 %).

Cause: trials were as many as targets were missing to the floor at the moment. A target counts as in use for 1.7 s after its trial and is missing again afterwards, so the trials settled below the floor, at any load. Targets that are unhealthy counted like healthy ones.

Change: proportional-integral control of the share of trials, by the expected number of healthy targets that are missing to the floor and a margin of 6 %.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -303,10 +303,17 @@
     Mutation(
         rule="FLOOR: services of unsafe requests",
         module="floor_trials.py",
-        before="TRIALS_PER_TARGET = 1.3",
-        after="TRIALS_PER_TARGET = 0.0",
+        before="share = self._steady_share + needed",
+        after="share = 0.0",
         test="tests.test_placement",
     ),
+    Mutation(
+        rule="FLOOR: trials that settle below it",
+        module="floor_trials.py",
+        before="share = self._steady_share + needed",
+        after="share = needed",
+        test="tests.test_floor_in_use",
+    ),
     Mutation(
         rule="LOST: new connections at a stop",
         module="caller_connection.py",
--- a/fuchsiacourse/front/floor_trials.py
+++ b/fuchsiacourse/front/floor_trials.py
@@ -22,12 +22,13 @@
 IN_USE_S = 1.7
 # Interval between two checks of the floor, in seconds.
 CHECK_S = 0.2
-# Part of the targets that is kept in use beyond the floor, because some of
-# them leave or lose their connection before the next request.
+# Part of the healthy targets that is kept in use beyond the floor, because
+# some of them leave or lose their connection before the next request.
 MARGIN = 0.1
 # The same for requests that can't be retried while few requests fail. It isn't
-# 0, because the operator also counts the two seconds before a failure.
-QUIET_MARGIN = 0.02
+# 0, because the operator also counts the two seconds before a failure, and
+# those in use vary by chance.
+QUIET_MARGIN = 0.06
 # Share of failed attempts, and share of the fronts that went down lately, from
 # which MARGIN holds for all requests. The operator counts the floor from a
 # tenth.
@@ -35,9 +36,6 @@
 COUNTED_LOST_SHARE = 0.1
 # Share of the requests that may be trials.
 TRIAL_SHARE = 0.2
-# Trials that can't be retried for each target that is missing to the floor;
-# the fronts decide apart and may choose the same target.
-TRIALS_PER_TARGET = 1.3
 # Failure probability from which an idle target gets no trial; the estimate
 # of a target that failed falls below it after about 6 s.
 MAX_FAILURE_PROBABILITY = 0.6
@@ -45,6 +43,62 @@
 SAMPLE = 24
 
 
+class _TargetUse:
+    """Use of a service's targets as of the last check, and its trials.
+
+    Attributes:
+        checked_s: Monotonic time of the check in seconds.
+        healthy: Expected number of usable targets that are healthy.
+        healthy_in_use: Expected number of those that are in use.
+        trial_share: Share of the requests that can't be retried that are
+            trials.
+    """
+
+    __slots__ = (
+        "checked_s",
+        "healthy",
+        "healthy_in_use",
+        "trial_share",
+        "_steady_share",
+    )
+
+    def __init__(self) -> None:
+        self.checked_s = float("-inf")
+        self.healthy = 0.0
+        self.healthy_in_use = 0.0
+        self.trial_share = 0.0
+        self._steady_share = 0.0
+
+    def missing(self, floor_share: float) -> float:
+        """Returns how many targets are missing to a share of the healthy."""
+        return floor_share * self.healthy - self.healthy_in_use
+
+    def adapt(
+        self, *, missing: float, attempts: float, passed_s: float
+    ) -> None:
+        """Adapts the share of trials by proportional-integral control.
+
+        A target counts as in use for IN_USE_S after its trial and is missing
+        again afterwards, so trials in proportion to the missing targets alone
+        would settle below the floor.
+
+        Args:
+            missing: Targets that are missing to the floor, negative if there
+                are more.
+            attempts: Attempts at the service in IN_USE_S.
+            passed_s: Time since the last check in seconds.
+        """
+        if not self.healthy_in_use:
+            # The service has just had its first requests.
+            self.trial_share = self._steady_share = 0.0
+            return
+        needed = missing / attempts
+        self._steady_share += needed * passed_s / IN_USE_S
+        self._steady_share = min(TRIAL_SHARE, max(0.0, self._steady_share))
+        share = self._steady_share + needed
+        self.trial_share = min(TRIAL_SHARE, max(0.0, share))
+
+
 class FloorTrials:
     """Chooses idle targets for trials while too few targets are in use.
 
@@ -70,7 +124,7 @@
         "_failures",
         "_lost_share",
         "_limiter",
-        "_in_use_by_service",
+        "_use_by_service",
     )
 
     def __init__(
@@ -90,9 +144,7 @@
         self._failures = failures
         self._lost_share = lost_share
         self._limiter = limiter
-        # Result of the last check of the floor: monotonic time until which it
-        # is used, in seconds, targets in use and usable targets.
-        self._in_use_by_service: dict[str, tuple[float, int, int]] = {}
+        self._use_by_service: dict[str, _TargetUse] = {}
 
     def choose(
         self,
@@ -145,19 +197,41 @@
         Requests that can't be retried are trials only as often as the targets
         that are missing to the floor need them, because many trials fail.
         """
-        in_use, usable = self._count_in_use(service, found, now_s)
-        is_counted = is_retryable or self._counts_floor(service, now_s)
-        margin = MARGIN if is_counted else QUIET_MARGIN
-        missing = (self._bounds.floor_share + margin) * usable - in_use
-        if missing <= 0.0:
-            return 0.0
-        if is_retryable:
-            return TRIAL_SHARE
-        if not in_use:
-            # The service has just had its first requests.
-            return 0.0
+        use = self._use_by_service.get(service)
+        if use is None:
+            use = self._use_by_service[service] = _TargetUse()
+        if now_s >= use.checked_s + CHECK_S:
+            self._check(use, service, found, now_s)
+        if not is_retryable:
+            return use.trial_share
+        floor_share = self._bounds.floor_share + MARGIN
+        return TRIAL_SHARE if use.missing(floor_share) > 0.0 else 0.0
+
+    def _check(
+        self,
+        use: _TargetUse,
+        service: str,
+        found: collections.abc.Sequence[targets.Target],
+        now_s: float,
+    ) -> None:
+        """Estimates the healthy targets in use and adapts the trials."""
+        use.healthy = use.healthy_in_use = 0.0
+        for item in found:
+            if not item.is_usable:
+                continue
+            weight = 1.0 - item.failure_probability(now_s)
+            use.healthy += weight
+            if now_s - item.last_used_s <= IN_USE_S:
+                use.healthy_in_use += weight
+        passed_s = min(IN_USE_S, now_s - use.checked_s)
+        use.checked_s = now_s
+        margin = MARGIN if self._counts_floor(service, now_s) else QUIET_MARGIN
         attempts = self._failures.rate_per_s(service, now_s) * IN_USE_S
-        return min(TRIAL_SHARE, TRIALS_PER_TARGET * missing / max(1, attempts))
+        use.adapt(
+            missing=use.missing(self._bounds.floor_share + margin),
+            attempts=max(1.0, attempts),
+            passed_s=passed_s,
+        )
 
     def _counts_floor(self, service: str, now_s: float) -> bool:
         """Returns whether the operator may count the floor of a service.
@@ -168,19 +242,3 @@
             self._failures.share(service, now_s) >= COUNTED_FAILURE_SHARE
             or self._lost_share() >= COUNTED_LOST_SHARE
         )
-
-    def _count_in_use(
-        self,
-        service: str,
-        found: collections.abc.Sequence[targets.Target],
-        now_s: float,
-    ) -> tuple[int, int]:
-        """Returns how many usable targets are in use, and how many exist."""
-        known = self._in_use_by_service.get(service)
-        if known is not None and now_s < known[0]:
-            return known[1:]
-        usable = [item for item in found if item.is_usable]
-        in_use = sum(now_s - item.last_used_s <= IN_USE_S for item in usable)
-        until_s = now_s + CHECK_S
-        self._in_use_by_service[service] = until_s, in_use, len(usable)
-        return in_use, len(usable)
