Try targets for the floor again 4 s after a failure, not 6 s

A target that has failed by itself is sound again after some seconds, and the operator counts it from then on, but it got no trial until 6 s later.

--- a/fuchsiacourse/front/floor_trials.py
+++ b/fuchsiacourse/front/floor_trials.py
@@ -37,8 +37,9 @@
 # Share of the requests that may be trials.
 TRIAL_SHARE = 0.2
 # Failure probability from which an idle target gets no trial; the estimate
-# of a target that failed falls below it after about 6 s.
-MAX_FAILURE_PROBABILITY = 0.6
+# of a target that failed falls below it after about 4 s, and most gray
+# failures last no longer.
+MAX_FAILURE_PROBABILITY = 0.7
 # Most targets among which the one for a trial is chosen.
 SAMPLE = 24
 
