Add failing tests of fronts that are cut off from all targets

24 fronts of three zones, callers that ask for addresses as on the platform, seven or eight fronts cut off for 12 s.

--- a/bench/front_fleet.py
+++ b/bench/front_fleet.py
@@ -16,10 +16,12 @@
 from bench import front_fakes
 from bench import virtual_loop
 from fuchsiacourse.front import caller_presence
+from fuchsiacourse.front import directory as directories
 from fuchsiacourse.front import forwarder as forwarders
 from fuchsiacourse.front import front_status
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import membership as memberships
+from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import store_view
 from fuchsiacourse.front import target as targets
@@ -97,12 +99,13 @@
                 target_revision=1,
             ),
         )
+        settings = front_fakes.settings(ip, zone, SEEDS)
         self.membership = memberships.Membership(
             clock=clock,
             timers=self.timers,
             rng=rng,
             datagram=network.endpoint(f"{ip}:7000"),
-            settings=front_fakes.settings(ip, zone, SEEDS),
+            settings=settings,
             incarnation=1,
             status=lambda: status,
             log=logs.silent(),
@@ -117,6 +120,11 @@
             send_evidence=self.membership.send_evidence,
         )
         self.forwarder.config = front_fakes.config(route)
+        self.directory = directories.Directory(
+            settings=settings,
+            peers=self.membership.peers,
+            is_serving=lambda: status.is_ready,
+        )
         collector = self.forwarder.collector
         self.membership.start(
             lambda evidence, front, is_same_zone: collector.apply_remote(
@@ -132,6 +140,8 @@
         ip: IP address of the front.
         behave: Decides how a target treats a request.
         arrivals: Arrivals by id of the target, added to.
+        connect_s_by_ip: Time until a connection fails, in seconds, by IP
+            address of the fronts that are cut off from the targets.
     """
 
     def __init__(
@@ -140,15 +150,21 @@
         ip: str,
         behave: Behave,
         arrivals: dict[str, list[Arrival]],
+        connect_s_by_ip: dict[str, float],
     ) -> None:
         super().__init__(self._arrive)
         self._ip = ip
+        self._connect_s_by_ip = connect_s_by_ip
         self._behave_at = behave
         self._arrivals = arrivals
 
     def _arrive(
         self, target: targets.Target, count: int
     ) -> tuple[float, target_sender.AttemptResult]:
+        connect_s = self._connect_s_by_ip.get(self._ip)
+        if connect_s is not None:
+            unreached = front_fakes.result(outcomes.Outcome.UNREACHED)
+            return connect_s, unreached
         now_s = asyncio.get_running_loop().time()
         self._arrivals[target.record.id].append(
             Arrival(at_s=now_s, front=self._ip)
@@ -164,6 +180,9 @@
         arrivals_by_id: Arrivals at the targets by id.
         answers: Answers to the callers.
         links: Conditions of the links between the fronts.
+        connect_s_by_ip: Time until a connection to a target fails, in
+            seconds, by IP address of the fronts that are cut off from all
+            targets.
 
     Args:
         seed: Seed of the arrivals.
@@ -193,6 +212,7 @@
             collections.defaultdict(list)
         )
         self.answers: list[http_answer.HttpAnswer] = []
+        self.connect_s_by_ip: dict[str, float] = {}
         self.fronts = [
             FleetFront(
                 ip=f"10.0.{third}.{last}",
@@ -202,6 +222,7 @@
                     ip=f"10.0.{third}.{last}",
                     behave=behave,
                     arrivals=self.arrivals_by_id,
+                    connect_s_by_ip=self.connect_s_by_ip,
                 ),
                 records=records,
                 route=route or front_fakes.route(),
@@ -209,7 +230,7 @@
             for third, zone in enumerate(front_fakes.ZONES)
             for last in range(1, per_zone + 1)
         ]
-        self._tasks: set[asyncio.Task] = set()
+        self.tasks: set[asyncio.Task] = set()
 
     async def send(
         self,
@@ -235,12 +256,12 @@
             )
             front = self._rng.choice(fronts or self.fronts)
             task = asyncio.ensure_future(self._handle(front, request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     def close(self) -> list[Exception]:
         """Stops all fronts; returns the errors of their timers."""
-        for task in self._tasks:
+        for task in self.tasks:
             task.cancel()
         for front in self.fronts:
             front.timers.close()
