Let a front that is cut off from all targets send its callers elsewhere

Eight fronts that were partitioned from all targets served 0 of 341 first tries, and the other 36 only 157 of 196.

Cause: a front took each failed connection for a fault of that target. It stayed ready and in the address list, turned callers away within milliseconds and got more of them. Its reports made the whole region suspect 33 of 35 targets, so the other fronts could no longer tell healthy ones.

Change: after a failed attempt a front connects to other targets and holds the report meanwhile. If it reaches none of four while targets answer its peers, it is not ready, leaves the address list, refuses at once with a short time to return, and records what the partition caused as cancelled. It goes on connecting to two targets each 0.5 s until one accepts.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -22,6 +22,7 @@
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import rate_limiter
+from fuchsiacourse.front import reach_monitor
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import retry_budget
 from fuchsiacourse.front import return_order
@@ -36,6 +37,7 @@
 from fuchsiacourse.front import wire_protocol
 from fuchsiacourse import logs
 from fuchsiacourse.platform import wire_headers
+from fuchsiacourse import timers as timer_services
 
 HOST = "callers.example"
 SERVICE = "larder"
@@ -265,6 +267,14 @@
         return result
 
 
+class AcceptingConnector(reach_monitor.TargetConnector):
+    """Connector whose targets accept all connections."""
+
+    async def connect(self, target: targets.Target) -> bool:
+        """Returns that the connection was accepted."""
+        return True
+
+
 def result(
     outcome: outcomes.Outcome, status: int | None = None
 ) -> target_sender.AttemptResult:
@@ -324,6 +334,11 @@
     )
 
 
+def _raise(error: Exception) -> None:
+    """Fails the run for the error of a background task."""
+    raise error
+
+
 def forwarder(
     sender: target_sender.TargetSender,
     *records: target_registration.TargetRegistration,
@@ -332,6 +347,8 @@
     zone: str = "a",
     live_share: typing.Callable[[], float] = lambda: 1.0,
     send_evidence: evidence_collector.EvidenceSender | None = None,
+    connector: reach_monitor.TargetConnector | None = None,
+    on_reach_change: typing.Callable[[], None] = lambda: None,
     **bound_changes: float,
 ) -> forwarders.Forwarder:
     """Returns the forwarder of a front.
@@ -344,6 +361,10 @@
         zone: Availability zone of the front.
         live_share: Returns the share of the region's fronts in contact.
         send_evidence: Sends evidence to other fronts, None for nowhere.
+        connector: Opens connections to targets, None for one that always
+            succeeds.
+        on_reach_change: Called when the front is cut off from all targets,
+            and when it reaches them again.
         bound_changes: Replaced values of the retry budget's bounds.
     """
     front_clock = virtual_loop.VirtualClock() if clock is None else clock
@@ -413,6 +434,17 @@
         returns=return_order.ReturnOrder(clock=front_clock, rng=rng),
         front_count=lambda: 1,
         sender=sender,
+        reach=reach_monitor.ReachMonitor(
+            clock=front_clock,
+            timers=timer_services.Timers(
+                clock=front_clock, rng=rng, on_error=_raise
+            ),
+            rng=random.Random(seed),
+            table=table,
+            connector=connector or AcceptingConnector(),
+            on_change=on_reach_change,
+            log=log,
+        ),
         rejections=rejections(clock=front_clock, metrics=metrics),
         metrics=metrics,
         log=log,
--- a/bench/front_fleet.py
+++ b/bench/front_fleet.py
@@ -17,11 +17,13 @@
 from bench import virtual_loop
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import directory as directories
+from fuchsiacourse.front import evidence as evidences
 from fuchsiacourse.front import forwarder as forwarders
 from fuchsiacourse.front import front_status
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import membership as memberships
 from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import reach_monitor
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import store_view
 from fuchsiacourse.front import target as targets
@@ -74,7 +76,7 @@
         ip: str,
         zone: str,
         network: fake_datagrams.FakeDatagramNetwork,
-        sender: target_sender.TargetSender,
+        sender: FrontSender,
         records: list[target_registration.TargetRegistration],
         route: routes.Route,
     ) -> None:
@@ -86,18 +88,12 @@
         self.timers = timer_services.Timers(
             clock=clock, rng=rng, on_error=self.failures.append
         )
-        status = front_status.FrontStatus(
-            is_ready=True,
-            is_leaving=False,
-            config_version=1,
-            store_contact_s=9.0,
-            view=store_view.StoreView(
-                has_proven_contact=False,
-                has_lost_store=False,
-                capacity=20,
-                config_revision=1,
-                target_revision=1,
-            ),
+        view = store_view.StoreView(
+            has_proven_contact=False,
+            has_lost_store=False,
+            capacity=20,
+            config_revision=1,
+            target_revision=1,
         )
         settings = front_fakes.settings(ip, zone, SEEDS)
         self.membership = memberships.Membership(
@@ -107,7 +103,7 @@
             datagram=network.endpoint(f"{ip}:7000"),
             settings=settings,
             incarnation=1,
-            status=lambda: status,
+            status=lambda: self._status(view),
             log=logs.silent(),
         )
         self.forwarder: forwarders.Forwarder = front_fakes.forwarder(
@@ -118,22 +114,42 @@
             zone=zone,
             live_share=self.membership.peers.live_share,
             send_evidence=self.membership.send_evidence,
+            connector=sender,
+            on_reach_change=self.membership.announce,
         )
         self.forwarder.config = front_fakes.config(route)
         self.directory = directories.Directory(
             settings=settings,
             peers=self.membership.peers,
-            is_serving=lambda: status.is_ready,
+            is_serving=lambda: self.is_ready,
         )
-        collector = self.forwarder.collector
-        self.membership.start(
-            lambda evidence, front, is_same_zone: collector.apply_remote(
-                evidence, front=front, is_same_zone=is_same_zone
-            )
+        self.membership.start(self._apply_evidence)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the front serves callers."""
+        return not self.forwarder.reach.is_cut_off
+
+    def _status(self, view: store_view.StoreView) -> front_status.FrontStatus:
+        return front_status.FrontStatus(
+            is_ready=self.is_ready,
+            is_leaving=False,
+            config_version=1,
+            store_contact_s=9.0,
+            view=view,
         )
 
+    def _apply_evidence(
+        self, evidence: evidences.Evidence, front: str, is_same_zone: bool
+    ) -> None:
+        if evidence.outcome is outcomes.Outcome.ANSWERED:
+            self.forwarder.reach.record_peer_answer()
+        self.forwarder.collector.apply_remote(
+            evidence, front=front, is_same_zone=is_same_zone
+        )
 
-class FrontSender(front_fakes.FakeSender):
+
+class FrontSender(front_fakes.FakeSender, reach_monitor.TargetConnector):
     """Sender of one front that records the arrivals at the targets.
 
     Args:
@@ -158,6 +174,12 @@
         self._behave_at = behave
         self._arrivals = arrivals
 
+    async def connect(self, target: targets.Target) -> bool:
+        """Returns whether a target accepts a connection of the front."""
+        connect_s = self._connect_s_by_ip.get(self._ip)
+        await asyncio.sleep(connect_s or ZONE_DELAY_S)
+        return connect_s is None
+
     def _arrive(
         self, target: targets.Target, count: int
     ) -> tuple[float, target_sender.AttemptResult]:
--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,27 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="RECOVER: fronts that are cut off from all targets",
+        module="target_reach.py",
+        before="        self.is_cut_off = True",
+        after="        self.is_cut_off = False",
+        test="tests.test_partitioned_fronts",
+    ),
+    Mutation(
+        rule="RECOVER: evidence of fronts that are cut off",
+        module="reach_monitor.py",
+        before="record(outcomes.Outcome.CANCELLED if self.is_cut_off",
+        after="record(outcome if self.is_cut_off",
+        test="tests.test_reach_monitor",
+    ),
+    Mutation(
+        rule="RECOVER: failures of targets for all fronts",
+        module="target_reach.py",
+        before="            or age_s > PEER_ANSWER_S",
+        after="            or age_s < 0.0",
+        test="tests.test_reach_monitor",
+    ),
     Mutation(
         rule="CONFIG: pings in an outage of the store",
         module="store_relay.py",
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -14,6 +14,7 @@
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import placement as placements
 from fuchsiacourse.front import rate_limiter
+from fuchsiacourse.front import reach_monitor
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import request_run
 from fuchsiacourse.front import retry_budget
@@ -27,6 +28,9 @@
 
 # Value of Retry-After in 503 answers of the forwarder, in seconds.
 REFUSAL_RETRY_S = 1.0
+# The same while this front is cut off from all targets, in seconds: another
+# front can take the request as soon as the caller has connected to it.
+CUT_OFF_RETRY_S = 0.1
 # Limit of requests in flight at a front; above it the host lacks the memory
 # and processor time to serve them before their deadlines.
 MAX_IN_FLIGHT = 1000
@@ -54,6 +58,7 @@
         front_count: Returns the number of the region's fronts in contact,
             with this one.
         sender: Sends requests to targets.
+        reach: Finds out whether this front is cut off from all targets.
         rejections: Logs and counts rejected requests.
         metrics: Metrics of the front.
         log: Logger.
@@ -75,6 +80,7 @@
         returns: return_order.ReturnOrder,
         front_count: typing.Callable[[], int],
         sender: target_sender.TargetSender,
+        reach: reach_monitor.ReachMonitor,
         rejections: rejection_log.RejectionLog,
         metrics: front_metrics.FrontMetrics,
         log: typing.Any,
@@ -92,6 +98,7 @@
         self.returns = returns
         self.front_count = front_count
         self.sender = sender
+        self.reach = reach
         self._rejections = rejections
         self.metrics = metrics
         self.log = log
@@ -110,7 +117,8 @@
         A request without an id or a known route is rejected with 400 or 404.
         It is refused with 503 if the front has no configuration, if its route
         may be missing because the configuration is stale or partly unreadable,
-        if the front is full, or if the request is blocked as a crash suspect.
+        if the front is full or cut off from all targets, or if the request is
+        blocked as a crash suspect.
 
         Args:
             request: Request of a caller.
@@ -130,6 +138,13 @@
             return self._reject(fields, request, _NOT_FOUND, "no such route")
         if self.in_flight >= MAX_IN_FLIGHT:
             return self._refuse(fields, request, "too many requests in flight")
+        if self.reach.is_cut_off:
+            return self._refuse(
+                fields,
+                request,
+                "no target can be reached",
+                retry_after_s=CUT_OFF_RETRY_S,
+            )
         fingerprint = crash_suspects.fingerprint_of(request)
         if self.suspects.is_blocked(fingerprint):
             return self._refuse(fields, request, "the request crashes targets")
@@ -188,6 +203,8 @@
         fields: wire_protocol.RequestFields,
         request: http_request.HttpRequest,
         reason: str,
+        *,
+        retry_after_s: float = REFUSAL_RETRY_S,
     ) -> http_answer.HttpAnswer:
         version = self.config.version if self.config is not None else None
         self.metrics.count("front_refusals_total", reason=reason)
@@ -200,5 +217,5 @@
             config_version=version,
         )
         return self.local_answer(
-            fields, _UNAVAILABLE, reason, retry_after_s=REFUSAL_RETRY_S
+            fields, _UNAVAILABLE, reason, retry_after_s=retry_after_s
         )
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -25,9 +25,11 @@
 from fuchsiacourse.front import front_status
 from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import membership as memberships
+from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import pooled_sender
 from fuchsiacourse.front import rate_limiter
+from fuchsiacourse.front import reach_monitor
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import retry_budget
 from fuchsiacourse.front import return_order
@@ -137,13 +139,15 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the front has a configuration and a target list.
+        """Whether the front can serve callers.
 
-        False once a shutdown has begun.
+        It needs a configuration and a target list. False while it is cut off
+        from all targets, and once a shutdown has begun.
         """
         return (
             self._forwarder.config is not None
             and self._targets.has_snapshot
+            and not self._forwarder.reach.is_cut_off
             and not self._stopping.is_set()
         )
 
@@ -258,6 +262,15 @@
             returns=return_order.ReturnOrder(clock=self._clock, rng=self._rng),
             front_count=self._membership.peers.live_count,
             sender=self._sender,
+            reach=reach_monitor.ReachMonitor(
+                clock=self._clock,
+                timers=self._timers,
+                rng=self._rng,
+                table=self._table,
+                connector=self._sender,
+                on_change=self._membership.announce,
+                log=self._log,
+            ),
             rejections=self._rejections,
             metrics=self._metrics,
             log=self._log,
@@ -363,6 +376,7 @@
                 >= evidence_collector.SUSPECT_THRESHOLD
                 for target in targets
             ),
+            "front_cut_off": float(self._forwarder.reach.is_cut_off),
             "front_targets_idle": sum(
                 target.is_usable
                 and now_s - target.last_used_s > floor_trials.IN_USE_S
@@ -394,6 +408,8 @@
     def _apply_evidence(
         self, evidence: evidences.Evidence, front: str, is_same_zone: bool
     ) -> None:
+        if evidence.outcome is outcomes.Outcome.ANSWERED:
+            self._forwarder.reach.record_peer_answer()
         self._forwarder.collector.apply_remote(
             evidence, front=front, is_same_zone=is_same_zone
         )
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -12,6 +12,7 @@
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import reach_monitor
 from fuchsiacourse.front import target as targets
 from fuchsiacourse.front import target_sender
 from fuchsiacourse.front import wire_protocol
@@ -66,7 +67,7 @@
         self.idle_s = DEFAULT_IDLE_S
 
 
-class PooledSender(target_sender.TargetSender):
+class PooledSender(target_sender.TargetSender, reach_monitor.TargetConnector):
     """Sends requests to targets over HTTP/1.1 and pools the connections.
 
     Args:
@@ -149,6 +150,15 @@
             result.resends += 1
         return result
 
+    async def connect(self, target: targets.Target) -> bool:
+        """Opens and closes a connection; returns whether it was accepted."""
+        try:
+            connection = await self._open(target)
+        except (OSError, TimeoutError):
+            return False
+        connection.close()
+        return True
+
     def sweep(self) -> None:
         """Closes connections that have been idle beyond their timeout."""
         now_s = self._clock.now()
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -277,6 +277,8 @@
         to_declined: bool = False,
     ) -> bool:
         front = self._front
+        if front.reach.is_cut_off:
+            return False
         candidates = front.table.of_service(self._service)
         if to_declined:
             # Targets that have been removed since they declined are left out.
@@ -332,17 +334,20 @@
         self._front.collector.record_resends(item.target, result.resends)
         load = result.fields.load if result.fields is not None else None
         took_s = self._front.clock.now() - item.started_s
-        self._front.collector.record_end(
-            item.target,
-            result.outcome,
-            kind=item.kind,
-            took_s=took_s,
-            reported_load=(
-                None if load is None else load.running + load.waiting
-            ),
-            rate_limit=result.rate_limit,
-            fingerprint=self._fingerprint,
-        )
+        reported_load = None if load is None else load.running + load.waiting
+
+        def record(outcome: outcomes.Outcome) -> None:
+            self._front.collector.record_end(
+                item.target,
+                outcome,
+                kind=item.kind,
+                took_s=took_s,
+                reported_load=reported_load,
+                rate_limit=result.rate_limit,
+                fingerprint=self._fingerprint,
+            )
+
+        self._front.reach.resolve(item.target, result.outcome, record)
         self._events.log_ended(item.target, result, took_s=took_s)
 
     def _handle_late(self) -> None:
@@ -356,7 +361,7 @@
             item.is_late = True
             if item.target not in self._reached:
                 self._reached.append(item.target)
-            self._front.collector.record_late(item.target, item.kind)
+            self._resolve_late(item)
             if (
                 len(self._running) == 1
                 and not self._request.is_consumed
@@ -367,6 +372,13 @@
                     reason=outcomes.Outcome.LATE.name,
                 )
 
+    def _resolve_late(self, item: running_attempt.RunningAttempt) -> None:
+        def record(outcome: outcomes.Outcome) -> None:
+            if outcome is outcomes.Outcome.LATE:
+                self._front.collector.record_late(item.target, item.kind)
+
+        self._front.reach.resolve(item.target, outcomes.Outcome.LATE, record)
+
     def _cancel(self, item: running_attempt.RunningAttempt) -> None:
         del self._running[item.task]
         if not item.task.cancel():
