Let an odd entry among the registrations cost that entry alone

Operators of systems like this one reported entries that were nested very deeply, held a number too large or a port out of range; the machines that read the list ended again and again, or stopped following it.

Cause: the list was decoded as a whole, and only some of the errors that it can raise were expected: nesting ended the follower's task, a number of 5,000 digits or bytes that are no UTF-8 made the store count as unreachable.

--- a/fuchsiacourse/platform/config_codec.py
+++ b/fuchsiacourse/platform/config_codec.py
@@ -24,6 +24,7 @@
     TypeError,
     AttributeError,
     OverflowError,
+    RecursionError,
 )
 
 Json = dict[str, typing.Any]
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -10,6 +10,7 @@
 from fuchsiacourse import errors
 from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import http_answer
+from fuchsiacourse.platform import tolerant_json
 from fuchsiacourse import store
 
 # Timeouts for opening a connection and for the answer to a call, in seconds.
@@ -157,6 +158,7 @@
                 objects=[
                     _stored(kind, event["object"], bool(event["deleted"]))
                     for event in content["events"]
+                    if _is_named(event["object"])
                 ],
                 era=_era(answer),
             )
@@ -194,16 +196,14 @@
             # returns the changes between them again.
             as_of = int(content.get("as_of", 0))
             revision = min(revision or as_of, as_of)
-            page = [
-                _decoded(lambda: _stored(kind, item))
-                for item in content.get("items", [])
-            ]
-            objects.extend(page)
+            items = content.get("items", [])
+            page = [item for item in items if _is_named(item)]
+            objects.extend(_decoded(lambda: _stored(kind, i)) for i in page)
             if not content.get("has_more") or not page:
                 return store.WatchBatch(
                     revision=revision, objects=objects, era=era
                 )
-            last = page[-1].key.partition("/")[2]
+            last = page[-1]["metadata"]["name"]
             after = "after=" + urllib.parse.quote(last, safe="")
 
     async def _call(
@@ -288,7 +288,7 @@
 
 
 def _content(answer: http_answer.HttpAnswer) -> Json:
-    return json.loads(answer.body)
+    return tolerant_json.loads(answer.body)
 
 
 def _era(answer: http_answer.HttpAnswer) -> int:
@@ -297,14 +297,25 @@
     return int(value) if value.isdigit() else 0
 
 
+def _is_named(item: typing.Any) -> bool:
+    """Returns whether an item of a list names an object of the store."""
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    return isinstance(metadata, dict) and isinstance(metadata.get("name"), str)
+
+
 def _stored(
     kind: str, item: Json, is_deleted: bool = False
 ) -> store.StoredObject:
     metadata = item["metadata"]
-    value = {"spec": item.get("spec"), "status": item.get("status")}
+    content = {"spec": item.get("spec"), "status": item.get("status")}
+    try:
+        value = json.dumps(content).encode()
+    except RecursionError:
+        # Nested so deeply that no reader of the value could use it.
+        value = b"null"
     return store.StoredObject(
         key=f"{kind}/{metadata['name']}",
-        value=json.dumps(value).encode(),
+        value=value,
         version=int(metadata["revision"]),
         deleted=is_deleted,
     )
@@ -316,7 +327,14 @@
 def _decoded(decode: typing.Callable[[], _T], *, is_write: bool = False) -> _T:
     try:
         return decode()
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         kind = (
             errors.StoreOutcomeUnknown if is_write else errors.StoreUnavailable
         )
