Send each attempt of a request that must not run twice on its own connection

Cause: an answer was matched to an attempt by the caller's request id, which all attempts of a request share and some refusals don't state.

Change: such an attempt always opens a connection, so that its first answer can only be its own. Idempotent requests reuse connections as before.

Tests: test_second_copy_of_a_refusal_is_no_answer_to_a_retry and test_non_idempotent_request_has_its_own_connection failed before (DECLINED for a request that was answered; one connection for three requests). The latter replaces test_non_idempotent_request_avoids_idle_connections, which allowed reuse for 0.15 s. Three tests looked at refusals on reused connections, which such requests no longer have; they look at the same answers on their own one.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -189,6 +189,13 @@
         after="return True",
         test="tests.test_pooled_sender",
     ),
+    Mutation(
+        rule="TWICE: second copies of refusals",
+        module="pooled_sender.py",
+        before="if is_idempotent and request.rest is None:",
+        after="if request.rest is None:",
+        test="tests.test_pooled_sender",
+    ),
     Mutation(
         rule="MIXED: cut long answers",
         module="caller_connection.py",
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -62,9 +62,6 @@
         self._first_late_part = 0
         # Number of answers that were returned.
         self.answer_count = 0
-        # Whether every answer carried the id of its request, so that a late
-        # duplicate of one carries it as well.
-        self.echoes_request_ids = True
         # Sends the rest of a streamed request body.
         self._body_task: asyncio.Task[None] | None = None
         self._may_write = asyncio.Event()
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -24,13 +24,12 @@
 # Time for which an idle connection is kept if the target states no timeout, in
 # seconds.
 DEFAULT_IDLE_S = 4.0
+# Longest time for which an idle connection is used, whatever the target
+# states, in seconds.
+MAX_IDLE_S = 40.0
 # Idle connections are closed this long before the idle timeout that the
 # target states, in seconds.
 IDLE_MARGIN_S = 1.5
-# A target may close an idle connection at any time, and a request that is sent
-# at that moment may have run. Requests that must not run twice therefore use
-# only connections that have been idle for less than this, in seconds.
-NON_IDEMPOTENT_IDLE_S = 0.15
 # Time after a send within which a connection that the target had already
 # closed is reset, in seconds; it takes one or two one-way network delays. A
 # connection that is lost later may have been cut off while the target was
@@ -104,18 +103,13 @@
         An idempotent request is sent again at once if its pooled connection
         turns out to be stale. See the base class for the arguments.
         """
-        # An idempotent request can be sent again, so the idle timeout that
-        # the target states applies, up to ten times the default.
-        max_idle_s = (
-            DEFAULT_IDLE_S * 10 if is_idempotent else NON_IDEMPOTENT_IDLE_S
-        )
-        if request.rest is not None:
-            # A streamed body can't be sent again, so it needs a new
-            # connection, which can't be stale.
-            max_idle_s = 0.0
-        connection = self._take_idle(
-            target.key, max_idle_s, is_idempotent=is_idempotent
-        )
+        # A target may close an idle connection at any time, and it may send an
+        # answer twice. A request that must not run twice, or whose body can't
+        # be sent again, therefore has a connection of its own, on which each
+        # answer can only be its own.
+        connection = None
+        if is_idempotent and request.rest is None:
+            connection = self._take_idle(target.key)
         is_reused = connection is not None
         started_s = self._clock.now()
         if connection is None:
@@ -229,7 +223,6 @@
         fields = self._protocol.answer_fields(answer)
         result = _classify(answer, fields)
         if not fields.request_id:
-            connection.echoes_request_ids = False
             if not _is_trusted_without_id(
                 connection, result.outcome, is_idempotent
             ):
@@ -291,25 +284,18 @@
         return b"".join(lines)
 
     def _take_idle(
-        self, key: int, max_idle_s: float, *, is_idempotent: bool
+        self, key: int
     ) -> client_connection.ClientConnection | None:
         idle = self._idle_by_key.get(key)
         if idle is None:
             return None
         now_s = self._clock.now()
+        max_idle_s = min(idle.idle_s, MAX_IDLE_S)
         while idle.connections:
             connection = idle.connections.pop()
             age_s = now_s - connection.idle_since_s
-            is_suitable = age_s < max_idle_s and (
-                is_idempotent or connection.echoes_request_ids
-            )
-            is_alive = connection.is_usable and age_s < idle.idle_s
-            if is_alive and is_suitable:
+            if connection.is_usable and age_s < max_idle_s:
                 return connection
-            if is_alive:
-                # Not suitable for this request, but usable for others.
-                idle.connections.append(connection)
-                return None
             connection.close()
         return None
 
