Test that an answer which ends within its head is never a success

Operators of systems like this one saw 200 with an empty or short body when a target stopped in the middle of an answer's head and closed. It can't happen here: each prefix of a head, in one read and in two, yields no answer, and the attempt ends as a bad answer. Both tests pass on the code as it was.

--- a/tests/test_answer_parser.py
+++ b/tests/test_answer_parser.py
@@ -30,6 +30,19 @@
         self.parser.end()
         self.assertEqual(0, len(self.parser.answers))
 
+    def test_answer_that_ends_within_its_head_is_not_queued(self):
+        """Guards against a success with a body that was never sent."""
+        for framing in (b"Content-Length: 3", b"Transfer-Encoding: chunked"):
+            head = OK + b"X-Id: q1\r\n" + framing + b"\r\nX-Last: a\r\n\r\n"
+            for length in range(len(head)):
+                for first in (0, length // 2):
+                    parser = answer_parser.AnswerParser(max_bytes=100)
+                    parser.feed(head[:first])
+                    parser.feed(head[first:length])
+                    parser.end()
+                    parser.end_without_body()
+                    self.assertEqual(0, len(parser.answers), head[:length])
+
     def test_answer_without_length_ends_with_an_orderly_close(self):
         """Guards against losing an answer that a close delimits."""
         self.parser.feed(OK + b"\r\nab")
--- a/tests/test_pooled_sender.py
+++ b/tests/test_pooled_sender.py
@@ -246,6 +246,17 @@
         cut = answer("q1")[:-2]
         self.assertIs(Outcome.BAD_ANSWER, await self.outcome_of(cut))
 
+    async def test_answer_that_ends_within_its_head_is_bad(self):
+        """Guards against a success with a body that was never sent."""
+        whole = answer("q1")
+        head_length = whole.index(b"\r\n\r\n") + 4
+        for length in range(1, head_length, 7):
+            for is_idempotent in (False, True):
+                found = await self.outcome_of(
+                    whole[:length], is_idempotent=is_idempotent
+                )
+                self.assertIs(Outcome.BAD_ANSWER, found)
+
     async def test_reset_answer_without_length_is_bad(self):
         """Guards against taking a reset for an orderly close."""
 
