Obey what a target says of itself in its answers

A target that has told a front that it leaves gets nothing new from it, whatever registration comes later. One that wants nothing gets no request, retry, trial or probing connection until its time is over, and doesn't count for the floor. If all targets of a service are held or at their limits, callers are refused at once and told when the first one opens.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,27 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="DRAIN: targets that say in answers that they leave",
+        module="target.py",
+        before="or self.is_misdirected or self.is_leaving",
+        after="or self.is_misdirected",
+        test="tests.test_target_wishes",
+    ),
+    Mutation(
+        rule="DRAIN: leaving targets that are registered again",
+        module="target_table.py",
+        before="target.is_leaving = target.key in self._leaving_keys",
+        after="target.is_leaving = False",
+        test="tests.test_target_wishes",
+    ),
+    Mutation(
+        rule="BUDGET: targets that want nothing for some time",
+        module="rate_limiter.py",
+        before="opens_at_s = target.held_until_s",
+        after="opens_at_s = 0.0",
+        test="tests.test_target_wishes",
+    ),
     Mutation(
         rule="RECOVER: fronts that are cut off from all targets",
         module="target_reach.py",
--- a/fuchsiacourse/front/departed_targets.py
+++ b/fuchsiacourse/front/departed_targets.py
@@ -61,7 +61,8 @@
         now_s = self._clock.now()
         self._departures_by_key.pop(target.key, None)
         self._departures_by_key[target.key] = _Departure(
-            at_s=now_s, was_leaving=target.record.is_draining
+            at_s=now_s,
+            was_leaving=target.record.is_draining or target.is_leaving,
         )
         while self._departures_by_key:
             key, oldest = next(iter(self._departures_by_key.items()))
--- a/fuchsiacourse/front/final_answers.py
+++ b/fuchsiacourse/front/final_answers.py
@@ -107,19 +107,22 @@
         return self._log(answer, reason, attempts)
 
     def no_target(
-        self, found: collections.abc.Sequence[targets.Target]
+        self,
+        found: collections.abc.Sequence[targets.Target],
+        attempts: int = 0,
     ) -> http_answer.HttpAnswer:
         """Returns a 503 for a request that no target may get now.
 
-        If the targets are at their rate limits, the caller learns when one of
-        them takes its request.
+        If the targets are at their rate limits or want nothing for some time,
+        the caller learns when one of them takes its request.
 
         Args:
             found: Targets of the service.
+            attempts: Number of attempts so far.
         """
         opens_in_s = self._front.limiter.wait_s(found)
         if opens_in_s is None:
-            return self.unavailable("no target is known", 0)
+            return self.unavailable("no target is known", attempts)
         wait_s = self._front.returns.next_wait_s(
             self._service,
             opens_in_s=opens_in_s,
@@ -127,7 +130,9 @@
             / self._front.front_count(),
         )
         return self.unavailable(
-            "all targets are at their limits", 0, retry_after_s=wait_s
+            "all targets are at their limits",
+            attempts,
+            retry_after_s=wait_s,
         )
 
     def all_attempts_failed(
--- a/fuchsiacourse/front/floor_trials.py
+++ b/fuchsiacourse/front/floor_trials.py
@@ -218,7 +218,7 @@
         """Estimates the healthy targets in use and adapts the trials."""
         use.healthy = use.healthy_in_use = 0.0
         for item in found:
-            if not item.is_usable:
+            if not item.is_usable or item.held_until_s > now_s:
                 continue
             weight = 1.0 - item.failure_probability(now_s)
             use.healthy += weight
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -376,6 +376,12 @@
                 >= evidence_collector.SUSPECT_THRESHOLD
                 for target in targets
             ),
+            "front_targets_leaving": sum(
+                target.is_leaving for target in targets
+            ),
+            "front_targets_held": sum(
+                target.held_until_s > now_s for target in targets
+            ),
             "front_cut_off": float(self._forwarder.reach.is_cut_off),
             "front_targets_idle": sum(
                 target.is_usable
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -130,7 +130,7 @@
             and result.outcome is outcomes.Outcome.LOST
             and self._clock.now() - started_s < STALE_RESET_S
         )
-        if is_stale and is_idempotent:
+        if is_stale and is_idempotent and target.is_usable:
             # The target had closed the idle connection, so none of its idle
             # connections is trusted.
             self._close_idle(target.key)
--- a/fuchsiacourse/front/rate_limiter.py
+++ b/fuchsiacourse/front/rate_limiter.py
@@ -18,6 +18,9 @@
 # Share of a limit that the region of the target has; requests rarely leave
 # their region. The other regions divide the rest.
 HOME_SHARE = 0.75
+# Longest time for which a target that asks for it gets nothing, in seconds. No
+# incarnation lives longer than a day.
+MAX_HOLD_S = 86_400.0
 
 
 class RateLimiter:
@@ -57,8 +60,17 @@
 
     def permits(self, target: targets.Target) -> bool:
         """Returns whether a request may be sent to a target now."""
-        limit = target.limit
-        return not limit.is_stated or self._clock.now() >= limit.opens_at_s
+        return not self._wait_s(target, self._clock.now())
+
+    def hold(self, target: targets.Target, for_s: float) -> None:
+        """Keeps all requests of this front from a target for a time.
+
+        Args:
+            target: Target that has asked for it.
+            for_s: Time in seconds; a shorter one than before doesn't count.
+        """
+        until_s = self._clock.now() + min(for_s, MAX_HOLD_S)
+        target.held_until_s = max(target.held_until_s, until_s)
 
     def record_start(self, target: targets.Target) -> None:
         """Counts a start at a target, of this front or of one in contact."""
@@ -104,15 +116,7 @@
         """
         now_s = self._clock.now()
         return min(
-            (
-                (
-                    max(0.0, item.limit.opens_at_s - now_s)
-                    if item.limit.is_stated
-                    else 0.0
-                )
-                for item in found
-                if item.is_usable
-            ),
+            (self._wait_s(item, now_s) for item in found if item.is_usable),
             default=None,
         )
 
@@ -134,6 +138,13 @@
             if item.is_usable
         )
 
+    @staticmethod
+    def _wait_s(target: targets.Target, now_s: float) -> float:
+        opens_at_s = target.held_until_s
+        if target.limit.is_stated:
+            opens_at_s = max(opens_at_s, target.limit.opens_at_s)
+        return max(0.0, opens_at_s - now_s)
+
     def _share(self, target: targets.Target) -> float:
         zone = target.record.availability_zone
         is_home = self._regions_by_zone.get(zone) == self._region
--- a/fuchsiacourse/front/reach_monitor.py
+++ b/fuchsiacourse/front/reach_monitor.py
@@ -161,7 +161,8 @@
     ) -> None:
         """Connects to the doubted target, then to others if it fails."""
         is_unreached = outcome is outcomes.Outcome.UNREACHED
-        if is_unreached or not await self._connects(doubted):
+        is_allowed = _may_connect(doubted, self._clock.now())
+        if is_unreached or not is_allowed or not await self._connects(doubted):
             others = [item for item in self._usable() if item is not doubted]
             await self._connect_to(others, PROBED_TARGETS)
         self._round_at_s = self._clock.now()
@@ -193,7 +194,12 @@
         return False
 
     def _usable(self) -> list[targets.Target]:
-        return [item for item in self._table.by_id.values() if item.is_usable]
+        now_s = self._clock.now()
+        return [
+            item
+            for item in self._table.by_id.values()
+            if _may_connect(item, now_s)
+        ]
 
     def _record_reached(self) -> None:
         was_cut_off = self._reach.record_reached()
@@ -221,3 +227,7 @@
         self._release()
         self._on_change()
         self._timers.spawn(self._recheck())
+
+
+def _may_connect(target: targets.Target, now_s: float) -> bool:
+    return target.is_usable and target.held_until_s <= now_s
--- a/fuchsiacourse/front/request_events.py
+++ b/fuchsiacourse/front/request_events.py
@@ -76,6 +76,22 @@
             repeat_of=retry_of,
         )
 
+    def log_held(self, target: targets.Target, retry_after_s: float) -> None:
+        """Logs that a target wants nothing from this front for some time.
+
+        Args:
+            target: Target of the attempt.
+            retry_after_s: That time in seconds.
+        """
+        logs.event(
+            self._log,
+            "target_held",
+            request_id=self._request_id,
+            service=self._service,
+            target=target.record.id,
+            retry_after_s=retry_after_s,
+        )
+
     def log_ended(
         self,
         target: targets.Target,
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -137,6 +137,9 @@
                 return final
             self._handle_late()
             self._retry_declined()
+        found = self._front.table.of_service(self._service)
+        if not self._may_have_run and self._front.limiter.wait_s(found):
+            return self._answers.no_target(found, self._attempts)
         return self._answers.all_attempts_failed(
             self._last_failure,
             may_have_run=self._may_have_run,
@@ -331,6 +334,7 @@
             self._reached.append(item.target)
         if result.outcome is outcomes.Outcome.DECLINED:
             self._declined.append(item.target)
+        self._record_wishes(item.target, result)
         self._front.collector.record_resends(item.target, result.resends)
         load = result.fields.load if result.fields is not None else None
         took_s = self._front.clock.now() - item.started_s
@@ -350,6 +354,23 @@
         self._front.reach.resolve(item.target, result.outcome, record)
         self._events.log_ended(item.target, result, took_s=took_s)
 
+    def _record_wishes(
+        self, target: targets.Target, result: target_sender.AttemptResult
+    ) -> None:
+        """Records that a target leaves or wants nothing for some time.
+
+        They are wishes, not failures, so they don't count as evidence of the
+        target's health.
+        """
+        fields = result.fields
+        if fields is None or fields.is_misdirected:
+            return
+        if fields.is_leaving:
+            self._front.table.mark_leaving(target)
+        if fields.retry_after_s is not None:
+            self._front.limiter.hold(target, fields.retry_after_s)
+            self._events.log_held(target, fields.retry_after_s)
+
     def _handle_late(self) -> None:
         now_s = self._front.clock.now()
         for item in list(self._running.values()):
--- a/fuchsiacourse/front/return_order.py
+++ b/fuchsiacourse/front/return_order.py
@@ -49,13 +49,14 @@
                 service.
 
         Returns:
-            The time in seconds, at most MAX_WAIT_S.
+            The time in seconds, at most MAX_WAIT_S after a target opens.
         """
         now_s = self._clock.now()
         interval_s = min(MAX_WAIT_S, 1.0 / max(rate_per_s, 1.0 / MAX_WAIT_S))
         last_s = self._last_s_by_service.get(service, float("-inf"))
         at_s = max(last_s + interval_s, now_s + opens_in_s)
-        at_s = min(at_s, now_s + MAX_WAIT_S)
+        longest_s = max(MAX_WAIT_S, opens_in_s)
+        at_s = min(at_s, now_s + longest_s)
         self._last_s_by_service[service] = at_s
         wait_s = at_s - now_s + self._rng.random() * JITTER * interval_s
-        return min(MAX_WAIT_S, wait_s)
+        return min(longest_s, wait_s)
--- a/fuchsiacourse/front/target.py
+++ b/fuchsiacourse/front/target.py
@@ -35,6 +35,8 @@
         "limit",
         "cold_until_s",
         "is_misdirected",
+        "is_leaving",
+        "held_until_s",
         "last_used_s",
     )
 
@@ -59,6 +61,10 @@
         self.cold_until_s = now_s + record.remaining_cold_s
         # Whether another target has answered at the registered address.
         self.is_misdirected = False
+        # Whether the target has told this front that it leaves.
+        self.is_leaving = False
+        # Monotonic time until which the target wants nothing from this front.
+        self.held_until_s = float("-inf")
         # Monotonic time of the last attempt of this front or of a front in
         # contact, in seconds.
         self.last_used_s = float("-inf")
@@ -66,7 +72,9 @@
     @property
     def is_usable(self) -> bool:
         """Whether new requests may be sent to the target."""
-        return not (self.record.is_draining or self.is_misdirected)
+        return not (
+            self.record.is_draining or self.is_misdirected or self.is_leaving
+        )
 
     def is_cold(self, now_s: float) -> bool:
         """Returns whether the target is still slow after its start."""
--- a/fuchsiacourse/front/target_follower.py
+++ b/fuchsiacourse/front/target_follower.py
@@ -191,7 +191,8 @@
         target = self._table.by_id.get(_id(key))
         if known is None or target is None:
             return
-        if not self._is_in_grace() or target.record.is_draining:
+        is_leaving = target.record.is_draining or target.is_leaving
+        if not self._is_in_grace() or is_leaving:
             self._drop(target, reason)
             return
         logs.event(self.log, "target_lapsed", target=_id(key), reason=reason)
--- a/fuchsiacourse/front/target_table.py
+++ b/fuchsiacourse/front/target_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from fuchsiacourse import clock as clocks
@@ -10,6 +11,10 @@
 from fuchsiacourse.front import target_registration
 from fuchsiacourse import logs
 
+# Most incarnations that are remembered as leaving. A release of the largest
+# service replaces fewer.
+MAX_LEAVING_KEYS = 2000
+
 _NO_TARGETS = service_targets.ServiceTargets()
 
 
@@ -30,6 +35,11 @@
         self._log = log
         self.by_id: dict[str, targets.Target] = {}
         self.by_key: dict[int, targets.Target] = {}
+        # Keys of the incarnations that have told this front that they leave,
+        # oldest first. A registration that lapsed may come back.
+        self._leaving_keys: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
         self._by_service: dict[str, service_targets.ServiceTargets] = {}
 
     def of_service(self, service: str) -> service_targets.ServiceTargets:
@@ -55,9 +65,29 @@
                 "target_leaving",
                 target=record.id,
                 service=record.service,
+                source="registration",
             )
         known.update(record, now_s)
 
+    def mark_leaving(self, target: targets.Target) -> None:
+        """Records that a target has told this front that it leaves.
+
+        It holds for the incarnation, whatever its registration states.
+        """
+        if target.is_leaving:
+            return
+        target.is_leaving = True
+        self._leaving_keys[target.key] = None
+        if len(self._leaving_keys) > MAX_LEAVING_KEYS:
+            self._leaving_keys.popitem(last=False)
+        logs.event(
+            self._log,
+            "target_leaving",
+            target=target.record.id,
+            service=target.record.service,
+            source="answer",
+        )
+
     def remove(self, id: str, *, reason: str) -> None:
         """Removes a target; has no effect if it is unknown.
 
@@ -80,6 +110,7 @@
 
     def _add(self, target: targets.Target) -> None:
         record = target.record
+        target.is_leaving = target.key in self._leaving_keys
         self.by_id[record.id] = target
         self.by_key[target.key] = target
         found = self._by_service.get(record.service)
--- a/fuchsiacourse/front/wire_protocol.py
+++ b/fuchsiacourse/front/wire_protocol.py
@@ -56,6 +56,9 @@
             together, None if it states no limit.
         idle_s: Time for which the target keeps an idle connection open, in
             seconds, None if it is not stated.
+        is_leaving: Whether the target states that it leaves.
+        retry_after_s: Time for which the target wants nothing from this front,
+            in seconds, None if it is not stated.
     """
 
     __slots__ = (
@@ -66,6 +69,8 @@
         "load",
         "rate_limit",
         "idle_s",
+        "is_leaving",
+        "retry_after_s",
     )
 
     def __init__(
@@ -78,6 +83,8 @@
         load: LoadReport | None,
         rate_limit: float | None,
         idle_s: float | None,
+        is_leaving: bool = False,
+        retry_after_s: float | None = None,
     ) -> None:
         self.request_id = request_id
         self.is_signed = is_signed
@@ -86,6 +93,8 @@
         self.load = load
         self.rate_limit = rate_limit
         self.idle_s = idle_s
+        self.is_leaving = is_leaving
+        self.retry_after_s = retry_after_s
 
 
 class WireProtocol(abc.ABC):
--- a/fuchsiacourse/platform/wire_headers.py
+++ b/fuchsiacourse/platform/wire_headers.py
@@ -17,10 +17,14 @@
 # Requests per second that a target takes from all fronts together. Unlike the
 # other headers of the platform it has no prefix.
 _RATE_LIMIT = b"server-limit"
+# Stated by a target in all its answers from the moment at which it decides to
+# stop. It has no prefix either.
+_LEAVING = b"server-leaving"
 _NOT_RUN = b"x-fuchsiacourse-not-executed"
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _MIN_DEADLINE_MS = 1
 # Headers that only the front may set in a request to a target.
 _FRONT_ONLY = frozenset(
@@ -73,8 +77,10 @@
             is_not_run=is_misdirected or answer.header(_NOT_RUN) is not None,
             is_misdirected=is_misdirected,
             load=_load(answer.header(_LOAD)),
-            rate_limit=_rate_limit(answer.header(_RATE_LIMIT)),
+            rate_limit=_non_negative(answer.header(_RATE_LIMIT)),
             idle_s=_keep_alive_s(answer.header(_KEEP_ALIVE)),
+            is_leaving=answer.header(_LEAVING) == b"1",
+            retry_after_s=_retry_after_s(answer),
         )
 
     def local_answer_headers(
@@ -111,14 +117,22 @@
     )
 
 
-def _rate_limit(value: bytes | None) -> float | None:
+def _non_negative(value: bytes | None) -> float | None:
     if value is None:
         return None
     try:
-        limit = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return limit if math.isfinite(limit) and limit >= 0.0 else None
+    return number if math.isfinite(number) and number >= 0.0 else None
+
+
+def _retry_after_s(answer: http_answer.HttpAnswer) -> float | None:
+    # Only a 503 turns away whatever comes; other statuses concern a request.
+    value = answer.header(_RETRY_AFTER)
+    if value is None or answer.status != _UNAVAILABLE:
+        return None
+    return _non_negative(value)
 
 
 def _keep_alive_s(value: bytes | None) -> float | None:
