Wait at a stop for callers that have not taken their answers

Cause: a connection counted as done once its answer was handed to the transport.

Change: a stop also waits, within its grace time, for connections whose write buffer isn't empty.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="LOST: answers that callers have not taken at a stop",
+        module="caller_server.py",
+        before=" or item.has_unsent_answer\n",
+        after="\n",
+        test="tests.test_caller_connection",
+    ),
     Mutation(
         rule="DRAIN: targets that say in answers that they leave",
         module="target.py",
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -127,6 +127,14 @@
         """Whether a request is being answered."""
         return self._task is not None
 
+    @property
+    def has_unsent_answer(self) -> bool:
+        """Whether part of an answer waits for a caller that reads slowly."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     @property
     def awaits_first_request(self) -> bool:
         """Whether the connection is new and no request has come yet."""
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -75,12 +75,21 @@
 
     @property
     def busy(self) -> int:
-        """Number of connections on which a request is answered or expected."""
+        """Number of connections that a stop must wait for.
+
+        A request is answered or expected on them, or its caller has not taken
+        the whole answer.
+        """
         return sum(
-            item.is_busy or item.awaits_first_request
+            item.is_busy or item.awaits_first_request or item.has_unsent_answer
             for item in self._connections
         )
 
+    @property
+    def writing(self) -> int:
+        """Number of connections whose caller has not taken an answer."""
+        return sum(item.has_unsent_answer for item in self._connections)
+
     async def start(self) -> None:
         """Starts listening and sets ``address`` to the bound address.
 
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -1,6 +1,7 @@
 """Tests of fuchsiacourse.front.caller_connection over loopback."""
 
 import asyncio
+import socket
 import unittest
 from unittest import mock
 
@@ -61,7 +62,11 @@
         return http_answer.HttpAnswer(
             status=200,
             headers=[(b"x-signature", b"s")],
-            body=request.path.encode(),
+            body=(
+                b"a" * 8_000_000
+                if request.path == "/long"
+                else request.path.encode()
+            ),
         )
 
     async def read_answer(self) -> tuple[bytes, bytes]:
@@ -75,6 +80,34 @@
         self.assertEqual(b"/1", (await self.read_answer())[1])
         self.assertEqual(b"/2", (await self.read_answer())[1])
 
+    async def test_answer_that_the_caller_has_not_taken_is_in_progress(self):
+        """Guards against a stop that loses answers in write buffers."""
+        size = 8_000_000
+        loop = asyncio.get_running_loop()
+        # This connection would count as one that expects a request.
+        self.writer.close()
+        await self.writer.wait_closed()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, self.server.address)
+            await loop.sock_sendall(caller, GET % b"long")
+            async with asyncio.timeout(5.0):
+                while not self.presences or self.server.writing == 0:
+                    await asyncio.sleep(0.01)
+            self.server.is_stopping = True
+            self.server.close_idle()
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, self.server.busy)
+            read = 0
+            while read < size:
+                part = await loop.sock_recv(caller, 1 << 20)
+                self.assertNotEqual(b"", part)
+                read += len(part)
+            async with asyncio.timeout(5.0):
+                while self.server.writing:
+                    await asyncio.sleep(0.01)
+
     async def test_malformed_request_is_answered_and_closed(self):
         """Guards against reading on after a request that can't be parsed."""
         self.writer.write(b"nonsense\r\n\r\n")
