Give a streamed body to one attempt only, from its start

Cause: a body counted as consumed only once it had been read, which happens after the connection is open.

Change: a request with a streamed body is never hedged. It may still go to another target after an attempt that has sent nothing.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="UNASKED: two readers of one body",
+        module="request_run.py",
+        before="                and self._request.rest is None\n",
+        after="                and not self._request.is_consumed\n",
+        test="tests.test_body_stream",
+    ),
     Mutation(
         rule="LOST: answers that callers have not taken at a stop",
         module="caller_server.py",
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -385,7 +385,7 @@
             self._resolve_late(item)
             if (
                 len(self._running) == 1
-                and not self._request.is_consumed
+                and self._request.rest is None
                 and retry_policy.may_hedge(self._retry_state())
             ):
                 self._send(
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -402,6 +402,28 @@
 class LongBodyRunTest(unittest.TestCase):
     """A body that has been read from its stream can't be sent again."""
 
+    def test_late_request_with_an_unread_body_is_not_hedged(self):
+        """Guards against two attempts that each read parts of one body."""
+
+        async def main():
+            sender = front_fakes.FakeSender(
+                lambda *_: (5.0, front_fakes.answered())
+            )
+            front = front_fakes.forwarder(
+                sender, front_fakes.record("t1"), front_fakes.record("t2")
+            )
+            front.config = front_fakes.config(front_fakes.route(timeout_s=9.0))
+            request = front_fakes.request(deadline_ms=9000)
+            request.rest = body_stream.BodyStream(
+                on_flow=lambda is_paused: None, on_close=lambda: None
+            )
+            presence = request_run.caller_presence.CallerPresence()
+            answer = await front.handle(request, presence)
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, len(sender.sent_ids))
+
+        virtual_loop.run(main())
+
     def test_consumed_request_has_one_attempt(self):
         """Guards against a retry with a truncated body."""
 
