Let numbers from outside fit into the packets between fronts

Cause: a packet holds the version in 32 bits and raised an error for more, in each heartbeat, report and announcement. Eras and incarnations were bounded, versions and revisions were not.

Change: a version that doesn't fit follows the view in 64 bits; packets without a view state the highest short one, which doesn't replace a long one. What exceeds 64 bits is stated as the highest number.

Result: test_version_beyond_32_bits_is_known_in_all_regions failed before (struct.error) and passes, with two versions that differ by one; the mutation is seen.

--- a/fuchsiacourse/front/membership.py
+++ b/fuchsiacourse/front/membership.py
@@ -445,7 +445,11 @@
         # Shutdown is final for an incarnation, and packets may arrive out
         # of order.
         peer.is_leaving = peer.is_leaving or packet.is_leaving
-        peer.config_version = packet.config_version
+        if (
+            packet.view is not None
+            or packet.config_version < membership_packet.MAX_SHORT_VERSION
+        ):
+            peer.config_version = packet.config_version
         peer.store_contact_s = packet.store_contact_s
         peer.has_bundles = packet.has_bundles
         peer.tells_limits = packet.tells_limits
--- a/fuchsiacourse/front/membership_packet.py
+++ b/fuchsiacourse/front/membership_packet.py
@@ -33,6 +33,9 @@
 _LIMIT = struct.Struct("<Bf")
 # Eras of the view's two revisions, at its end.
 _ERAS = struct.Struct("<II")
+# Version of the configuration, at the end of a view, if it doesn't fit into
+# the header. Builds that don't know it read the highest number of the header.
+_LONG_VERSION = struct.Struct("<Q")
 # Flags of the header.
 _READY = 1
 _LEAVING = 2
@@ -46,11 +49,13 @@
 _PROVEN = 1
 _LOST = 2
 _HAS_ERAS = 4
+_HAS_LONG_VERSION = 8
 # Reported load if the target reported none; other values end at 254.
 _NO_LOAD = 255
 _MAX_BYTE = 254
 _MAX_MS = 65_535
-_MAX_ERA = 2**32 - 1
+_MAX_32 = 2**32 - 1
+_MAX_64 = 2**64 - 1
 # Highest rate limit that a packet holds, in requests per second; more than any
 # fleet sends to a target.
 _MAX_RATE_PER_S = 1e9
@@ -58,6 +63,8 @@
 # holds both evidence and members.
 MAX_EVIDENCE = 50
 MAX_MEMBERS = 200
+# Version that a packet without a view states for a higher one.
+MAX_SHORT_VERSION = _MAX_32
 
 
 class MembershipPacket:
@@ -154,8 +161,8 @@
             flags,
             self.zone,
             ip_bytes.to_bytes(self.ip),
-            self.incarnation,
-            self.config_version,
+            min(_MAX_32, max(0, self.incarnation)),
+            min(_MAX_32, self.config_version),
             min(_MAX_BYTE, int(self.store_contact_s * 10.0)),
             len(self.evidence),
             len(self.members),
@@ -167,7 +174,7 @@
             for ip, zone in self.members
         )
         if self.view is not None:
-            parts.append(_encoded_view(self.view))
+            parts.append(_encoded_view(self.view, self.config_version))
         if self.tells_limits:
             parts.extend(_encoded_limits(self.evidence))
         return b"".join(parts)
@@ -211,7 +218,8 @@
         offset += _MEMBER.size
     view = None
     if flags & _HAS_VIEW:
-        view, offset = _decoded_view(data, offset)
+        view, long_version, offset = _decoded_view(data, offset)
+        version = long_version or version
     if flags & _TELLS_LIMITS:
         _decode_limits(data, offset, evidence)
     return MembershipPacket(
@@ -265,24 +273,36 @@
         found[index].rate_limit = rate_limit
 
 
-def _encoded_view(view: store_view.StoreView) -> bytes:
+def _encoded_view(view: store_view.StoreView, config_version: int) -> bytes:
     flags = _PROVEN * view.has_proven_contact | _LOST * view.has_lost_store
     eras = b""
     if view.config_era or view.target_era:
         flags |= _HAS_ERAS
         eras = _ERAS.pack(
-            min(_MAX_ERA, view.config_era), min(_MAX_ERA, view.target_era)
+            min(_MAX_32, view.config_era), min(_MAX_32, view.target_era)
         )
+    long_version = b""
+    if config_version > _MAX_32:
+        flags |= _HAS_LONG_VERSION
+        long_version = _LONG_VERSION.pack(min(_MAX_64, config_version))
     encoded = _VIEW.pack(
-        flags, view.capacity, view.config_revision, view.target_revision
+        flags,
+        view.capacity,
+        min(_MAX_64, view.config_revision),
+        min(_MAX_64, view.target_revision),
     )
-    return encoded + eras
+    return encoded + eras + long_version
 
 
 def _decoded_view(
     data: bytes, offset: int
-) -> tuple[store_view.StoreView, int]:
-    """Returns the view at an offset, and the offset behind it."""
+) -> tuple[store_view.StoreView, int, int]:
+    """Returns the view at an offset and what follows it.
+
+    Returns:
+        The view, the version of the configuration if it doesn't fit into the
+        header or else 0, and the offset behind them.
+    """
     flags, capacity, config_revision, target_revision = _VIEW.unpack_from(
         data, offset
     )
@@ -291,6 +311,10 @@
     if flags & _HAS_ERAS:
         config_era, target_era = _ERAS.unpack_from(data, offset)
         offset += _ERAS.size
+    long_version = 0
+    if flags & _HAS_LONG_VERSION:
+        (long_version,) = _LONG_VERSION.unpack_from(data, offset)
+        offset += _LONG_VERSION.size
     view = store_view.StoreView(
         has_proven_contact=bool(flags & _PROVEN),
         has_lost_store=bool(flags & _LOST),
@@ -300,7 +324,7 @@
         config_era=config_era,
         target_era=target_era,
     )
-    return view, offset
+    return view, long_version, offset
 
 
 def _encoded_evidence(item: evidences.Evidence) -> bytes:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -185,6 +185,33 @@
 
         self.run_script(script)
 
+    def test_version_beyond_32_bits_is_known_in_all_regions(self):
+        """Guards against packets that a large number makes impossible."""
+
+        async def script(network):
+            origin = self.fronts["10.0.0.2"]
+            origin.status.view = store_view.StoreView(
+                has_proven_contact=True,
+                has_lost_store=False,
+                capacity=7,
+                config_revision=2**70,
+                target_revision=9,
+                config_era=2**40,
+            )
+            for version in (1_764_900_000_000, 1_764_900_000_001):
+                origin.status.config_version = version
+                origin.membership.announce()
+                origin.membership.announce_regions()
+                origin.membership.send_evidence(evidence(5))
+                await asyncio.sleep(0.2)
+                for ip, front in self.fronts.items():
+                    if front is not origin:
+                        self.assertEqual(
+                            version, front.membership.peers.config_version()
+                        )
+
+        self.run_script(script)
+
     def test_restarted_front_is_found_again_with_its_seeds_down(self):
         """Guards against a restarted front that stays alone without seeds."""
 
