Keep following the store after an unexpected failure

Change: the failure is logged (store_follower_failed) and counted, the copy is given up and read again as a whole after 0.5 s. A configuration is in force before the other fronts are told of it, so that a failure there doesn't keep it back.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -69,6 +69,20 @@
 
 
 MUTATIONS = (
+    Mutation(
+        rule="CONFIG: versions beyond the width of a packet",
+        module="membership_packet.py",
+        before="min(_MAX_32, self.config_version)",
+        after="self.config_version",
+        test="tests.test_membership",
+    ),
+    Mutation(
+        rule="CONFIG: followers that fail",
+        module="store_follower.py",
+        before="                era, self.copy = self.copy.era,",
+        after="                raise\n                era, self.copy = 0,",
+        test="tests.test_silent_store",
+    ),
     Mutation(
         rule="UNASKED: two readers of one body",
         module="request_run.py",
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -367,6 +367,9 @@
             "front_store_reached": float(
                 self._targets.is_following and self._configs.is_following
             ),
+            "front_store_follower_failures_total": (
+                self._targets.failure_count + self._configs.failure_count
+            ),
             "front_store_watched": float(self._relay.watches),
             "front_fronts_heard_share": self._membership.peers.live_share(),
             "front_packets_rejected": self._membership.rejected_packets,
@@ -422,10 +425,10 @@
 
     def _adopt(self, table: route_table.RouteTable) -> None:
         table.limits.fill_missing(self._limits())
-        if self._relay.watches:
-            self._membership.announce_regions()
         self._forwarder.config = table
         self._rejections.set_config(table)
+        if self._relay.watches:
+            self._membership.announce_regions()
 
     def _limits(self) -> route_table.CallerLimits:
         config = self._forwarder.config
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -34,6 +34,8 @@
 # Back-off while the store refuses calls, in seconds. Refused calls are priced
 # too.
 REFUSED_RETRY_S = 1.0
+# Delay after an unexpected failure of the follower itself, in seconds.
+FAILURE_RETRY_S = 0.5
 # Additional back-off of a front that learns from its peers when the store is
 # reachable again, in seconds. It applies once an outage has lasted this long.
 NON_PROBER_RETRY_S = 1.5
@@ -47,6 +49,7 @@
         has_snapshot: Whether the copy was ever filled from a snapshot.
         reached_since_s: Monotonic time at which the store was last found
             reachable again, in seconds; 0 if it was never lost.
+        failure_count: Number of unexpected failures of the follower.
 
     Args:
         clock: Source of time.
@@ -94,6 +97,7 @@
         # Whether the open watch is to be given up without a result.
         self._gives_up_watch = False
         self.reached_since_s = 0.0
+        self.failure_count = 0
 
     @property
     def is_following(self) -> bool:
@@ -193,15 +197,38 @@
         """Follows the store, or a peer, until the task is cancelled."""
         while True:
             self._wakeup.clear()
-            peer_ip = self._relay.source_of(self)
-            if peer_ip is not None:
-                await self._copy_from(peer_ip)
-            elif self._relay.watches or (
-                not self.has_snapshot and self._relay.may_read_store
-            ):
-                await self._follow_store()
-            else:
-                await self._wakeup.wait()
+            try:
+                await self._follow()
+            except Exception as error:
+                # A follower that has ended would leave the front with an old
+                # copy for good.
+                self.failure_count += 1
+                logs.warning(
+                    self.log,
+                    "store_follower_failed",
+                    prefix=self.prefix,
+                    revision=self.copy.revision,
+                    error=repr(error),
+                    exc_info=True,
+                )
+                # Part of the changes may not have been applied, so the next
+                # ones are a snapshot of the same history.
+                era, self.copy = self.copy.era, object_copy.ObjectCopy()
+                self.copy.era = era
+                self._record_stale()
+                await self.clock.sleep(FAILURE_RETRY_S)
+
+    async def _follow(self) -> None:
+        """Takes the next changes from the store or a peer, or waits."""
+        peer_ip = self._relay.source_of(self)
+        if peer_ip is not None:
+            await self._copy_from(peer_ip)
+        elif self._relay.watches or (
+            not self.has_snapshot and self._relay.may_read_store
+        ):
+            await self._follow_store()
+        else:
+            await self._wakeup.wait()
 
     async def _copy_from(self, peer_ip: str) -> None:
         update = await self._relay.fetch(peer_ip, self)
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -1,6 +1,7 @@
 """Tests of a store that gives no answers for some seconds."""
 
 import asyncio
+from unittest import mock
 
 from tests import test_store_relay
 
@@ -33,3 +34,28 @@
             self.assertEqual([], late)
 
         return script
+
+
+class FailingFollowerTest(test_store_relay.ZoneTestCase):
+    """A fault of a follower must not end it."""
+
+    def test_follower_goes_on_after_an_unexpected_failure(self):
+        """Guards against a front that keeps an old copy for good."""
+
+        async def script(fixture):
+            front = fixture.fronts[test_store_relay.IPS[0]]
+            with mock.patch.object(
+                front.targets,
+                "apply_change",
+                autospec=True,
+                side_effect=RuntimeError("bug"),
+            ):
+                fixture.store.set("servers/t2", target_object("t2", born=9))
+                await asyncio.sleep(1.0)
+            self.assertGreater(front.targets.failure_count, 0)
+            await asyncio.sleep(1.5)
+            self.assertEqual(9, front.table.by_id["t2"].record.started_ms)
+            await self.check_drained_in_time(fixture, "t1")
+            self.assertTrue(front.targets.is_up_to_date)
+
+        self.run_script(script)
