Let the soak's targets say that they leave or want nothing for some time

The fault soak gains two faults: a target that leaves and says so in its answers only, and one that turns each request away with a time to wait. The check counts, for each front that was told, requests 4 s after the one, and more than two within the time of the other.

--- a/bench/fault_checker.py
+++ b/bench/fault_checker.py
@@ -6,6 +6,7 @@
 import hashlib
 
 from bench import fault_limits
+from bench import fault_wishes
 from fuchsiacourse import clock as clocks
 
 # Time after a fault in which a front need not keep its time bounds, in
@@ -231,6 +232,36 @@
                 f" {count} in {fault_limits.WINDOW_S:g} s"
             )
 
+    def record_wish_answer(
+        self, id: str, wish: fault_wishes.WishCheck
+    ) -> None:
+        """Records that a target answers a request with its wish."""
+        sent = self.sent_by_id.get(id)
+        if sent is not None:
+            wish.record_answer(sent.front, self._clock.now())
+
+    def record_wish_arrival(
+        self, id: str, target: str, wish: fault_wishes.WishCheck
+    ) -> None:
+        """Records the arrival of a request at a target with a wish.
+
+        Args:
+            id: Request id.
+            target: Id of the target.
+            wish: Its wish.
+        """
+        sent = self.sent_by_id.get(id)
+        if sent is None:
+            return
+        if not self._is_calm(sent.front, MACHINE):
+            # It may have started anew, or have been late.
+            wish.forget(sent.front)
+            return
+        self.checked["wishes"] += 1
+        fault = wish.record_arrival(sent.front, self._clock.now())
+        if fault:
+            self._add_violation(f"{fault}; {id} reached {target}")
+
     def record_late_body(self, id: str, body: bytes) -> None:
         """Records the body that a target has read after its answer."""
         sent = self.sent_by_id.get(id)
--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -23,6 +23,7 @@
 from bench import fault_series
 from bench import fault_target
 from bench import fault_testbed
+from bench import fault_wishes
 
 # Time within which callers must be served after the start, in seconds.
 START_TIMEOUT_S = 30.0
@@ -51,6 +52,9 @@
 # the time for which it does, in seconds.
 LIMIT_PER_S = (0.5, 6.0)
 LIMIT_S = (5.0, 12.0)
+# Range of the time for which a target wants nothing from a front that it has
+# turned away, in seconds.
+HOLD_S = (0.8, 5.0)
 # Ranges of the age of the copy from which the store comes back, of the time
 # for which it is away, and until what was lost is written again, in seconds.
 COPY_AGE_S = (0.5, 6.0)
@@ -128,6 +132,8 @@
             "store_restored": self._store_restored,
             "target_limit": self._target_limit,
             "target_leaves": self._target_leaves,
+            "target_says_leaving": self._target_says_leaving,
+            "target_holds": self._target_holds,
             "target_crashes": self._target_crashes,
             "route_moves": self._series.move_route,
             "route_added": self._series.add_route,
@@ -376,6 +382,24 @@
         await asyncio.sleep(self._rng.uniform(*DRAINING_S))
         await self._testbed.remove_target(target)
 
+    async def _target_says_leaving(self) -> None:
+        """Lets a target leave that says so in its answers only."""
+        target = self._random_target()
+        if target.draining_s is not None or target.wish is not None:
+            return
+        await self._testbed.add_target(target.service)
+        target.wish = fault_wishes.WishCheck(hold_s=None)
+        await asyncio.sleep(self._rng.uniform(*DRAINING_S))
+        await self._testbed.remove_target(target)
+
+    async def _target_holds(self) -> None:
+        target = self._random_target()
+        if target.wish is not None:
+            return
+        target.wish = fault_wishes.WishCheck(hold_s=self._rng.uniform(*HOLD_S))
+        await asyncio.sleep(self._rng.uniform(*LIMIT_S))
+        target.wish = None
+
     async def _target_crashes(self) -> None:
         target = self._random_target()
         if target.draining_s is not None:
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -12,6 +12,7 @@
 from bench import fault_limits
 from bench import fault_proxy
 from bench import fault_wire
+from bench import fault_wishes
 from fuchsiacourse import clock as clocks
 
 # Time from a request to its answer, usual and in mode SLOW, in seconds.
@@ -121,6 +122,8 @@
         self.draining_s: float | None = None
         # Check of the rate limit that the target states, None without one.
         self.limit: fault_limits.LimitCheck | None = None
+        # Check of what the target says of itself, None if it says nothing.
+        self.wish: fault_wishes.WishCheck | None = None
         self._ip = ip
         self._checker = checker
         self._rng = rng
@@ -194,8 +197,13 @@
             return True
         if self.limit is not None:
             self._checker.record_limited_arrival(id, self.id, self.limit)
-        if self.mode is Mode.DECLINES and self._rng.random() < 0.5:
-            writer.write(self._with_limit(id, _answer(503, id, b"", _NOT_RUN)))
+        if self.wish is not None:
+            self._checker.record_wish_arrival(id, self.id, self.wish)
+        is_held = self.wish is not None and self.wish.hold_s is not None
+        is_declining = self.mode is Mode.DECLINES and self._rng.random() < 0.5
+        if is_held or is_declining:
+            declined = self._with_limit(id, _answer(503, id, b"", _NOT_RUN))
+            writer.write(self._with_wish(id, declined))
             return True
         if self.mode in (Mode.REJECTS, Mode.REJECTS_WITHOUT_ID):
             writer.write(self._rejection(id))
@@ -218,6 +226,14 @@
         header = b"Server-Limit: %g" % self.limit.rate_per_s
         return b"\r\n".join((line, header, rest))
 
+    def _with_wish(self, id: str, answer: bytes) -> bytes:
+        """Returns an answer that states the wish, if there is one."""
+        if self.wish is None:
+            return answer
+        self._checker.record_wish_answer(id, self.wish)
+        line, _, rest = answer.partition(b"\r\n")
+        return b"\r\n".join((line, self.wish.header, rest))
+
     def _rejection(self, id: str) -> bytes:
         status = self._rng.choice(REJECTIONS)
         if self.mode is Mode.REJECTS:
@@ -259,7 +275,8 @@
     ) -> bool:
         mode = self.mode
         if mode is Mode.FAILS:
-            writer.write(self._with_limit(id, _answer(500, id, b"failed")))
+            failed = self._with_limit(id, _answer(500, id, b"failed"))
+            writer.write(self._with_wish(id, failed))
             return True
         await asyncio.sleep(
             {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, WORK_S)
@@ -279,7 +296,7 @@
             writer.write(_answer(200, f"{id}-old", b"other"))
         if mode is Mode.LATE_WITHOUT_ID:
             writer.write(_answer(404, "", b"other", ""))
-        writer.write(signed)
+        writer.write(self._with_wish(id, signed))
         if mode is Mode.ADDS:
             writer.write(b"more bytes")
         return True
