--- a/fuchsiacourse/platform/config_codec.py
+++ b/fuchsiacourse/platform/config_codec.py
@@ -10,6 +10,7 @@
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import route_table
+from fuchsiacourse.platform import tolerant_json
 
 KEY = "config/main"
 PREFIX = "config/"
@@ -17,15 +18,6 @@
 # Kind of a route whose requests may run more than once.
 _IDEMPOTENT_KIND = "safe"
 _DEFAULT_MAX_TARGETS = 1
-# Exceptions that reading malformed content raises.
-_DECODE_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
 
 Json = dict[str, typing.Any]
 
@@ -45,7 +37,7 @@
     try:
         content = json.loads(value)["spec"]
         return _route_table(content)
-    except _DECODE_ERRORS as error:
+    except tolerant_json.DECODE_ERRORS as error:
         raise errors.ConfigRejected(f"not a configuration: {error!r}") from (
             error
         )
@@ -87,11 +79,11 @@
             try:
                 prefix = _string(item["path_prefix"])
                 found.append(_route(host, item))
-            except _DECODE_ERRORS as error:
+            except tolerant_json.DECODE_ERRORS as error:
                 unreadable_routes.append(
                     _unreadable_route(host, prefix, error)
                 )
-    except _DECODE_ERRORS as error:
+    except tolerant_json.DECODE_ERRORS as error:
         unreadable_routes.append(_unreadable_route(host, None, error))
 
 
@@ -132,7 +124,7 @@
     """Returns a number above 0, or None for any other value."""
     try:
         number = _number(value)
-    except _DECODE_ERRORS:
+    except tolerant_json.DECODE_ERRORS:
         return None
     return number if number > 0.0 else None
 
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -327,14 +327,7 @@
 def _decoded(decode: typing.Callable[[], _T], *, is_write: bool = False) -> _T:
     try:
         return decode()
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except tolerant_json.DECODE_ERRORS as error:
         kind = (
             errors.StoreOutcomeUnknown if is_write else errors.StoreUnavailable
         )
--- a/fuchsiacourse/platform/target_codec.py
+++ b/fuchsiacourse/platform/target_codec.py
@@ -10,6 +10,7 @@
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import target_registration
+from fuchsiacourse.platform import tolerant_json
 
 PREFIX = "servers/"
 _READY = "ready"
@@ -22,16 +23,6 @@
 _MAX_COLD_MS = 3_600_000.0
 # Characters of an id that can be sent in a header.
 _ID = re.compile(r"[!-~]+")
-# Exceptions that reading malformed content raises.
-_DECODE_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    OSError,
-)
 
 
 def decode(key: str, value: bytes) -> target_registration.TargetRegistration:
@@ -47,7 +38,8 @@
     """
     try:
         return _record(key.removeprefix(PREFIX), json.loads(value))
-    except _DECODE_ERRORS as error:
+    except (*tolerant_json.DECODE_ERRORS, OSError) as error:
+        # OSError is what a malformed IP address raises.
         raise errors.TargetRegistrationRejected(
             f"{key!r:.100}: {error!r:.200}"
         ) from error
--- a/fuchsiacourse/platform/tolerant_json.py
+++ b/fuchsiacourse/platform/tolerant_json.py
@@ -12,6 +12,16 @@
 # Digits of a whole number from which it is replaced by null; 64 bits need 20.
 MAX_DIGITS = 20
 
+# Exceptions that reading values of a malformed content raises.
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
 _STRUCTURE = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
 
 
