--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -321,8 +321,8 @@
     Mutation(
         rule="DRAIN: draining targets",
         module="target.py",
-        before="return not (self.record.is_draining or self.is_misdirected)",
-        after="return not self.is_misdirected",
+        before="self.record.is_draining or self.is_misdirected",
+        after="self.is_misdirected",
         test="tests.test_target_follower",
     ),
     Mutation(
