Log the requests that the end of a shutdown cuts off

The line 'stopped' counts cut connections but doesn't say whose request was cut off or when it came, so hypotheses 1 and 2 of docs/incidents/planned-stop.md look alike in the log. request_cut_off names the request, and when it came and ended from the begin of the shutdown.

No logic is changed.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -107,6 +107,8 @@
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        # The request that is being answered, None if there is none.
+        self.request: http_request.HttpRequest | None = None
         self._presence: caller_presence.CallerPresence | None = None
         self._rejection: errors.RequestRejected | None = None
         # Rest of the long answer that is being streamed.
@@ -266,6 +268,7 @@
         if self._parser.requests:
             request = self._parser.requests.popleft()
             self._served += 1
+            self.request = request
             self._presence = caller_presence.CallerPresence()
             self._task = asyncio.get_running_loop().create_task(
                 self._serve(request, self._presence)
@@ -327,6 +330,7 @@
             keeps_alive = False
         await self._answer(request, answer, keeps_alive)
         self._task = None
+        self.request = None
         self._idle_since_s = self._server.clock.now()
         if keeps_alive:
             self._serve_next()
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -85,6 +85,15 @@
             for item in self._connections
         )
 
+    @property
+    def requests(self) -> list[http_request.HttpRequest]:
+        """Requests that are being answered."""
+        return [
+            item.request
+            for item in self._connections
+            if item.request is not None
+        ]
+
     @property
     def writing(self) -> int:
         """Number of connections whose caller has not taken an answer."""
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -23,6 +23,7 @@
 from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import front_status
+from fuchsiacourse.front import http_request
 from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import membership as memberships
 from fuchsiacourse.front import outcome as outcomes
@@ -57,6 +58,8 @@
 # Largest link capacity that is advertised to peers, in Mbit/s: the field is
 # one byte wide, so hosts with faster links count as equal.
 MAX_CAPACITY_MBPS = 255
+# Limit of the lines about requests that the end of a shutdown cuts off.
+MAX_CUT_OFF_LINES = 50
 # Limits on callers that no configuration has set yet.
 DEFAULT_LIMITS = route_table.CallerLimits(
     max_head_bytes=16_384,
@@ -190,7 +193,8 @@
         )
 
     async def _stop(self) -> None:
-        stop_at_s = self._clock.now() + self._settings.bounds.stop_s
+        began_s = self._clock.now()
+        stop_at_s = began_s + self._settings.bounds.stop_s
         front_server = self._servers[0]
         front_server.is_stopping = True
         logs.event(self._log, "stop_started", busy=front_server.busy)
@@ -202,8 +206,29 @@
         while front_server.busy and self._clock.now() < last_s:
             await self._clock.sleep(_STOP_POLL_S)
             front_server.close_idle()
+        self._log_cut_off(front_server.requests, began_s)
         logs.event(self._log, "stopped", cut_off=front_server.busy)
 
+    def _log_cut_off(
+        self, requests: list[http_request.HttpRequest], began_s: float
+    ) -> None:
+        """Logs the requests that the end of a shutdown cuts off.
+
+        Args:
+            requests: The requests.
+            began_s: Monotonic time at which the shutdown began, in seconds.
+        """
+        for request in requests[:MAX_CUT_OFF_LINES]:
+            fields = self._adapter.protocol.request_fields(request)
+            logs.warning(
+                self._log,
+                "request_cut_off",
+                request_id=fields.request_id,
+                host=request.host,
+                received_s=round(request.received_s - began_s, 3),
+                ended_s=round(self._clock.now() - began_s, 3),
+            )
+
     def _make_forwarder(self) -> forwarders.Forwarder:
         settings = self._settings
         times = service_times.ServiceTimes()
