Refuse what comes too late in a planned stop to be finished

What callers saw: requests that came late in the grace time of a stopping front, orders among them, were sent to targets and their connections ended without an answer when the process exited.

Cause: a stop took requests for 3.4 s, on a new connection for up to 3.9 s, and exited at 5.4 s whatever was in progress. Nothing compared the time that a request needs with the time that was left, and the end of the grace time gave no final answers.

StopSchedule decides apart from the network: requests are sent to targets for 2.8 s after SIGTERM (half of a shorter grace time), and only if the service's usual time fits into the rest. Later ones are refused with 503 and a short Retry-After, so that another front takes them at once. 0.1 s before the exit all runs end with their final answers: 503 if no target may have run the request, 504 otherwise. No attempt starts that the exit would cut off.

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -29,6 +29,7 @@
 from fuchsiacourse.front import route as routes
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
+from fuchsiacourse.front import stop_schedule
 from fuchsiacourse.front import store_relay
 from fuchsiacourse.front import target as targets
 from fuchsiacourse.front import target_registration
@@ -445,6 +446,7 @@
             on_change=on_reach_change,
             log=log,
         ),
+        stop=stop_schedule.StopSchedule(clock=front_clock, bounds=bounds()),
         rejections=rejections(clock=front_clock, metrics=metrics),
         metrics=metrics,
         log=log,
--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -342,10 +342,31 @@
     Mutation(
         rule="LOST: SIGTERM",
         module="front_program.py",
-        before="        await self._clock.sleep(SHUTDOWN_ACCEPT_S)\n",
-        after="",
+        before="await self._clock.sleep(schedule.listens_until_s - began_s)",
+        after="pass",
         test="tests.test_front_process",
     ),
+    Mutation(
+        rule="LOST: requests that come late in a stop",
+        module="forwarder.py",
+        before="if not self.stop.may_serve(self.times.usual_s(service)):",
+        after="if False:",
+        test="tests.test_planned_stop",
+    ),
+    Mutation(
+        rule="LOST: requests in progress at the exit",
+        module="front_program.py",
+        before="                self._forwarder.end_runs()\n",
+        after="                pass\n",
+        test="tests.test_planned_stop",
+    ),
+    Mutation(
+        rule="REFUSED: requests that a stop ends",
+        module="request_run.py",
+        before="may_have_run=self._may_have_run or bool(self._running),",
+        after="may_have_run=False,",
+        test="tests.test_stopping_front",
+    ),
     Mutation(
         rule="LOST: SIGHUP",
         module="front_program.py",
--- a/fuchsiacourse/front/final_answers.py
+++ b/fuchsiacourse/front/final_answers.py
@@ -87,6 +87,26 @@
             attempts,
         )
 
+    def shut_down(
+        self, *, may_have_run: bool, attempts: int
+    ) -> http_answer.HttpAnswer:
+        """Returns the answer to a request that this front can't finish.
+
+        Args:
+            may_have_run: Whether a target may have run the request.
+            attempts: Number of attempts so far.
+        """
+        if may_have_run:
+            return self._local_answer(
+                _TIMEOUT,
+                "this front shuts down; it may have run",
+                "front shut down",
+                attempts,
+            )
+        return self.unavailable(
+            "this front shuts down", attempts, retry_after_s=0.0
+        )
+
     def unavailable(
         self,
         reason: str,
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -21,6 +21,7 @@
 from fuchsiacourse.front import return_order
 from fuchsiacourse.front import route_table
 from fuchsiacourse.front import service_times
+from fuchsiacourse.front import stop_schedule
 from fuchsiacourse.front import target_sender
 from fuchsiacourse.front import target_table
 from fuchsiacourse.front import wire_protocol
@@ -28,9 +29,10 @@
 
 # Value of Retry-After in 503 answers of the forwarder, in seconds.
 REFUSAL_RETRY_S = 1.0
-# The same while this front is cut off from all targets, in seconds: another
-# front can take the request as soon as the caller has connected to it.
-CUT_OFF_RETRY_S = 0.1
+# The same while this front is cut off from all targets or shuts down, in
+# seconds: another front can take the request as soon as the caller has
+# connected to it.
+ELSEWHERE_RETRY_S = 0.1
 # Limit of requests in flight at a front; above it the host lacks the memory
 # and processor time to serve them before their deadlines.
 MAX_IN_FLIGHT = 1000
@@ -59,6 +61,7 @@
             with this one.
         sender: Sends requests to targets.
         reach: Finds out whether this front is cut off from all targets.
+        stop: Times of this front's shutdown.
         rejections: Logs and counts rejected requests.
         metrics: Metrics of the front.
         log: Logger.
@@ -81,6 +84,7 @@
         front_count: typing.Callable[[], int],
         sender: target_sender.TargetSender,
         reach: reach_monitor.ReachMonitor,
+        stop: stop_schedule.StopSchedule,
         rejections: rejection_log.RejectionLog,
         metrics: front_metrics.FrontMetrics,
         log: typing.Any,
@@ -99,14 +103,26 @@
         self.front_count = front_count
         self.sender = sender
         self.reach = reach
+        self.stop = stop
         self._rejections = rejections
         self.metrics = metrics
         self.log = log
-        self.in_flight = 0
+        # Runs whose request has no final answer yet.
+        self._runs: set[request_run.RequestRun] = set()
         # Returns whether the configuration is confirmed to be up to date.
         self.is_config_current: typing.Callable[[], bool] = lambda: True
         self.config: route_table.RouteTable | None = None
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests without a final answer."""
+        return len(self._runs)
+
+    def end_runs(self) -> None:
+        """Lets all requests in progress get their final answers now."""
+        for run in list(self._runs):
+            run.end()
+
     async def handle(
         self,
         request: http_request.HttpRequest,
@@ -117,8 +133,8 @@
         A request without an id or a known route is rejected with 400 or 404.
         It is refused with 503 if the front has no configuration, if its route
         may be missing because the configuration is stale or partly unreadable,
-        if the front is full or cut off from all targets, or if the request is
-        blocked as a crash suspect.
+        if the front is full, cut off from all targets or about to exit, or if
+        the request is blocked as a crash suspect.
 
         Args:
             request: Request of a caller.
@@ -143,7 +159,15 @@
                 fields,
                 request,
                 "no target can be reached",
-                retry_after_s=CUT_OFF_RETRY_S,
+                retry_after_s=ELSEWHERE_RETRY_S,
+            )
+        service = route.choose_service(self.rng.random())
+        if not self.stop.may_serve(self.times.usual_s(service)):
+            return self._refuse(
+                fields,
+                request,
+                "this front shuts down",
+                retry_after_s=ELSEWHERE_RETRY_S,
             )
         fingerprint = crash_suspects.fingerprint_of(request)
         if self.suspects.is_blocked(fingerprint):
@@ -153,15 +177,15 @@
             request=request,
             fields=fields,
             route=route,
-            service=route.choose_service(self.rng.random()),
+            service=service,
             fingerprint=fingerprint,
             presence=presence,
         )
-        self.in_flight += 1
+        self._runs.add(run)
         try:
             return await run.answer()
         finally:
-            self.in_flight -= 1
+            self._runs.remove(run)
 
     def local_answer(
         self,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -38,6 +38,7 @@
 from fuchsiacourse.front import service_times
 from fuchsiacourse.front import settings_watch
 from fuchsiacourse.front import status_endpoints
+from fuchsiacourse.front import stop_schedule
 from fuchsiacourse.front import store_relay
 from fuchsiacourse.front import target_follower
 from fuchsiacourse.front import target_table
@@ -47,12 +48,6 @@
 from fuchsiacourse import timers as timer_services
 from fuchsiacourse import udp_endpoint
 
-# Time during a shutdown in which new requests are still served, in seconds:
-# callers use an address list for up to three times its lifetime.
-SHUTDOWN_ACCEPT_S = 3.4
-# Time reserved for the exit of the process at the end of a shutdown, in
-# seconds; a slow host needs some of it.
-STOP_MARGIN_S = 0.6
 # Interval at which a shutdown checks for requests in progress, in seconds.
 _STOP_POLL_S = 0.05
 # Largest link capacity that is advertised to peers, in Mbit/s: the field is
@@ -130,6 +125,9 @@
             metrics=self._metrics,
             log=log,
         )
+        self._stop_schedule = stop_schedule.StopSchedule(
+            clock=self._clock, bounds=settings.bounds
+        )
         self._forwarder = self._make_forwarder()
         store = adapter.store(settings)
         self._relay = self._make_relay(store)
@@ -194,16 +192,18 @@
 
     async def _stop(self) -> None:
         began_s = self._clock.now()
-        stop_at_s = began_s + self._settings.bounds.stop_s
+        schedule = self._stop_schedule
+        schedule.begin()
         front_server = self._servers[0]
         front_server.is_stopping = True
         logs.event(self._log, "stop_started", busy=front_server.busy)
         self._membership.announce()
-        await self._clock.sleep(SHUTDOWN_ACCEPT_S)
+        await self._clock.sleep(schedule.listens_until_s - began_s)
         front_server.stop_listening()
         front_server.close_idle()
-        last_s = stop_at_s - STOP_MARGIN_S
-        while front_server.busy and self._clock.now() < last_s:
+        while front_server.busy and self._clock.now() < schedule.exits_at_s:
+            if self._clock.now() >= schedule.answers_until_s:
+                self._forwarder.end_runs()
             await self._clock.sleep(_STOP_POLL_S)
             front_server.close_idle()
         self._log_cut_off(front_server.requests, began_s)
@@ -296,6 +296,7 @@
                 on_change=self._membership.announce,
                 log=self._log,
             ),
+            stop=self._stop_schedule,
             rejections=self._rejections,
             metrics=self._metrics,
             log=self._log,
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -99,6 +99,10 @@
         # Whether any target may have run the request.
         self._may_have_run = False
         self._last_failure: target_sender.AttemptResult | None = None
+        # Done when the final answer must be given whatever is in progress.
+        self._ended: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
         # Streamed answer bodies that are still arriving.
         self._open_bodies: list[body_stream.BodyStream] = []
 
@@ -118,6 +122,11 @@
                 if final is None or rest is not final.rest:
                     rest.close()
 
+    def end(self) -> None:
+        """Ends the run: its final answer follows without further attempts."""
+        if not self._ended.done():
+            self._ended.set_result(None)
+
     async def _run(self) -> http_answer.HttpAnswer:
         if not self._send(evidences.AttemptKind.FIRST):
             return self._answers.no_target(
@@ -135,6 +144,11 @@
             final = self._process_finished()
             if final is not None:
                 return final
+            if self._ended.done():
+                return self._answers.shut_down(
+                    may_have_run=self._may_have_run or bool(self._running),
+                    attempts=self._attempts,
+                )
             self._handle_late()
             self._retry_declined()
         found = self._front.table.of_service(self._service)
@@ -162,7 +176,7 @@
         for item in self._running.values():
             if not item.is_late:
                 due_s = min(due_s, item.started_s + self._late_s)
-        awaited: list[asyncio.Future] = list(self._running)
+        awaited: list[asyncio.Future] = [*self._running, self._ended]
         if self._ends_with_caller or not self._running:
             awaited.append(self._presence.disconnected)
         await asyncio.wait(
@@ -251,7 +265,8 @@
             attempts=self._attempts,
             targets=self._targets_in_use(),
             max_targets=self._route.max_targets,
-            left_s=self._deadline_s - self._front.clock.now(),
+            left_s=min(self._deadline_s, self._front.stop.answers_until_s)
+            - self._front.clock.now(),
             usual_s=self._front.times.usual_s(self._service),
             budget=self._front.budget.remaining(self._service),
         )
--- /dev/null
+++ b/fuchsiacourse/front/stop_schedule.py
@@ -0,0 +1,77 @@
+"""Decides which requests a front takes while it shuts down.
+
+Covers callers that use a front until its process is gone, with work that may
+take longer than what is left of the grace time.
+"""
+
+from __future__ import annotations
+
+from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import front_settings
+
+# Longest time in which new requests are still sent to targets, in seconds.
+# Callers use an address list for up to three times its lifetime.
+SERVE_S = 2.8
+# The same as a share of the grace time; a request that comes at its end needs
+# the rest.
+SERVE_SHARE = 0.5
+# Longest time in which new connections are accepted, in seconds. A request
+# that comes too late to be served is refused until then.
+LISTEN_S = 3.4
+# Time reserved for the exit of the process at the end of the grace time, in
+# seconds; a slow host needs some of it.
+EXIT_MARGIN_S = 0.6
+# Time before the exit at which requests in progress get their final answers,
+# in seconds; the answers have to be sent.
+ANSWER_MARGIN_S = 0.1
+
+
+class StopSchedule:
+    """Times of the graceful shutdown of one front.
+
+    Args:
+        clock: Source of time.
+        bounds: Operator's bounds; the grace time is used.
+    """
+
+    __slots__ = ("_clock", "_bounds", "_began_s")
+
+    def __init__(
+        self, *, clock: clocks.Clock, bounds: front_settings.Bounds
+    ) -> None:
+        self._clock = clock
+        self._bounds = bounds
+        # Monotonic time at which the shutdown began, in seconds.
+        self._began_s = float("inf")
+
+    def begin(self) -> None:
+        """Records that the shutdown begins now."""
+        self._began_s = self._clock.now()
+
+    @property
+    def exits_at_s(self) -> float:
+        """Monotonic time at which the process must exit, in seconds."""
+        return self._began_s + max(0.0, self._bounds.stop_s - EXIT_MARGIN_S)
+
+    @property
+    def answers_until_s(self) -> float:
+        """Monotonic time until which targets may answer, in seconds."""
+        return self.exits_at_s - ANSWER_MARGIN_S
+
+    @property
+    def listens_until_s(self) -> float:
+        """Monotonic time until which connections are accepted, in seconds."""
+        return min(self._began_s + LISTEN_S, self.answers_until_s)
+
+    def may_serve(self, usual_s: float) -> bool:
+        """Returns whether a new request may be sent to a target.
+
+        Args:
+            usual_s: Usual time of the service, in seconds.
+        """
+        now_s = self._clock.now()
+        serve_s = min(SERVE_S, SERVE_SHARE * self._bounds.stop_s)
+        return (
+            now_s < self._began_s + serve_s
+            and now_s + usual_s <= self.answers_until_s
+        )
