Answer pipelined requests that a stopping front has read

What callers saw: of two requests written at once to a front that shuts down, only the first was answered; the connection was closed although the front had read the second one whole.

Cause: a stopping front ended each connection with the answer in progress, whatever had been read behind it. Now the connection stays open while a request behind it was read, whole or in part, and closes with the last answer.

Evidence: the new test of tests.test_caller_connection failed before with an incomplete read of the second answer and passes now.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -367,6 +367,13 @@
         after="may_have_run=False,",
         test="tests.test_stopping_front",
     ),
+    Mutation(
+        rule="LOST: pipelined requests at a stop",
+        module="caller_connection.py",
+        before="is_last = self._server.is_stopping and not has_next",
+        after="is_last = self._server.is_stopping",
+        test="tests.test_caller_connection",
+    ),
     Mutation(
         rule="LOST: SIGHUP",
         module="front_program.py",
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -322,7 +322,10 @@
             self._server.report_failure(error)
             answer = http_answer.HttpAnswer(status=_SERVER_ERROR, headers=[])
         self._server.budget.release(len(request.body))
-        keeps_alive = request.keeps_alive and not self._server.is_stopping
+        # Closing would drop a request that was read behind this one.
+        has_next = bool(self._parser.requests) or self._parser.is_reading
+        is_last = self._server.is_stopping and not has_next
+        keeps_alive = request.keeps_alive and not is_last
         rest = request.rest
         if rest is not None and (rest.has_failed or not rest.is_ended):
             # Without the whole body, no further request can be read.
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -282,6 +282,24 @@
         self.assertEqual(b"/1", body)
         self.assertEqual(b"", await self.reader.read())
 
+    async def test_stop_answers_pipelined_requests_that_were_read(self):
+        """Guards against a stop that drops a request read behind another."""
+        self.release.clear()
+        self.writer.write(GET % b"1" + GET % b"2" + (GET % b"3")[:9])
+        while not self.presences:
+            await asyncio.sleep(0.01)
+        self.server.is_stopping = True
+        self.server.stop_listening()
+        self.server.close_idle()
+        self.release.set()
+        self.assertEqual(b"/1", (await self.read_answer())[1])
+        self.assertEqual(b"/2", (await self.read_answer())[1])
+        self.writer.write((GET % b"3")[9:])
+        head, _ = await self.read_answer()
+        self.assertIn(b"connection: close", head.lower())
+        self.assertEqual(b"", await self.reader.read())
+        self.assertEqual(3, len(self.presences))
+
     async def test_continue_is_written_after_the_answers_before_it(self):
         """Guards against a 100 (Continue) ahead of earlier answers."""
         self.release.clear()
