--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -73,6 +73,8 @@
         self.is_usable = False
         # Monotonic time since which no request is in progress, in seconds.
         self.idle_since_s = 0.0
+        # Monotonic time at which the connection was opened, in seconds.
+        self.opened_s = 0.0
 
     @classmethod
     async def open(
@@ -106,7 +108,8 @@
         """Enables keep-alive probes (asyncio callback)."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self.is_usable = True
-        self.idle_since_s = asyncio.get_running_loop().time()
+        self.opened_s = asyncio.get_running_loop().time()
+        self.idle_since_s = self.opened_s
         with contextlib.suppress(OSError):
             _enable_keepalive(transport.get_extra_info("socket"))
 
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -125,6 +125,7 @@
             deadline_s=deadline_s,
             is_idempotent=is_idempotent,
         )
+        result.connected_s = connection.opened_s
         is_stale = (
             is_reused
             and result.outcome is outcomes.Outcome.LOST
--- a/fuchsiacourse/front/reach_monitor.py
+++ b/fuchsiacourse/front/reach_monitor.py
@@ -24,6 +24,10 @@
 # Targets that a front that is cut off connects to each ROUND_INTERVAL_S.
 RECHECKED_TARGETS = 2
 
+# Number of unreached targets from which the end of a doubt is logged; a single
+# target that is down says nothing about the others.
+MIN_LOGGED_UNREACHED = 2
+
 # Outcomes that show that the target was reached.
 _REACHED = frozenset(
     (
@@ -135,7 +139,7 @@
             record: Called with the outcome to record.
         """
         if outcome in _REACHED:
-            self._record_reached()
+            self._record_reached(target, by="answer")
         if outcome not in _DOUBTFUL:
             record(outcome)
             return
@@ -188,7 +192,7 @@
 
     async def _connects(self, target: targets.Target) -> bool:
         if await self._connector.connect(target):
-            self._record_reached()
+            self._record_reached(target, by="connection")
             return True
         self._record_unreached(target)
         return False
@@ -201,18 +205,36 @@
             if _may_connect(item, now_s)
         ]
 
-    def _record_reached(self) -> None:
+    def _record_reached(self, target: targets.Target, *, by: str) -> None:
+        unreached = self._reach.unreached
         was_cut_off = self._reach.record_reached()
         self._release()
         if not was_cut_off:
+            self._log_doubt_ended(target, by, unreached)
             return
         logs.event(
             self._log,
             "targets_reached_again",
             cut_off_s=round(self._clock.now() - self._cut_off_since_s, 2),
+            target=target.record.id,
+            by=by,
         )
         self._on_change()
 
+    def _log_doubt_ended(
+        self, target: targets.Target, by: str, unreached: int
+    ) -> None:
+        """Logs what showed that targets are reached, if some were not."""
+        if unreached < MIN_LOGGED_UNREACHED:
+            return
+        logs.event(
+            self._log,
+            "targets_not_cut_off",
+            target=target.record.id,
+            by=by,
+            unreached=unreached,
+        )
+
     def _record_unreached(self, target: targets.Target) -> None:
         known = len(self._usable())
         if not self._reach.record_unreached(target.key, known=known):
--- a/fuchsiacourse/front/request_events.py
+++ b/fuchsiacourse/front/request_events.py
@@ -98,6 +98,7 @@
         result: target_sender.AttemptResult,
         *,
         took_s: float,
+        connected_for_s: float | None,
     ) -> None:
         """Logs and counts the end of an attempt.
 
@@ -108,6 +109,8 @@
             target: Target of the attempt.
             result: Result of the attempt.
             took_s: Time from the start to the end, in seconds.
+            connected_for_s: Age of its connection at the end, in seconds,
+                None if there was none.
         """
         fields = result.fields
         self._metrics.count(
@@ -126,6 +129,11 @@
             named=None if fields is None else bool(fields.request_id),
             rate_limit=None if fields is None else fields.rate_limit,
             took_ms=int(took_s * 1000.0),
+            connected_ms=(
+                None
+                if connected_for_s is None
+                else int(connected_for_s * 1000.0)
+            ),
             detail=result.detail,
         )
 
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -352,7 +352,9 @@
         self._record_wishes(item.target, result)
         self._front.collector.record_resends(item.target, result.resends)
         load = result.fields.load if result.fields is not None else None
-        took_s = self._front.clock.now() - item.started_s
+        now_s = self._front.clock.now()
+        took_s = now_s - item.started_s
+        connected_s = result.connected_s
         reported_load = None if load is None else load.running + load.waiting
 
         def record(outcome: outcomes.Outcome) -> None:
@@ -367,7 +369,14 @@
             )
 
         self._front.reach.resolve(item.target, result.outcome, record)
-        self._events.log_ended(item.target, result, took_s=took_s)
+        self._events.log_ended(
+            item.target,
+            result,
+            took_s=took_s,
+            connected_for_s=(
+                None if connected_s is None else now_s - connected_s
+            ),
+        )
 
     def _record_wishes(
         self, target: targets.Target, result: target_sender.AttemptResult
--- a/fuchsiacourse/front/target_reach.py
+++ b/fuchsiacourse/front/target_reach.py
@@ -38,6 +38,11 @@
         # Monotonic time of the last answer at another front, in seconds.
         self._peer_answer_s = float("-inf")
 
+    @property
+    def unreached(self) -> int:
+        """Number of targets that could not be reached since one was."""
+        return len(self._unreached)
+
     def record_reached(self) -> bool:
         """Records that a target was reached.
 
--- a/fuchsiacourse/front/target_sender.py
+++ b/fuchsiacourse/front/target_sender.py
@@ -31,9 +31,18 @@
         detail: Cause, for the logs.
         resends: Number of times that the request was sent again to the same
             target, because a pooled connection was stale.
+        connected_s: Monotonic time at which the connection was opened, in
+            seconds, None if there was none.
     """
 
-    __slots__ = ("outcome", "answer", "fields", "detail", "resends")
+    __slots__ = (
+        "outcome",
+        "answer",
+        "fields",
+        "detail",
+        "resends",
+        "connected_s",
+    )
 
     def __init__(
         self,
@@ -43,12 +52,14 @@
         fields: wire_protocol.AnswerFields | None = None,
         detail: str = "",
         resends: int = 0,
+        connected_s: float | None = None,
     ) -> None:
         self.outcome = outcome
         self.answer = answer
         self.fields = fields
         self.detail = detail
         self.resends = resends
+        self.connected_s = connected_s
 
     @property
     def rate_limit(self) -> float | None:
