--- a/bench/cut_day.py
+++ b/bench/cut_day.py
@@ -38,6 +38,9 @@
 FAILED_EXTRA = 10
 FAILED_ALLOWED = 0.02
 OBJECTIVE_S = 1.0
+# Prefixes of the paths of idempotent requests and of the others.
+READS = "/reads/"
+ORDERS = "/orders/"
 TIMEOUT_S = 2.5
 
 
@@ -62,11 +65,14 @@
     Attributes:
         cut: First tries at the fronts that are cut off, from SETTLE_S on.
         others: The same at the other fronts.
+        returns: How often a front has found that it reaches targets again.
 
     Args:
         cut_ips: IP addresses of the fronts that are cut off.
         connect_s: Time until a connection fails during the cut, in seconds.
-        is_idempotent: Whether requests may run more than once.
+        idempotent_share: Share of the requests that may run more than once.
+        keeps_connections: Whether the connections that a front has live on
+            while new ones fail.
         seed: Seed of the arrivals.
     """
 
@@ -75,14 +81,17 @@
         *,
         cut_ips: tuple[str, ...],
         connect_s: float,
-        is_idempotent: bool,
+        idempotent_share: float,
+        keeps_connections: bool = False,
         seed: int = 1,
     ) -> None:
         self.cut = Tally()
         self.others = Tally()
+        self.returns = 0
         self._cut_ips = cut_ips
         self._connect_s = connect_s
-        self._is_idempotent = is_idempotent
+        self._idempotent_share = idempotent_share
+        self._keeps_connections = keeps_connections
         self._rng = random.Random(seed)
         self._seed = seed
         self._counts_from_s = float("inf")
@@ -112,7 +121,8 @@
                 for number in range(TARGETS)
             ],
             behave=self._behave,
-            route=self._route(),
+            found=[self._route(path) for path in (READS, ORDERS)],
+            keeps_connections=self._keeps_connections,
         )
         await asyncio.sleep(front_fleet.START_S)
         callers = [
@@ -131,14 +141,19 @@
         await asyncio.sleep(4.0)
         for caller in callers:
             caller.cancel()
+        self.returns = sum(
+            front.forwarder.reach.return_count for front in fleet.fronts
+        )
         failures = fleet.close()
         if failures:
             raise failures[0]
         return fleet
 
-    def _route(self) -> routes.Route:
+    def _route(self, path: str) -> routes.Route:
         return front_fakes.route(
-            is_idempotent=self._is_idempotent,
+            name=path,
+            path_prefix=path,
+            is_idempotent=path == READS,
             objective_s=OBJECTIVE_S,
             timeout_s=TIMEOUT_S,
         )
@@ -165,11 +180,15 @@
             count += 1
             front = by_ip[self._rng.choice(addresses)[0]]
             task = loop.create_task(
-                self._try(front, f"/orders/{zone}/{number}/{count}")
+                self._try(front, f"{self._prefix()}{zone}/{number}/{count}")
             )
             fleet.tasks.add(task)
             task.add_done_callback(fleet.tasks.discard)
 
+    def _prefix(self) -> str:
+        is_read = self._rng.random() < self._idempotent_share
+        return READS if is_read else ORDERS
+
     async def _try(self, front: front_fleet.FleetFront, path: str) -> None:
         sent_s = asyncio.get_running_loop().time()
         is_counted = sent_s >= self._counts_from_s
--- a/bench/front_fleet.py
+++ b/bench/front_fleet.py
@@ -21,6 +21,7 @@
 from fuchsiacourse.front import forwarder as forwarders
 from fuchsiacourse.front import front_status
 from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import http_request
 from fuchsiacourse.front import membership as memberships
 from fuchsiacourse.front import outcome as outcomes
 from fuchsiacourse.front import reach_monitor
@@ -67,7 +68,7 @@
         network: Network of the fleet.
         sender: Sender for the attempts.
         records: Registrations of the targets.
-        route: Route of all requests.
+        found: Routes of the requests.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         network: fake_datagrams.FakeDatagramNetwork,
         sender: FrontSender,
         records: list[target_registration.TargetRegistration],
-        route: routes.Route,
+        found: list[routes.Route],
     ) -> None:
         self.ip = ip
         self.zone = zone
@@ -117,7 +118,7 @@
             connector=sender,
             on_reach_change=self.membership.announce,
         )
-        self.forwarder.config = front_fakes.config(route)
+        self.forwarder.config = front_fakes.config(*found)
         self.directory = directories.Directory(
             settings=settings,
             peers=self.membership.peers,
@@ -158,6 +159,8 @@
         arrivals: Arrivals by id of the target, added to.
         connect_s_by_ip: Time until a connection fails, in seconds, by IP
             address of the fronts that are cut off from the targets.
+        keeps_connections: Whether the connections that such a front has to
+            targets live on; only idempotent requests use them.
     """
 
     def __init__(
@@ -167,13 +170,48 @@
         behave: Behave,
         arrivals: dict[str, list[Arrival]],
         connect_s_by_ip: dict[str, float],
+        keeps_connections: bool = False,
     ) -> None:
         super().__init__(self._arrive)
         self._ip = ip
+        self._keeps_connections = keeps_connections
+        # Loop time at which the kept connection to each target was opened, in
+        # seconds, by id of the target.
+        self._connected_s_by_id: dict[str, float] = {}
+        # Whether the attempt that is being started uses a kept connection.
+        self._uses_kept = False
         self._connect_s_by_ip = connect_s_by_ip
         self._behave_at = behave
         self._arrivals = arrivals
 
+    async def send(
+        self,
+        target: targets.Target,
+        request: http_request.HttpRequest,
+        *,
+        request_id: str,
+        deadline_s: float,
+        is_idempotent: bool,
+    ) -> target_sender.AttemptResult:
+        """Sends over a kept connection if there is one, see the base class."""
+        now_s = asyncio.get_running_loop().time()
+        kept_s = None
+        if self._keeps_connections and is_idempotent:
+            kept_s = self._connected_s_by_id.get(target.record.id)
+        is_cut = self._ip in self._connect_s_by_ip
+        self._uses_kept = is_cut and kept_s is not None
+        result = await super().send(
+            target,
+            request,
+            request_id=request_id,
+            deadline_s=deadline_s,
+            is_idempotent=is_idempotent,
+        )
+        if result.outcome is not outcomes.Outcome.UNREACHED:
+            result.connected_s = now_s if kept_s is None else kept_s
+            self._connected_s_by_id.setdefault(target.record.id, now_s)
+        return result
+
     async def connect(self, target: targets.Target) -> bool:
         """Returns whether a target accepts a connection of the front."""
         connect_s = self._connect_s_by_ip.get(self._ip)
@@ -184,7 +222,7 @@
         self, target: targets.Target, count: int
     ) -> tuple[float, target_sender.AttemptResult]:
         connect_s = self._connect_s_by_ip.get(self._ip)
-        if connect_s is not None:
+        if connect_s is not None and not self._uses_kept:
             unreached = front_fakes.result(outcomes.Outcome.UNREACHED)
             return connect_s, unreached
         now_s = asyncio.get_running_loop().time()
@@ -212,7 +250,8 @@
         records: Registrations of the targets.
         behave: Decides how a target treats a request: the time in seconds
             and the result.
-        route: Route of all requests, None for one that may be retried.
+        found: Routes of the requests, None for one of idempotent ones.
+        keeps_connections: Whether connections to targets outlive a cut.
     """
 
     def __init__(
@@ -222,7 +261,8 @@
         per_zone: int,
         records: list[target_registration.TargetRegistration],
         behave: Behave,
-        route: routes.Route | None = None,
+        found: list[routes.Route] | None = None,
+        keeps_connections: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
         self.links = fake_links.FakeLinks(
@@ -245,9 +285,10 @@
                     behave=behave,
                     arrivals=self.arrivals_by_id,
                     connect_s_by_ip=self.connect_s_by_ip,
+                    keeps_connections=keeps_connections,
                 ),
                 records=records,
-                route=route or front_fakes.route(),
+                found=found or [front_fakes.route()],
             )
             for third, zone in enumerate(front_fakes.ZONES)
             for last in range(1, per_zone + 1)
--- a/fuchsiacourse/front/reach_monitor.py
+++ b/fuchsiacourse/front/reach_monitor.py
@@ -89,6 +89,7 @@
         "_held",
         "_round_at_s",
         "_cut_off_since_s",
+        "return_count",
     )
 
     def __init__(
@@ -115,6 +116,8 @@
         # Monotonic time at which the last round ended, in seconds.
         self._round_at_s = float("-inf")
         self._cut_off_since_s = 0.0
+        # How often targets were reached again after a cut.
+        self.return_count = 0
 
     @property
     def is_cut_off(self) -> bool:
@@ -212,6 +215,7 @@
         if not was_cut_off:
             self._log_doubt_ended(target, by, unreached)
             return
+        self.return_count += 1
         logs.event(
             self._log,
             "targets_reached_again",
