Let only connections as new as the doubt show that targets are reached

What callers saw: while some fronts were cut off from all targets but their connections lived on, these fronts came back to the address list for a moment after each answer to an earlier request, and refused again.

Cause: any answer counted as a target that was reached. An answer over a connection that was opened before the first failed connect says nothing of new connections, which each request that must not run twice needs.

AttemptResult says when its connection was opened, and TargetReach takes an answer as proof only if that was after the doubt began.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -125,6 +125,13 @@
         after="        self.is_cut_off = False",
         test="tests.test_partitioned_fronts",
     ),
+    Mutation(
+        rule="RECOVER: connections that outlive a cut",
+        module="target_reach.py",
+        before="if connected_s < self._doubted_since_s:",
+        after="if False:",
+        test="tests.test_reach_monitor",
+    ),
     Mutation(
         rule="RECOVER: evidence of fronts that are cut off",
         module="reach_monitor.py",
--- a/fuchsiacourse/front/reach_monitor.py
+++ b/fuchsiacourse/front/reach_monitor.py
@@ -129,6 +129,8 @@
         target: targets.Target,
         outcome: outcomes.Outcome,
         record: RecordOutcome,
+        *,
+        connected_s: float | None = None,
     ) -> None:
         """Records the outcome of an attempt once its cause is known.
 
@@ -140,9 +142,11 @@
             target: Target of the attempt.
             outcome: How it ended; LATE if it still runs.
             record: Called with the outcome to record.
+            connected_s: Monotonic time at which the connection of the attempt
+                was opened, in seconds, None if it has none or still runs.
         """
-        if outcome in _REACHED:
-            self._record_reached(target, by="answer")
+        if outcome in _REACHED and connected_s is not None:
+            self._record_reached(target, connected_s, by="answer")
         if outcome not in _DOUBTFUL:
             record(outcome)
             return
@@ -195,7 +199,8 @@
 
     async def _connects(self, target: targets.Target) -> bool:
         if await self._connector.connect(target):
-            self._record_reached(target, by="connection")
+            now_s = self._clock.now()
+            self._record_reached(target, now_s, by="connection")
             return True
         self._record_unreached(target)
         return False
@@ -208,9 +213,13 @@
             if _may_connect(item, now_s)
         ]
 
-    def _record_reached(self, target: targets.Target, *, by: str) -> None:
+    def _record_reached(
+        self, target: targets.Target, connected_s: float, *, by: str
+    ) -> None:
         unreached = self._reach.unreached
-        was_cut_off = self._reach.record_reached()
+        was_cut_off = self._reach.record_reached(connected_s)
+        if self._reach.unreached:
+            return
         self._release()
         if not was_cut_off:
             self._log_doubt_ended(target, by, unreached)
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -368,7 +368,9 @@
                 fingerprint=self._fingerprint,
             )
 
-        self._front.reach.resolve(item.target, result.outcome, record)
+        self._front.reach.resolve(
+            item.target, result.outcome, record, connected_s=connected_s
+        )
         self._events.log_ended(
             item.target,
             result,
--- a/fuchsiacourse/front/target_reach.py
+++ b/fuchsiacourse/front/target_reach.py
@@ -28,13 +28,21 @@
         clock: Source of time.
     """
 
-    __slots__ = ("is_cut_off", "_clock", "_unreached", "_peer_answer_s")
+    __slots__ = (
+        "is_cut_off",
+        "_clock",
+        "_unreached",
+        "_doubted_since_s",
+        "_peer_answer_s",
+    )
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         self.is_cut_off = False
         self._clock = clock
         # Keys of the targets that could not be reached since one was.
         self._unreached: set[int] = set()
+        # Monotonic time of the first of these failures, in seconds.
+        self._doubted_since_s = float("-inf")
         # Monotonic time of the last answer at another front, in seconds.
         self._peer_answer_s = float("-inf")
 
@@ -43,15 +51,25 @@
         """Number of targets that could not be reached since one was."""
         return len(self._unreached)
 
-    def record_reached(self) -> bool:
+    def record_reached(self, connected_s: float) -> bool:
         """Records that a target was reached.
 
+        A connection that was opened before the doubt shows nothing: it may
+        live on while new ones fail.
+
+        Args:
+            connected_s: Monotonic time at which the connection was opened,
+                in seconds.
+
         Returns:
             Whether the front was cut off until now.
         """
+        if connected_s < self._doubted_since_s:
+            return False
         was_cut_off = self.is_cut_off
         self.is_cut_off = False
         self._unreached.clear()
+        self._doubted_since_s = float("-inf")
         return was_cut_off
 
     def record_unreached(self, target_key: int, *, known: int) -> bool:
@@ -64,8 +82,11 @@
         Returns:
             Whether the front has turned out to be cut off.
         """
+        now_s = self._clock.now()
+        if not self._unreached:
+            self._doubted_since_s = now_s
         self._unreached.add(target_key)
-        age_s = self._clock.now() - self._peer_answer_s
+        age_s = now_s - self._peer_answer_s
         if (
             self.is_cut_off
             or len(self._unreached) < min(MIN_UNREACHED, known)
--- a/tests/test_reach_monitor.py
+++ b/tests/test_reach_monitor.py
@@ -71,6 +71,14 @@
             self.targets[number], outcome, self.recorded.append
         )
 
+    def answer(self, connected_s: float) -> None:
+        self.monitor.resolve(
+            self.targets[0],
+            outcomes.Outcome.ANSWERED,
+            self.recorded.append,
+            connected_s=connected_s,
+        )
+
     def test_partition_is_not_recorded_as_failures_of_targets(self):
         """Guards against reports that make all fronts doubt all targets."""
 
@@ -144,3 +152,20 @@
             self.assertEqual([outcomes.Outcome.LATE], self.recorded)
 
         self.run_script(script, {"t0"})
+
+    def test_answer_over_an_earlier_connection_shows_nothing(self):
+        """Guards against connections that live on while new ones fail."""
+
+        async def script():
+            opened_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(1.0)
+            self.monitor.record_peer_answer()
+            self.resolve()
+            await asyncio.sleep(CONNECT_S + 0.1)
+            self.assertTrue(self.monitor.is_cut_off)
+            self.answer(opened_s)
+            self.assertTrue(self.monitor.is_cut_off)
+            self.answer(asyncio.get_running_loop().time())
+            self.assertFalse(self.monitor.is_cut_off)
+
+        self.run_script(script, set())
