--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -36,6 +36,12 @@
 IPS = [f"10.0.0.{last}" for last in range(11, 21)]
 
 
+async def _cancelled(task: asyncio.Future) -> None:
+    """Cancels a task and retrieves the error with which it may end."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 class StoreLink(stores.Store):
     """Link from one front to the store; it can fail for that front alone.
 
@@ -83,11 +89,11 @@
         )
         ended.cancel()
         if self.is_silent or number <= self.lost_watches:
-            answer.cancel()
+            await _cancelled(answer)
             await asyncio.sleep(timeout_s + CALL_TIMEOUT_S)
             raise errors.StoreUnavailable("the call timed out")
         if not answer.done():
-            answer.cancel()
+            await _cancelled(answer)
             raise self.failure or errors.StoreUnavailable("cut")
         try:
             return answer.result()
