Let a front that starts learn from peers which requests crash targets

Cause: blocked requests and losses live in the memory of each process, and nothing tells a starting front of those that it has not seen.

A front that starts asks up to four peers, 0.3 to 2.5 s after its start, a peer of its zone first, for their suspected requests, with the time for which each stays blocked and the age of its losses.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -318,6 +318,13 @@
         after="if False:",
         test="tests.test_request_run",
     ),
+    Mutation(
+        rule="BUDGET: crashes that a restarted front has not seen",
+        module="suspect_copier.py",
+        before="blocked = self._suspects.merge(found)",
+        after="blocked = len(found)",
+        test="tests.test_suspect_copies",
+    ),
     Mutation(
         rule="GONE",
         module="request_run.py",
--- a/fuchsiacourse/front/copy_exchange.py
+++ b/fuchsiacourse/front/copy_exchange.py
@@ -3,27 +3,20 @@
 from __future__ import annotations
 
 import abc
-import asyncio
 import json
 import typing
 import urllib.parse
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import caller_presence
-from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import object_copy
+from fuchsiacourse.front import peer_client
 from fuchsiacourse import store as stores
 
-# Timeout of a fetch from a peer, in seconds. The fronts of a zone answer
-# within milliseconds, and a leaving target must be out of use within two
-# seconds, all attempts included.
-FETCH_TIMEOUT_S = 0.8
-# Longest answer, in bytes. An object of the store has at most a megabyte.
-MAX_ANSWER_BYTES = 8_000_000
-
-_PATH = "/copies"
+# Path on which a front serves its copies.
+PATH = "/copies"
 _OK = 200
 _NOT_FOUND = 404
 
@@ -56,13 +49,13 @@
     """Fetches changes of copies over HTTP.
 
     Args:
-        port: TCP port on which the fronts serve their copies.
+        client: Client of the other fronts.
     """
 
-    __slots__ = ("_port",)
+    __slots__ = ("_client",)
 
-    def __init__(self, *, port: int) -> None:
-        self._port = port
+    def __init__(self, *, client: peer_client.PeerClient) -> None:
+        self._client = client
 
     async def fetch(
         self, ip: str, prefix: str, after: object_copy.Position
@@ -72,32 +65,13 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": revision, "era": era}
         )
-        data = f"GET {_PATH}?{query} HTTP/1.1\r\nHost: {ip}\r\n\r\n".encode()
-        try:
-            answer = await asyncio.wait_for(
-                self._exchange(ip, data), FETCH_TIMEOUT_S
-            )
-            if answer.status != _OK:
-                raise errors.PeerError(f"{ip} answered {answer.status}")
-            return _decoded(answer.body)
-        except (
-            OSError,
-            TimeoutError,
-            errors.TargetError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ) as error:
-            raise errors.PeerError(f"no copy from {ip}: {error!r}") from error
-
-    async def _exchange(self, ip: str, data: bytes) -> http_answer.HttpAnswer:
-        connection = await client_connection.ClientConnection.open(
-            (ip, self._port), max_answer_bytes=MAX_ANSWER_BYTES
-        )
+        body = await self._client.get(ip, f"{PATH}?{query}")
         try:
-            return await connection.exchange(data, accepts=lambda _: True)
-        finally:
-            connection.close()
+            return _decoded(body)
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.PeerError(
+                f"copy of {ip} can't be read: {error!r}"
+            ) from error
 
 
 class CopyHandler:
@@ -129,7 +103,7 @@
         # Builds that don't know eras state none.
         era = fields.get("era", "")
         copy = self._find(fields.get("prefix", ""))
-        if path != _PATH or copy is None or not after.isdecimal():
+        if path != PATH or copy is None or not after.isdecimal():
             return http_answer.HttpAnswer(status=_NOT_FOUND, headers=[])
         return http_answer.HttpAnswer(
             status=_OK,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -27,6 +27,8 @@
 from fuchsiacourse.front import log_sink
 from fuchsiacourse.front import membership as memberships
 from fuchsiacourse.front import outcome as outcomes
+from fuchsiacourse.front import peer_client
+from fuchsiacourse.front import peer_endpoints
 from fuchsiacourse.front import placement
 from fuchsiacourse.front import pooled_sender
 from fuchsiacourse.front import rate_limiter
@@ -40,6 +42,8 @@
 from fuchsiacourse.front import status_endpoints
 from fuchsiacourse.front import stop_schedule
 from fuchsiacourse.front import store_relay
+from fuchsiacourse.front import suspect_copier
+from fuchsiacourse.front import suspect_exchange
 from fuchsiacourse.front import target_follower
 from fuchsiacourse.front import target_table
 from fuchsiacourse import logs
@@ -129,6 +133,17 @@
             clock=self._clock, bounds=settings.bounds
         )
         self._forwarder = self._make_forwarder()
+        self._peer_client = peer_client.PeerClient(port=settings.peer_port)
+        self._suspect_copier = suspect_copier.SuspectCopier(
+            timers=self._timers,
+            rng=self._rng,
+            peers=self._membership.peers,
+            source=suspect_exchange.HttpSuspectSource(
+                client=self._peer_client
+            ),
+            suspects=self._forwarder.suspects,
+            log=log,
+        )
         store = adapter.store(settings)
         self._relay = self._make_relay(store)
         self._configs = self._make_config_follower(store)
@@ -178,6 +193,7 @@
                 f"can't bind a listening address: {error}"
             ) from error
         self._membership.start(self._apply_evidence)
+        self._suspect_copier.start()
         self._relay.start()
         self._timers.spawn(self._configs.run())
         self._timers.spawn(self._targets.run())
@@ -311,7 +327,7 @@
             capacity=min(MAX_CAPACITY_MBPS, int(settings.link_mbps)),
             membership=self._membership,
             store=store,
-            source=copy_exchange.HttpCopySource(port=settings.peer_port),
+            source=copy_exchange.HttpCopySource(client=self._peer_client),
             is_first_start=settings.is_first_start,
             log=self._log,
         )
@@ -354,6 +370,15 @@
     def _make_servers(self) -> list[caller_server.CallerServer]:
         settings = self._settings
         copies = copy_exchange.CopyHandler(find=self._relay.find)
+        suspects = suspect_exchange.SuspectHandler(
+            export=self._forwarder.suspects.export
+        )
+        peers = peer_endpoints.PeerEndpoints(
+            handlers_by_path={
+                copy_exchange.PATH: copies.handle,
+                suspect_exchange.PATH: suspects.handle,
+            }
+        )
         endpoints = status_endpoints.StatusEndpoints(
             adapter=self._adapter,
             addresses=self._directory,
@@ -365,7 +390,7 @@
             (settings.ready_address, endpoints.ready),
             (settings.directory_address, endpoints.resolve),
             (settings.metrics_address, endpoints.metrics),
-            ((settings.ip, settings.peer_port), copies.handle),
+            ((settings.ip, settings.peer_port), peers.handle),
         ]
         budget = body_budget.BodyBudget()
         return [
--- a/tests/test_copy_exchange.py
+++ b/tests/test_copy_exchange.py
@@ -9,6 +9,7 @@
 from fuchsiacourse.front import copy_exchange
 from fuchsiacourse.front import front_program
 from fuchsiacourse.front import object_copy
+from fuchsiacourse.front import peer_client
 from fuchsiacourse import store as stores
 from fuchsiacourse import system_clock
 
@@ -33,7 +34,9 @@
         )
         await self.server.start()
         port = self.server.address[1]
-        self.source = copy_exchange.HttpCopySource(port=port)
+        self.source = copy_exchange.HttpCopySource(
+            client=peer_client.PeerClient(port=port)
+        )
 
     async def asyncTearDown(self) -> None:
         self.server.stop_listening()
