--- a/tests/front_process_case.py
+++ b/tests/front_process_case.py
@@ -134,6 +134,9 @@
                 await asyncio.sleep(self.work_s)
                 writer.write(test_pooled_sender.answer(id, id.encode()))
         except (asyncio.IncompleteReadError, OSError):
+            # The front has closed the connection.
+            pass
+        finally:
             writer.close()
 
     async def read_lines(self) -> None:
