Keep callers from a front that alone fails to follow the store

What callers could see: a front whose follower ended with an unexpected exception served from an old state for 0.5 s and longer, and said that it was ready.

The follower now says so until it has taken a copy again, and Readiness decides apart from the process: such a front is not ready while another one is. If the same fault hits all fronts, they stay ready, because an old state is better than no address.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -83,6 +83,13 @@
         after="                raise\n                era, self.copy = 0,",
         test="tests.test_silent_store",
     ),
+    Mutation(
+        rule="CONFIG: callers of a front whose follower fails",
+        module="readiness.py",
+        before="not self.has_failed_follower or not self.has_ready_peer()",
+        after="True",
+        test="tests.test_readiness",
+    ),
     Mutation(
         rule="UNASKED: two readers of one body",
         module="request_run.py",
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -33,6 +33,7 @@
 from fuchsiacourse.front import pooled_sender
 from fuchsiacourse.front import rate_limiter
 from fuchsiacourse.front import reach_monitor
+from fuchsiacourse.front import readiness
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import retry_budget
 from fuchsiacourse.front import return_order
@@ -158,14 +159,19 @@
         """Whether the front can serve callers.
 
         It needs a configuration and a target list. False while it is cut off
-        from all targets, and once a shutdown has begun.
+        from all targets or, alone, fails to follow the store, and once a
+        shutdown has begun.
         """
-        return (
-            self._forwarder.config is not None
-            and self._targets.has_snapshot
-            and not self._forwarder.reach.is_cut_off
-            and not self._stopping.is_set()
-        )
+        return readiness.Readiness(
+            has_config=self._forwarder.config is not None,
+            has_targets=self._targets.has_snapshot,
+            is_cut_off=self._forwarder.reach.is_cut_off,
+            is_stopping=self._stopping.is_set(),
+            has_failed_follower=(
+                self._targets.has_failed or self._configs.has_failed
+            ),
+            has_ready_peer=self._membership.peers.has_ready,
+        ).is_ready
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then shuts down gracefully.
--- a/fuchsiacourse/front/peer_table.py
+++ b/fuchsiacourse/front/peer_table.py
@@ -174,6 +174,12 @@
             if peer.is_ready and not peer.is_leaving
         ]
 
+    def has_ready(self) -> bool:
+        """Returns whether a live peer serves callers."""
+        return any(
+            peer.is_ready and not peer.is_leaving for peer in self.live()
+        )
+
     def store_contact_s(self) -> float:
         """Returns the longest contact of a live peer with the store.
 
--- a/fuchsiacourse/front/store_follower.py
+++ b/fuchsiacourse/front/store_follower.py
@@ -50,6 +50,7 @@
         reached_since_s: Monotonic time at which the store was last found
             reachable again, in seconds; 0 if it was never lost.
         failure_count: Number of unexpected failures of the follower.
+        has_failed: Whether no copy was taken since the last of them.
 
     Args:
         clock: Source of time.
@@ -98,6 +99,7 @@
         self._gives_up_watch = False
         self.reached_since_s = 0.0
         self.failure_count = 0
+        self.has_failed = False
 
     @property
     def is_following(self) -> bool:
@@ -199,10 +201,13 @@
             self._wakeup.clear()
             try:
                 await self._follow()
+                if self.copy.revision:
+                    self.has_failed = False
             except Exception as error:
                 # A follower that has ended would leave the front with an old
                 # copy for good.
                 self.failure_count += 1
+                self.has_failed = True
                 logs.warning(
                     self.log,
                     "store_follower_failed",
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -52,8 +52,10 @@
             ):
                 fixture.store.set("servers/t2", target_object("t2", born=9))
                 await asyncio.sleep(1.0)
+                self.assertTrue(front.targets.has_failed)
             self.assertGreater(front.targets.failure_count, 0)
             await asyncio.sleep(1.5)
+            self.assertFalse(front.targets.has_failed)
             self.assertEqual(9, front.table.by_id["t2"].record.started_ms)
             await self.check_drained_in_time(fixture, "t1")
             self.assertTrue(front.targets.is_up_to_date)
