Collect lost tasks once for each test, not for each subtest

The plugin collected after each subtest, among them some thousand of tests.test_platform_codecs, which took 232 s in place of 1 s. It now waits for the outcome of the test, and the modules imported at the start are excluded from the collections.

--- a/bench/lost_task_errors.py
+++ b/bench/lost_task_errors.py
@@ -55,8 +55,15 @@
         self.handler = LostErrorHandler()
         asyncio_log().addHandler(self.handler)
 
+    def startTestRun(self, event: typing.Any) -> None:
+        """Excludes the imported modules from the collections."""
+        gc.freeze()
+
     def setTestOutcome(self, event: typing.Any) -> None:
         """Changes the outcome of a test that has lost an exception."""
+        if event.outcome == result.SUBTEST:
+            # The outcome of its test follows.
+            return
         reports = self.handler.take()
         if not reports or event.outcome != result.PASS:
             return
