Let address lists end while a stopping front still serves

Callers keep a list for up to three times its lifetime, and a stopping front refuses requests from 2.8 s on. With a lifetime of 1 s the last of them were refused for 0.2 s. 0.9 s ends their use at 2.7 s, at the price of a tenth more look-ups.

Evidence: the new test of tests.test_stop_schedule, which compares the two constants, would fail with 1 s (3.0 is not below 2.8).

--- a/fuchsiacourse/front/directory.py
+++ b/fuchsiacourse/front/directory.py
@@ -9,8 +9,9 @@
 
 # Time for which callers may keep an answer, in seconds. It bounds how long
 # they use a front that is shutting down or down; some callers keep an answer
-# three times as long.
-ADDRESS_TTL_S = 1.0
+# KEEP_FACTOR times as long, which must end while such a front still serves.
+ADDRESS_TTL_S = 0.9
+KEEP_FACTOR = 3.0
 MAX_ADDRESSES = 64
 # If the caller's zone has fewer addresses, those of other zones are added.
 MIN_ADDRESSES = 2
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bench import front_fakes
+from fuchsiacourse.front import directory
 from fuchsiacourse.front import stop_schedule
 
 USUAL_S = 0.3
@@ -32,6 +33,11 @@
         self.clock.now_s += 100.0
         self.assertFalse(schedule.may_serve(0.0))
 
+    def test_callers_have_left_before_requests_are_refused(self):
+        """Guards against refusing callers that use an address list on."""
+        kept_s = directory.KEEP_FACTOR * directory.ADDRESS_TTL_S
+        self.assertLess(kept_s, stop_schedule.SERVE_S)
+
     def test_service_that_usually_takes_longer_than_the_rest(self):
         """Guards against starting work that is known to be cut off."""
         schedule = self.schedule()
