--- a/bench/gray_day.py
+++ b/bench/gray_day.py
@@ -84,9 +84,11 @@
                 for number, id in enumerate(self._phase_s_by_id)
             ],
             behave=self._behave,
-            route=front_fakes.route(
-                is_idempotent=False, objective_s=2.0, timeout_s=5.0
-            ),
+            found=[
+                front_fakes.route(
+                    is_idempotent=False, objective_s=2.0, timeout_s=5.0
+                )
+            ],
         )
         await asyncio.sleep(front_fleet.START_S)
         start_s = asyncio.get_running_loop().time()
--- a/bench/limit_day.py
+++ b/bench/limit_day.py
@@ -93,7 +93,7 @@
                 for number in range(TARGETS)
             ],
             behave=self._behave,
-            route=front_fakes.route(is_idempotent=self._is_idempotent),
+            found=[front_fakes.route(is_idempotent=self._is_idempotent)],
         )
         await asyncio.sleep(front_fleet.START_S)
         load = asyncio.ensure_future(fleet.send(self._for_s, RATE_PER_S))
