--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -21,6 +21,7 @@
 # Mean pause between the batches of a caller, and pause after a failure to
 # connect, in seconds.
 PAUSE_S = 0.08
+CONNECT_TIMEOUT_S = 1.0
 # Time after which all fronts use a new configuration, in seconds.
 CONFIG_IN_FORCE_S = fault_checker.CONFIG_S + fault_checker.SLACK_S
 # Share of the requests whose body is as long as the limit allows.
@@ -126,23 +127,32 @@
                 await asyncio.sleep(PAUSE_S)
                 continue
             front = self._rng.choice(running)
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(
-                        front.ip, fault_testbed.FRONT_PORT
-                    ),
-                    1.0,
-                )
-            except (OSError, TimeoutError):
-                # The front has just stopped or not started yet.
+            connection = await self._connect(front)
+            if connection is None:
                 self._record_result(False)
                 await asyncio.sleep(PAUSE_S)
                 continue
+            reader, writer = connection
             try:
                 await self._use_connection(front, reader, writer)
             finally:
                 writer.close()
 
+    async def _connect(
+        self, front: fault_testbed.FaultFront
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Returns a connection, None if the front accepts none.
+
+        It has just stopped then, or not started yet.
+        """
+        try:
+            return await asyncio.wait_for(
+                asyncio.open_connection(front.ip, fault_testbed.FRONT_PORT),
+                CONNECT_TIMEOUT_S,
+            )
+        except (OSError, TimeoutError):
+            return None
+
     async def _use_connection(
         self,
         front: fault_testbed.FaultFront,
--- a/bench/fault_late_callers.py
+++ b/bench/fault_late_callers.py
@@ -41,16 +41,11 @@
 
     async def _stay_with(self, front: fault_testbed.FaultFront) -> None:
         while not self.is_stopped:
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(
-                        front.ip, fault_testbed.FRONT_PORT
-                    ),
-                    1.0,
-                )
-            except (OSError, TimeoutError):
+            connection = await self._connect(front)
+            if connection is None:
                 await asyncio.sleep(RECONNECT_S)
                 continue
+            reader, writer = connection
             try:
                 await self._use(front, reader, writer)
             finally:
