--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -47,7 +47,7 @@
 PIECE_PAUSE_S = 0.005
 
 
-class _Call:
+class Call:
     """A request and its encoding."""
 
     __slots__ = ("id", "sent", "body", "form", "pieces", "limits")
@@ -163,7 +163,7 @@
 
     def _batch(
         self, front: fault_testbed.FaultFront, *, is_first: bool
-    ) -> list[_Call]:
+    ) -> list[Call]:
         """Returns the requests to write before the next answer is read."""
         draw = self._rng.random()
         if draw < PAIR_SHARE:
@@ -179,7 +179,7 @@
 
     def _new_call(
         self, front: fault_testbed.FaultFront, form: fault_wire.Form
-    ) -> _Call:
+    ) -> Call:
         id = self._next_id()
         route = self._rng.choice(list(self._testbed.service_by_route))
         sizes = BODY_BYTES if form in LONG_BODIED else BODY_BYTES[:2]
@@ -211,7 +211,7 @@
             max_head_bytes=max_head_bytes,
         )
         self._testbed.checker.checked[f"form {form.value}"] += 1
-        return _Call(
+        return Call(
             id=id,
             sent=sent,
             body=body,
@@ -222,9 +222,10 @@
 
     async def _exchange_all(
         self,
-        batch: list[_Call],
+        batch: list[Call],
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> bool:
         """Sends a batch and reads its answers.
 
@@ -239,7 +240,7 @@
                 is_written = len(batch) > 1
                 keeps_alive = await asyncio.wait_for(
                     self._exchange(left[0], reader, writer, is_written),
-                    ANSWER_TIMEOUT_S,
+                    timeout_s,
                 )
                 left.popleft()
                 if not keeps_alive:
@@ -257,7 +258,7 @@
 
     async def _exchange(
         self,
-        call: _Call,
+        call: Call,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         is_written: bool,
@@ -278,7 +279,7 @@
 
     async def _finish(
         self,
-        call: _Call,
+        call: Call,
         status: int,
         fields: fault_wire.Fields,
         reader: asyncio.StreamReader,
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -215,7 +215,9 @@
             body=body,
             draining_s=self.draining_s,
         )
-        return await self._run(id, body_for(id, body), writer)
+        return await self._run(
+            id, body_for(id, body), writer, work_s=_work_s(line.split()[1])
+        )
 
     def _with_limit(self, id: str, answer: bytes) -> bytes:
         """Returns an answer that states the rate limit, if there is one."""
@@ -271,7 +273,12 @@
             await asyncio.sleep(FILLER_PAUSE_S)
 
     async def _run(
-        self, id: str, body: bytes, writer: asyncio.StreamWriter
+        self,
+        id: str,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+        *,
+        work_s: float,
     ) -> bool:
         mode = self.mode
         if mode is Mode.FAILS:
@@ -279,7 +286,7 @@
             writer.write(self._with_wish(id, failed))
             return True
         await asyncio.sleep(
-            {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, WORK_S)
+            {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, work_s)
         )
         if mode in (Mode.ENDLESS_HEAD, Mode.ENDLESS_BODY):
             await self._answer_endlessly(id, writer)
@@ -302,6 +309,17 @@
         return True
 
 
+def _work_s(path: str) -> float:
+    """Returns the work of a request, in seconds.
+
+    Args:
+        path: Path of the request; one that ends in ``/work/MS`` states it in
+            milliseconds.
+    """
+    _, mark, stated_ms = path.rpartition("/work/")
+    return int(stated_ms) / 1000.0 if mark else WORK_S
+
+
 def _answer(
     status: int, id: str, body: bytes, extra: str = _SIGNATURE
 ) -> bytes:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -17,6 +17,20 @@
         self.assertGreater(checker.checked["run"], 100)
         self.assertGreater(checker.faults.total(), 3)
 
+    def test_short_run_of_planned_stops(self):
+        """Guards against late requests that overlapping stops cut off."""
+        checker = fault_soak.run_seed(
+            seed=37011, seconds=10.0, only=("stop", "rolling_restart")
+        ).checker
+        self.assertEqual([], checker.violations)
+        self.assertGreater(checker.checked["late caller"], 100)
+        self.assertGreater(checker.faults.total(), 5)
+
+    def test_unknown_fault_is_refused(self):
+        """Guards against a run that injects nothing that was asked for."""
+        with self.assertRaises(ValueError):
+            fault_soak.run_seed(seed=1, seconds=1.0, only=("stops",))
+
 
 class FaultTestbedTest(unittest.IsolatedAsyncioTestCase):
     """Guards against rejections that are checked with wrong limits."""
