Name half-read requests that the exit of a front cuts off

Requests that are half read, and answers that their callers have not taken, are named too.

The test failed before: no line for a request whose head was half read.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -107,8 +107,8 @@
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        # The request that is being answered, None if there is none.
-        self.request: http_request.HttpRequest | None = None
+        # The request that is answered or was answered last.
+        self._request: http_request.HttpRequest | None = None
         self._presence: caller_presence.CallerPresence | None = None
         self._rejection: errors.RequestRejected | None = None
         # Rest of the long answer that is being streamed.
@@ -129,6 +129,18 @@
         """Whether a request is being answered."""
         return self._task is not None
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether an incomplete request is read that will be answered."""
+        return self._parser.is_reading and self._linger_until_s is None
+
+    @property
+    def open_request(self) -> http_request.HttpRequest | None:
+        """The request that closing the connection would cut off, if any."""
+        if self.is_busy or self.has_unsent_answer:
+            return self._request
+        return self._parser.partial_request if self.is_reading else None
+
     @property
     def has_unsent_answer(self) -> bool:
         """Whether part of an answer waits for a caller that reads slowly."""
@@ -268,7 +280,7 @@
         if self._parser.requests:
             request = self._parser.requests.popleft()
             self._served += 1
-            self.request = request
+            self._request = request
             self._presence = caller_presence.CallerPresence()
             self._task = asyncio.get_running_loop().create_task(
                 self._serve(request, self._presence)
@@ -333,7 +345,7 @@
             keeps_alive = False
         await self._answer(request, answer, keeps_alive)
         self._task = None
-        self.request = None
+        self._request = request.without_body()
         self._idle_since_s = self._server.clock.now()
         if keeps_alive:
             self._serve_next()
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -87,11 +87,11 @@
 
     @property
     def requests(self) -> list[http_request.HttpRequest]:
-        """Requests that are being answered."""
+        """Requests that are being read or answered."""
         return [
-            item.request
+            request
             for item in self._connections
-            if item.request is not None
+            if (request := item.open_request) is not None
         ]
 
     @property
--- a/fuchsiacourse/front/http_request.py
+++ b/fuchsiacourse/front/http_request.py
@@ -54,6 +54,17 @@
         self.accepts_chunked = accepts_chunked
         self.rest = rest
 
+    def without_body(self) -> HttpRequest:
+        """Returns the request without its body, which uses memory."""
+        return HttpRequest(
+            method=self.method,
+            target=self.target,
+            headers=self.headers,
+            body=b"",
+            received_s=self.received_s,
+            keeps_alive=self.keeps_alive,
+        )
+
     @property
     def is_chunked(self) -> bool:
         """Whether the body is forwarded in chunked transfer coding."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -114,3 +114,15 @@
         self.assertEqual(["q1"], self.runs)
         await asyncio.wait_for(self.process.wait(), GRACE_S)
         self.assertEqual(0, self.process.returncode)
+
+    async def test_request_that_is_half_read_is_named(self):
+        """Guards against a request that the exit cuts off without a line."""
+        caller = await self.connect()
+        caller.send("q1")
+        await caller.read()
+        await self.stop_and_wait(3.2)
+        caller.writer.write(b"POST /a/b/1 HTTP/1.1\r\nHost: one.exa")
+        await asyncio.wait_for(self.process.wait(), GRACE_S)
+        await self.reading
+        cut_off = [line for line in self.lines if "request_cut_off" in line]
+        self.assertEqual(1, len(cut_off))
