Let a caller that still sends take the final answer

A front closed the connection right after an answer that rejects a request (413, 431, 400, 408), and 2 s after any other answer to a body that it had not read whole. The bytes that the caller sent meanwhile reset the connection, and the caller lost an answer that was written.

The front now ends its own side of the connection and drops the input, without parsing it, until the caller closes, is silent for 2 s or has sent on for 10 s. A stop waits for that.

The new test failed before: ConnectionResetError in place of the 413.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -443,7 +443,10 @@
     Mutation(
         rule="LOST: new connections at a stop",
         module="caller_connection.py",
-        before="if is_idle and not self.awaits_first_request:",
+        before=(
+            "if is_idle and not ("
+            "self.awaits_first_request or self.is_lingering):"
+        ),
         after="if is_idle:",
         test="tests.test_caller_connection",
     ),
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -27,9 +27,11 @@
 # configuration is confirmed within this time. It is also sent if there is no
 # memory for a body.
 RETRY_AFTER_S = 1
-# Time for which an unread body is still read and dropped, in seconds. Closing
-# the connection earlier resets it, and the caller may lose the answer.
+# Longest time for which a caller that has its final answer may be silent, and
+# may go on sending, before its connection is closed, in seconds. Closing it
+# while the caller sends resets it, and the caller may lose the answer.
 LINGER_S = 2.0
+MAX_LINGER_S = 10.0
 # Time for which a new connection waits for its first request before it counts
 # as idle, in seconds. The request may be on its way or unread, and closing the
 # connection would cut it off without an answer.
@@ -116,8 +118,8 @@
         self._may_write = asyncio.Event()
         self._may_write.set()
         self._is_flow_paused = False
-        # Monotonic time until which an unread body is read and dropped, in
-        # seconds; None if there is none.
+        # Monotonic time until which the input is read and dropped after the
+        # final answer, in seconds; None before it.
         self._linger_until_s: float | None = None
         self._accepted_s = server.clock.now()
         self._idle_since_s = self._accepted_s
@@ -132,7 +134,12 @@
     @property
     def is_reading(self) -> bool:
         """Whether an incomplete request is read that will be answered."""
-        return self._parser.is_reading and self._linger_until_s is None
+        return self._parser.is_reading and not self.is_lingering
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the caller has its final answer and may still be sending."""
+        return self._linger_until_s is not None
 
     @property
     def open_request(self) -> http_request.HttpRequest | None:
@@ -169,9 +176,9 @@
 
         Bytes after a rejected request are dropped.
         """
-        if self._rejection is not None:
-            return
         self._last_read_s = self._server.clock.now()
+        if self._rejection is not None or self.is_lingering:
+            return
         try:
             self._parser.feed(data)
         except errors.RequestRejected as error:
@@ -180,10 +187,6 @@
                 error.status == _SERVER_ERROR
             ):
                 self._server.report_failure(error.__cause__)
-        if self._linger_until_s is not None:
-            if self._rejection is not None or not self._parser.is_reading:
-                self._close()
-            return
         self._serve_next()
 
     def eof_received(self) -> bool:
@@ -219,7 +222,7 @@
         A new connection stays open for its first request.
         """
         is_idle = self._task is None and not self._parser.is_reading
-        if is_idle and not self.awaits_first_request:
+        if is_idle and not (self.awaits_first_request or self.is_lingering):
             self._close()
 
     def close_if_overdue(self, now_s: float) -> None:
@@ -233,7 +236,8 @@
         """
         limits = self._server.limits
         if self._linger_until_s is not None:
-            if now_s > self._linger_until_s:
+            is_silent = now_s - self._last_read_s > LINGER_S
+            if is_silent or now_s > self._linger_until_s:
                 self._close()
             return
         if self._task is not None:
@@ -413,11 +417,17 @@
             self._close_after_body()
 
     def _close_after_body(self) -> None:
-        """Closes the connection, or lingers while a body is unread."""
-        if self._rejection is None and self._parser.is_reading_body:
-            self._linger_until_s = self._server.clock.now() + LINGER_S
-        else:
+        """Closes the connection, or lingers while input may be unread."""
+        is_whole = not self._parser.is_reading and not self._parser.requests
+        if self._transport is None or (is_whole and self._rejection is None):
             self._close()
+            return
+        now_s = self._server.clock.now()
+        self._last_read_s = now_s
+        self._linger_until_s = now_s + MAX_LINGER_S
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._transport.resume_reading()
 
     def _mark_disconnected(self) -> None:
         if self._presence is not None:
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -78,10 +78,13 @@
         """Number of connections that a stop must wait for.
 
         A request is answered or expected on them, or its caller has not taken
-        the whole answer.
+        the whole answer or is still sending.
         """
         return sum(
-            item.is_busy or item.awaits_first_request or item.has_unsent_answer
+            item.is_busy
+            or item.is_lingering
+            or item.awaits_first_request
+            or item.has_unsent_answer
             for item in self._connections
         )
 
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -7,6 +7,7 @@
 
 from bench import front_fakes
 from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import caller_connection
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import request_parser
@@ -253,6 +254,33 @@
                     answer, _ = await self.read_answer()
                     self.assertIn(b" %s " % expected, answer)
 
+    async def test_rejected_upload_gets_its_answer(self):
+        """Guards against a reset that takes a 413 from a sending caller."""
+        count = self.limits.max_body_bytes + 8_000_000
+        self.writer.write(
+            b"PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % count
+        )
+        for _ in range(100):
+            self.writer.write(b"a" * 80_000)
+            await self.writer.drain()
+            await asyncio.sleep(0.005)
+        head, _ = await self.read_answer()
+        self.assertIn(b" 413 ", head)
+
+    async def test_rejected_caller_that_sends_on_is_closed(self):
+        """Guards against reading on for ever after the last answer."""
+        self.writer.write(b"nonsense\r\n\r\n")
+        await self.read_answer()
+        clock = front_fakes.ManualClock()
+        clock.now_s = self.server.clock.now()
+        self.server.clock = clock
+        self.server.sweep()
+        self.assertEqual(1, self.server.busy)
+        clock.now_s += caller_connection.LINGER_S + 0.1
+        self.server.sweep()
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, self.server.busy)
+
     async def test_stop_answers_a_connection_that_was_just_accepted(self):
         """Guards against a request that is cut off right after the accept."""
         await asyncio.sleep(0.01)
