Answer uploads that a planned stop finds half read

A stopping front waited for requests that it answers, not for those that it reads, and exited beside bodies that were half read (from 3.4 s on). A request that it read whole after that had its connection reset, and one whose body it read on after a refusal lost the written answer.

The exit now waits, within the grace time, for requests that are read and for callers that still send after their last answer. StopSchedule decides how long an upload is waited for: until three times the usual time of its service is left. A caller whose upload can't be served any more gets 503 with 0.1 s to return while it still sends; nothing has run. The final answers of requests in progress come 0.2 s before the exit, so that their callers can take them.

Two tests with a real front process failed before: BrokenPipeError for an upload of 4 s that began with the SIGTERM, ConnectionResetError in place of the 503 for one that began 3 s after it.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -363,17 +363,40 @@
     Mutation(
         rule="LOST: SIGTERM",
         module="front_program.py",
-        before="await self._clock.sleep(schedule.listens_until_s - began_s)",
-        after="pass",
+        before="while self._clock.now() < schedule.listens_until_s:",
+        after="while False:",
         test="tests.test_front_process",
     ),
     Mutation(
         rule="LOST: requests that come late in a stop",
         module="forwarder.py",
-        before="if not self.stop.may_serve(self.times.usual_s(service)):",
-        after="if False:",
+        before="return self._refuse_for_stop(fields, request)\n        finger",
+        after="pass\n        finger",
+        test="tests.test_planned_stop",
+    ),
+    Mutation(
+        rule="LOST: uploads that a stop finds half read",
+        module="caller_server.py",
+        before="            or item.is_reading\n",
+        after="",
         test="tests.test_planned_stop",
     ),
+    Mutation(
+        rule="LOST: uploads that come too late in a stop",
+        module="forwarder.py",
+        before="        fields = self.protocol.request_fields(request)\n"
+        "        return self._refuse_for_stop(fields, request)",
+        after="        return None",
+        test="tests.test_planned_stop",
+    ),
+    Mutation(
+        rule="LOST: answers to callers that still send",
+        module="caller_connection.py",
+        before="if self._transport is None or (is_whole and "
+        "self._rejection is None):",
+        after="if True:",
+        test="tests.test_caller_connection",
+    ),
     Mutation(
         rule="LOST: requests in progress at the exit",
         module="front_program.py",
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -42,6 +42,9 @@
     [http_request.HttpRequest, caller_presence.CallerPresence],
     typing.Awaitable[http_answer.HttpAnswer],
 ]
+Refuse = typing.Callable[
+    [http_request.HttpRequest], http_answer.HttpAnswer | None
+]
 
 
 class Server(typing.Protocol):
@@ -225,6 +228,24 @@
         if is_idle and not (self.awaits_first_request or self.is_lingering):
             self._close()
 
+    def refuse_unread(self, refuse: Refuse) -> None:
+        """Refuses the request whose body is being read, if there is one.
+
+        Args:
+            refuse: Returns the answer, None if the body is waited for.
+        """
+        if (
+            self._task is not None
+            or self._rejection is not None
+            or self.is_lingering
+            or not self._parser.is_reading_body
+        ):
+            return
+        self._request = self._parser.partial_request
+        answer = refuse(self._request)
+        if answer is not None:
+            self._write(answer, keeps_alive=False)
+
     def close_if_overdue(self, now_s: float) -> None:
         """Closes the connection if a timeout of the limits has passed.
 
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -77,11 +77,12 @@
     def busy(self) -> int:
         """Number of connections that a stop must wait for.
 
-        A request is answered or expected on them, or its caller has not taken
-        the whole answer or is still sending.
+        A request is read, answered or expected on them, or its caller has not
+        taken the whole answer or is still sending.
         """
         return sum(
             item.is_busy
+            or item.is_reading
             or item.is_lingering
             or item.awaits_first_request
             or item.has_unsent_answer
@@ -129,6 +130,16 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def refuse_unread(self, refuse: caller_connection.Refuse) -> None:
+        """Refuses requests whose bodies are still being read.
+
+        Args:
+            refuse: Returns the answer to such a request, None if its body is
+                waited for.
+        """
+        for connection in list(self._connections):
+            connection.refuse_unread(refuse)
+
     def sweep(self) -> None:
         """Closes connections that exceed a timeout of the limits."""
         now_s = self.clock.now()
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -162,13 +162,10 @@
                 retry_after_s=ELSEWHERE_RETRY_S,
             )
         service = route.choose_service(self.rng.random())
-        if not self.stop.may_serve(self.times.usual_s(service)):
-            return self._refuse(
-                fields,
-                request,
-                "this front shuts down",
-                retry_after_s=ELSEWHERE_RETRY_S,
-            )
+        if not self.stop.may_serve(
+            self.times.usual_s(service), begun_s=request.received_s
+        ):
+            return self._refuse_for_stop(fields, request)
         fingerprint = crash_suspects.fingerprint_of(request)
         if self.suspects.is_blocked(fingerprint):
             return self._refuse(fields, request, "the request crashes targets")
@@ -187,6 +184,33 @@
         finally:
             self._runs.remove(run)
 
+    def refuse_unread(
+        self, request: http_request.HttpRequest
+    ) -> http_answer.HttpAnswer | None:
+        """Returns the refusal of a request whose body is still being read.
+
+        Args:
+            request: Head of the request.
+
+        Returns:
+            None if the request may still be served once its body is whole.
+        """
+        if not self.stop.has_begun:
+            return None
+        route = None
+        if self.config is not None:
+            route = self.config.find(request.host, request.path)
+        usual_s = 0.0
+        if route is not None:
+            usual_s = min(
+                self.times.usual_s(service)
+                for service in route.weights_by_service
+            )
+        if self.stop.may_serve(usual_s, begun_s=request.received_s):
+            return None
+        fields = self.protocol.request_fields(request)
+        return self._refuse_for_stop(fields, request)
+
     def local_answer(
         self,
         fields: wire_protocol.RequestFields,
@@ -212,6 +236,18 @@
             body=detail.encode() + b"\n",
         )
 
+    def _refuse_for_stop(
+        self,
+        fields: wire_protocol.RequestFields,
+        request: http_request.HttpRequest,
+    ) -> http_answer.HttpAnswer:
+        return self._refuse(
+            fields,
+            request,
+            "this front shuts down",
+            retry_after_s=ELSEWHERE_RETRY_S,
+        )
+
     def _reject(
         self,
         fields: wire_protocol.RequestFields,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -220,10 +220,13 @@
         front_server.is_stopping = True
         logs.event(self._log, "stop_started", busy=front_server.busy)
         self._membership.announce()
-        await self._clock.sleep(schedule.listens_until_s - began_s)
+        while self._clock.now() < schedule.listens_until_s:
+            front_server.refuse_unread(self._forwarder.refuse_unread)
+            await self._clock.sleep(_STOP_POLL_S)
         front_server.stop_listening()
         front_server.close_idle()
         while front_server.busy and self._clock.now() < schedule.exits_at_s:
+            front_server.refuse_unread(self._forwarder.refuse_unread)
             if self._clock.now() >= schedule.answers_until_s:
                 self._forwarder.end_runs()
             await self._clock.sleep(_STOP_POLL_S)
--- a/fuchsiacourse/front/stop_schedule.py
+++ b/fuchsiacourse/front/stop_schedule.py
@@ -1,7 +1,8 @@
 """Decides which requests a front takes while it shuts down.
 
 Covers callers that use a front until its process is gone, with work that may
-take longer than what is left of the grace time.
+take longer than what is left of the grace time, and with bodies that are still
+being read when the shutdown begins.
 """
 
 from __future__ import annotations
@@ -22,8 +23,13 @@
 # seconds; a slow host needs some of it.
 EXIT_MARGIN_S = 0.6
 # Time before the exit at which requests in progress get their final answers,
-# in seconds; the answers have to be sent.
-ANSWER_MARGIN_S = 0.1
+# in seconds; the answers have to be sent, and their callers may still be
+# sending.
+ANSWER_MARGIN_S = 0.2
+# Multiple of the usual time that must be left for a request whose body ends
+# after SERVE_S. Most work ends in it; the caller of a refused request loses
+# only its upload, not its answer.
+UPLOAD_FACTOR = 3.0
 
 
 class StopSchedule:
@@ -63,15 +69,25 @@
         """Monotonic time until which connections are accepted, in seconds."""
         return min(self._began_s + LISTEN_S, self.answers_until_s)
 
-    def may_serve(self, usual_s: float) -> bool:
-        """Returns whether a new request may be sent to a target.
+    @property
+    def has_begun(self) -> bool:
+        """Whether the shutdown has begun."""
+        return self._clock.now() >= self._began_s
+
+    def may_serve(
+        self, usual_s: float, *, begun_s: float | None = None
+    ) -> bool:
+        """Returns whether a request may be sent to a target.
 
         Args:
             usual_s: Usual time of the service, in seconds.
+            begun_s: Monotonic time of the request's first byte, in seconds,
+                None for now.
         """
         now_s = self._clock.now()
         serve_s = min(SERVE_S, SERVE_SHARE * self._bounds.stop_s)
-        return (
-            now_s < self._began_s + serve_s
-            and now_s + usual_s <= self.answers_until_s
-        )
+        is_late = now_s >= self._began_s + serve_s
+        if is_late and (begun_s is None or begun_s >= self._began_s + serve_s):
+            return False
+        needed_s = UPLOAD_FACTOR * usual_s if is_late else usual_s
+        return now_s + needed_s <= self.answers_until_s
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -13,6 +13,8 @@
 # Time that a request takes whose caller comes late, in seconds; it would end
 # after the process.
 LONG_WORK_S = 6.0
+# Pause between the chunks of an upload, in seconds.
+CHUNK_PAUSE_S = 0.2
 
 
 class CallerSide:
@@ -41,6 +43,21 @@
             )
         )
 
+    def begin_upload(self, id: str) -> None:
+        """Sends the head of a request whose body comes in chunks."""
+        self.writer.write(
+            f"POST {front_process_case.PATH} HTTP/1.1\r\n"
+            f"Host: one.example\r\nX-Fuchsiacourse-Request-Id: {id}\r\n"
+            "X-Fuchsiacourse-Request-Deadline: 20000\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+
+    async def upload(self, chunks: int) -> None:
+        """Sends chunks with pauses of ``CHUNK_PAUSE_S``."""
+        for _ in range(chunks):
+            self.writer.write(b"2\r\nab\r\n")
+            await asyncio.sleep(CHUNK_PAUSE_S)
+
     async def read(self) -> tuple[int, bytes, bytes]:
         """Returns status, head and body of an answer."""
         head = (await self.reader.readuntil(b"\r\n\r\n")).lower()
@@ -59,6 +76,8 @@
         for route in spec["hosts"][0]["paths"]:
             route["timeout_ms"] = 20_000
         spec["version"] = "r13"
+        # A head that is half read isn't rejected before the exit.
+        spec["limits"]["header_timeout_ms"] = 20_000
         self.put("config/main", json.dumps({"spec": spec}).encode())
         await asyncio.sleep(1.0)
 
@@ -115,14 +134,46 @@
         await asyncio.wait_for(self.process.wait(), GRACE_S)
         self.assertEqual(0, self.process.returncode)
 
+    async def test_upload_that_fits_is_waited_for(self):
+        """Guards against an exit beside a body that is half read."""
+        caller = await self.connect()
+        caller.begin_upload("q1")
+        await self.stop_and_wait(0.0)
+        await caller.upload(chunks=20)
+        caller.writer.write(b"0\r\n\r\n")
+        status, _, body = await caller.read()
+        self.assertEqual((200, b"q1"), (status, body))
+        await asyncio.wait_for(self.process.wait(), GRACE_S)
+        self.assertEqual(0, self.process.returncode)
+
+    async def test_late_upload_is_refused_before_its_end(self):
+        """Guards against a reset that takes the refusal from its caller."""
+        caller = await self.connect()
+        caller.send("q1")
+        await caller.read()
+        await self.stop_and_wait(3.0)
+        caller.begin_upload("q2")
+        began_s = asyncio.get_running_loop().time()
+        answer = asyncio.ensure_future(caller.read())
+        await caller.upload(chunks=8)
+        self.assertTrue(answer.done())
+        status, head, _ = await answer
+        self.assertEqual(503, status)
+        self.assertIn(b"retry-after: ", head)
+        self.assertEqual(["q1"], self.runs)
+        caller.writer.close()
+        await asyncio.wait_for(self.process.wait(), 2.0)
+        took_s = asyncio.get_running_loop().time() - began_s
+        self.assertLess(took_s, GRACE_S - 3.0)
+
     async def test_request_that_is_half_read_is_named(self):
         """Guards against a request that the exit cuts off without a line."""
         caller = await self.connect()
         caller.send("q1")
         await caller.read()
-        await self.stop_and_wait(3.2)
+        await self.stop_and_wait(3.0)
         caller.writer.write(b"POST /a/b/1 HTTP/1.1\r\nHost: one.exa")
         await asyncio.wait_for(self.process.wait(), GRACE_S)
         await self.reading
         cut_off = [line for line in self.lines if "request_cut_off" in line]
-        self.assertEqual(1, len(cut_off))
+        self.assertEqual(1, len(cut_off), "".join(self.lines[-8:]))
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -59,3 +59,24 @@
             self.assertLessEqual(schedule.exits_at_s, began_s + stop_s)
             self.clock.now_s += stop_s * stop_schedule.SERVE_SHARE
             self.assertFalse(schedule.may_serve(0.0))
+
+    def test_upload_that_began_in_time_is_waited_for(self):
+        """Guards against refusing an upload that still fits."""
+        schedule = self.schedule()
+        schedule.begin()
+        begun_s = self.clock.now_s + 2.0
+        self.clock.now_s += 4.0
+        self.assertFalse(schedule.may_serve(USUAL_S))
+        self.assertTrue(schedule.may_serve(USUAL_S, begun_s=begun_s))
+        self.assertFalse(schedule.may_serve(4 * USUAL_S, begun_s=begun_s))
+        self.clock.now_s += 1.2
+        self.assertFalse(schedule.may_serve(USUAL_S, begun_s=begun_s))
+
+    def test_upload_that_began_late_is_refused(self):
+        """Guards against waiting for an upload that can't be served."""
+        schedule = self.schedule()
+        schedule.begin()
+        self.clock.now_s += stop_schedule.SERVE_S
+        begun_s = self.clock.now_s
+        self.clock.now_s += 0.1
+        self.assertFalse(schedule.may_serve(0.0, begun_s=begun_s))
