--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -35,6 +35,35 @@
 
         return script
 
+    def test_changes_some_seconds_after_a_silence_are_in_use(self):
+        """Guards against a zone whose followers recover late and unnoticed.
+
+        The store loses those that watch, and the next change, a release and
+        another change come seconds after it answers again.
+        """
+        for silent_s in (2.0, 3.3, 4.5):
+            for pause_s in (0.5, 1.5, 3.7, 6.0):
+                with self.subTest(silent_s=silent_s, pause_s=pause_s):
+                    self.run_script(self._script_of_changes(silent_s, pause_s))
+
+    def _script_of_changes(self, silent_s: float, pause_s: float):
+        async def script(fixture):
+            for front in fixture.live():
+                front.store_link.is_silent = True
+            await asyncio.sleep(silent_s)
+            for front in fixture.live():
+                front.store_link.is_silent = False
+            await asyncio.sleep(pause_s)
+            await self.check_drained_in_time(fixture, "t1")
+            fixture.store.set("servers/t3", target_object("t3"))
+            fixture.store.set("servers/t1", None)
+            await asyncio.sleep(APPLY_S)
+            for front in fixture.live():
+                self.assertEqual({"t2", "t3"}, front.usable(), front.ip)
+            await self.check_drained_in_time(fixture, "t2")
+
+        return script
+
 
 class FailingFollowerTest(test_store_relay.ZoneTestCase):
     """A fault of a follower must not end it."""
