Join the tiny parts of answers before keeping them

Each chunk of an answer was kept and passed on as an object of its own, so the memory and the calls grew with the number of chunks, not with their bytes.

The parser joins what one call of feed brings, short parts are joined to the one before them, and a stream returns up to 64 KB at a time.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -259,6 +259,20 @@
         after="if request.rest is None:",
         test="tests.test_pooled_sender",
     ),
+    Mutation(
+        rule="COST: tiny parts that are kept one by one",
+        module="body_stream.py",
+        before="if parts and len(parts[-1]) + len(data) <= JOINED_BYTES:",
+        after="if False:",
+        test="tests.test_body_stream",
+    ),
+    Mutation(
+        rule="COST: tiny parts that are read one by one",
+        module="body_stream.py",
+        before="if not parts or size + len(parts[0]) > READ_BYTES:",
+        after="if True:",
+        test="tests.test_body_stream",
+    ),
     Mutation(
         rule="MIXED: cut long answers",
         module="caller_connection.py",
--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -45,6 +45,7 @@
         "_parser",
         "_headers",
         "_body",
+        "_new_parts",
         "_body_bytes",
         "_bodiless_bytes",
         "_is_head_complete",
@@ -68,6 +69,8 @@
         self._stream_factory = stream_factory
         self._stream: body_stream.BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
+        # Parts of a body that are joined before they are kept or passed on.
+        self._new_parts: list[bytes] = []
         # Bytes since the last part of a body or the last final head.
         self._bodiless_bytes = 0
         self._reset()
@@ -85,6 +88,9 @@
         self._bodiless_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._join_parts()
+        except errors.TargetBadAnswer as error:
+            self._fail_malformed(error)
         except httptools.HttpParserError as error:
             self._fail_malformed(errors.TargetBadAnswer(str(error)))
         except httptools.HttpParserUpgrade:
@@ -155,32 +161,41 @@
         )
 
     def on_body(self, body: bytes) -> None:
-        """Handles a part of a body (httptools callback).
+        """Handles a part of a body (httptools callback)."""
+        self._new_parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Handles the end of an answer (httptools callback)."""
+        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            self._reset()
+            return
+        self._join_parts()
+        self._complete()
+        self._bodiless_bytes = 0
+
+    def _join_parts(self) -> None:
+        """Keeps or passes on the parts that one call of ``feed`` brought.
 
         Raises:
             TargetBadAnswer: The body exceeds the limit and isn't streamed.
         """
+        parts = self._new_parts
+        if not parts:
+            return
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
         self._bodiless_bytes = 0
-        self.body_part_count += 1
+        self.body_part_count += len(parts)
+        parts.clear()
         if self._stream is not None:
             self._stream.feed(body)
             return
         self._body_bytes += len(body)
-        if self._must_stream():
-            self._body.append(body)
-            self._begin_stream()
-            return
-        if self._body_bytes > self._max_bytes:
+        must_stream = self._must_stream()
+        if not must_stream and self._body_bytes > self._max_bytes:
             raise errors.TargetBadAnswer("body too large")
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """Handles the end of an answer (httptools callback)."""
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
-            self._reset()
-            return
-        self._complete()
-        self._bodiless_bytes = 0
+        body_stream.append_part(self._body, body)
+        if must_stream:
+            self._begin_stream()
 
     def _must_stream(self) -> bool:
         return (
--- a/fuchsiacourse/front/body_stream.py
+++ b/fuchsiacourse/front/body_stream.py
@@ -17,6 +17,10 @@
 # a link of 1 Gbit/s busy for 2 ms.
 HIGH_WATER_BYTES = 262_144
 LOW_WATER_BYTES = 65_536
+# Parts are joined while they are kept up to the first and when they are read
+# up to the second of these lengths, because a part costs far more than a byte.
+JOINED_BYTES = 4_096
+READ_BYTES = 65_536
 
 FlowCallback = typing.Callable[[bool], None]
 CloseCallback = typing.Callable[[], None]
@@ -82,7 +86,7 @@
         """Adds bytes; drops them if the stream is closed or has ended."""
         if self._is_closed or self._is_ended:
             return
-        self._parts.append(data)
+        append_part(self._parts, data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > HIGH_WATER_BYTES and not self._is_paused:
             self._is_paused = True
@@ -122,6 +126,8 @@
     async def read(self) -> bytes:
         """Returns the next bytes, or no bytes at the end of the body.
 
+        Several short parts are returned joined.
+
         Raises:
             BodyTruncated: The body is truncated, or the deadline has passed.
         """
@@ -137,7 +143,7 @@
                 return b""
             self._arrived.clear()
             await self.wait_for(self._arrived)
-        part = self._parts.popleft()
+        part = self._take()
         self._buffered_bytes -= len(part)
         if self._buffered_bytes < LOW_WATER_BYTES:
             self._resume()
@@ -161,6 +167,18 @@
             self.close()
             raise errors.BodyTruncated("deadline passed") from error
 
+    def _take(self) -> bytes:
+        parts = self._parts
+        first = parts.popleft()
+        size = len(first)
+        if not parts or size + len(parts[0]) > READ_BYTES:
+            return first
+        taken = [first]
+        while parts and size + len(parts[0]) <= READ_BYTES:
+            size += len(parts[0])
+            taken.append(parts.popleft())
+        return b"".join(taken)
+
     def _resume(self) -> None:
         if self._is_paused:
             self._is_paused = False
@@ -176,6 +194,21 @@
             self.on_end(error)
 
 
+def append_part(
+    parts: collections.deque[bytes] | list[bytes], data: bytes
+) -> None:
+    """Adds bytes to the parts of a body; joins them to a short last part.
+
+    Args:
+        parts: Parts of the body.
+        data: Bytes that follow them.
+    """
+    if parts and len(parts[-1]) + len(data) <= JOINED_BYTES:
+        parts[-1] += data
+    else:
+        parts.append(data)
+
+
 def chunk(part: bytes) -> bytes:
     """Returns bytes as one chunk of the chunked transfer coding.
 
--- a/tests/test_answer_parser.py
+++ b/tests/test_answer_parser.py
@@ -1,6 +1,8 @@
 """Tests of fuchsiacourse.front.answer_parser."""
 
+import tracemalloc
 import unittest
+from unittest import mock
 
 from fuchsiacourse import errors
 from fuchsiacourse.front import answer_parser
@@ -58,6 +60,36 @@
         )
         self.assertEqual(b"ab", self.parser.answers[0].body)
 
+    def test_tiny_chunks_are_kept_joined(self):
+        """Guards against memory for each tiny chunk of a buffered body."""
+        for size in (1, 4, 4096):
+            with self.subTest(bytes_per_feed=6 * size):
+                parser = answer_parser.AnswerParser(max_bytes=200_000)
+                parser.feed(OK + b"Transfer-Encoding: chunked\r\n\r\n")
+                tracemalloc.start()
+                try:
+                    for number in range(65_536 // size):
+                        parser.feed(b"2\r\n%02d\r\n" % (number % 100) * size)
+                    held_bytes, _ = tracemalloc.get_traced_memory()
+                finally:
+                    tracemalloc.stop()
+                self.assertLess(held_bytes, 300_000)
+                parser.feed(b"0\r\n\r\n")
+                self.assertEqual(131_072, len(parser.answers[0].body))
+
+    def test_tiny_chunks_are_passed_on_joined(self):
+        """Guards against one call of the stream for each tiny chunk."""
+        stream = mock.Mock()
+        parser = answer_parser.AnswerParser(
+            max_bytes=1_000_000, stream_factory=lambda: stream
+        )
+        parser.feed(OK + b"Transfer-Encoding: chunked\r\n\r\n")
+        parser.feed(b"50000\r\n%s\r\n" % (b"a" * 0x50000))
+        for _ in range(10):
+            parser.feed(b"2\r\nab\r\n" * 1000)
+        parts = [call.args[0] for call in stream.feed.call_args_list]
+        self.assertEqual([b"ab" * 1000] * 10, parts)
+
     def test_informational_answer_is_dropped(self):
         """Guards against taking a 1xx for the final answer."""
         self.parser.feed(
