Limit the header lines of an answer

A head was limited to 64 KB only. Lines of a few bytes are kept as two objects and a pair each, so a head without end took many times its bytes before it was given up.

A head may have 256 lines; a longer one is a bad answer, whose error names the limit. The parser counts header lines, trailers, heads and body parts.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -273,6 +273,13 @@
         after="if True:",
         test="tests.test_body_stream",
     ),
+    Mutation(
+        rule="COST: header lines without end",
+        module="answer_parser.py",
+        before="if len(self._headers) >= MAX_HEAD_LINES:",
+        after="if False:",
+        test="tests.test_answer_parser",
+    ),
     Mutation(
         rule="MIXED: cut long answers",
         module="caller_connection.py",
--- a/fuchsiacourse/errors.py
+++ b/fuchsiacourse/errors.py
@@ -95,6 +95,20 @@
     """The answer is truncated or fails the service's answer checks."""
 
 
+class AnswerLimitExceeded(TargetBadAnswer):
+    """The answer costs more than a process spends on it.
+
+    Args:
+        limit: Name of the limit.
+        value: Its value.
+    """
+
+    def __init__(self, limit: str, value: int) -> None:
+        self.limit = limit
+        self.value = value
+        super().__init__(f"answer exceeds {limit}={value}")
+
+
 class ConfigRejected(FuchsiacourseError):
     """A configuration is invalid; the one in force remains."""
 
--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -19,6 +19,9 @@
 # before it, chunk extensions or trailers. Common servers limit a head to an
 # eighth of it.
 MAX_HEAD_BYTES = 65_536
+# Header lines of one head. A line is kept as two objects, which take far more
+# memory than a short line has bytes.
+MAX_HEAD_LINES = 256
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -38,7 +41,8 @@
         "answers",
         "closes",
         "has_begun",
-        "body_part_count",
+        "part_count",
+        "content_bytes",
         "_max_bytes",
         "_stream_factory",
         "_stream",
@@ -46,6 +50,7 @@
         "_headers",
         "_body",
         "_new_parts",
+        "_limit_error",
         "_body_bytes",
         "_bodiless_bytes",
         "_is_head_complete",
@@ -63,14 +68,18 @@
         self.closes = False
         # Whether part of an incomplete answer has been read.
         self.has_begun = False
-        # Number of body parts read so far, over all answers.
-        self.body_part_count = 0
+        # Number of body parts, header lines, trailers and heads, and bytes of
+        # the bodies read so far, over all answers.
+        self.part_count = 0
+        self.content_bytes = 0
         self._max_bytes = max_bytes
         self._stream_factory = stream_factory
         self._stream: body_stream.BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
         # Parts of a body that are joined before they are kept or passed on.
         self._new_parts: list[bytes] = []
+        # Raised in a callback, where httptools replaces it.
+        self._limit_error: errors.AnswerLimitExceeded | None = None
         # Bytes since the last part of a body or the last final head.
         self._bodiless_bytes = 0
         self._reset()
@@ -89,16 +98,20 @@
         try:
             self._parser.feed_data(data)
             self._join_parts()
-        except errors.TargetBadAnswer as error:
+        except errors.AnswerLimitExceeded as error:
             self._fail_malformed(error)
         except httptools.HttpParserError as error:
-            self._fail_malformed(errors.TargetBadAnswer(str(error)))
+            self._fail_malformed(
+                self._limit_error or errors.TargetBadAnswer(str(error))
+            )
         except httptools.HttpParserUpgrade:
             self._fail_malformed(
                 errors.TargetBadAnswer("unrequested protocol switch")
             )
         if self._bodiless_bytes > MAX_HEAD_BYTES:
-            self._fail_malformed(errors.TargetBadAnswer("head too large"))
+            self._fail_malformed(
+                errors.AnswerLimitExceeded("head_bytes", MAX_HEAD_BYTES)
+            )
 
     @property
     def is_streaming(self) -> bool:
@@ -143,13 +156,21 @@
         self.has_begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header and drops a trailer (httptools callback)."""
+        """Adds a header and drops a trailer (httptools callback).
+
+        Raises:
+            AnswerLimitExceeded: The head has too many lines.
+        """
+        self.part_count += 1
         if self._is_head_complete:
             return
+        if len(self._headers) >= MAX_HEAD_LINES:
+            raise self._exceeded("head_lines", MAX_HEAD_LINES)
         self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Handles the end of a head (httptools callback)."""
+        self.part_count += 1
         self._is_head_complete = True
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS:
@@ -177,14 +198,15 @@
         """Keeps or passes on the parts that one call of ``feed`` brought.
 
         Raises:
-            TargetBadAnswer: The body exceeds the limit and isn't streamed.
+            AnswerLimitExceeded: The body is too long and isn't streamed.
         """
         parts = self._new_parts
         if not parts:
             return
         body = parts[0] if len(parts) == 1 else b"".join(parts)
         self._bodiless_bytes = 0
-        self.body_part_count += len(parts)
+        self.part_count += len(parts)
+        self.content_bytes += len(body)
         parts.clear()
         if self._stream is not None:
             self._stream.feed(body)
@@ -192,11 +214,15 @@
         self._body_bytes += len(body)
         must_stream = self._must_stream()
         if not must_stream and self._body_bytes > self._max_bytes:
-            raise errors.TargetBadAnswer("body too large")
+            raise self._exceeded("body_bytes", self._max_bytes)
         body_stream.append_part(self._body, body)
         if must_stream:
             self._begin_stream()
 
+    def _exceeded(self, limit: str, value: int) -> errors.AnswerLimitExceeded:
+        self._limit_error = errors.AnswerLimitExceeded(limit, value)
+        return self._limit_error
+
     def _must_stream(self) -> bool:
         return (
             self._stream_factory is not None
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -26,7 +26,7 @@
 # Late answers that a connection may receive. It carries one request at a time,
 # but a target may answer a request more than once.
 MAX_LATE_ANSWERS = 16
-# Body parts of late answers. Tiny parts use up processor time long before the
+# Parts of late answers. Tiny parts use up processor time long before the
 # limit in bytes is reached; full reads of the socket yield some hundred parts.
 MAX_LATE_PARTS = 50_000
 
@@ -58,7 +58,7 @@
         self._late_answers = 0
         # Number of bytes read since the first late answer.
         self._late_bytes = 0
-        # Value of the parser's count of body parts at the first late answer.
+        # Value of the parser's count of parts at the first late answer.
         self._first_late_part = 0
         # Number of answers that were returned.
         self.answer_count = 0
@@ -268,7 +268,7 @@
             # A late answer to an earlier request; this request's answer
             # follows.
             if not self.is_out_of_sync:
-                self._first_late_part = self._parser.body_part_count
+                self._first_late_part = self._parser.part_count
             self.is_out_of_sync = True
             self._late_answers += 1
 
@@ -276,7 +276,7 @@
         if self._waiter is None or self._waiter.done():
             return
         self._late_bytes += len(data)
-        parts = self._parser.body_part_count - self._first_late_part
+        parts = self._parser.part_count - self._first_late_part
         if (
             self._late_bytes > MAX_LATE_BYTES
             or parts > MAX_LATE_PARTS
--- a/tests/test_answer_parser.py
+++ b/tests/test_answer_parser.py
@@ -138,6 +138,41 @@
                     for _ in range(20):
                         parser.feed(block)
 
+    def test_header_lines_without_end(self):
+        """Guards against memory for header lines far above their bytes."""
+        parser = answer_parser.AnswerParser(max_bytes=100)
+        parser.feed(OK)
+        tracemalloc.start()
+        try:
+            with self.assertRaises(errors.AnswerLimitExceeded) as caught:
+                for number in range(10):
+                    parser.feed(b"%d: a\r\n" % number * 1000)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertEqual("head_lines", caught.exception.limit)
+        self.assertLess(held_bytes, 100_000)
+
+    def test_head_of_many_lines(self):
+        """Guards against a limit that ordinary heads reach."""
+        lines = b"X: a\r\n" * (answer_parser.MAX_HEAD_LINES - 1)
+        self.parser.feed(OK + lines + b"Content-Length: 1\r\n\r\na")
+        self.assertEqual(b"a", self.parser.answers[0].body)
+        parser = answer_parser.AnswerParser(max_bytes=100)
+        with self.assertRaises(errors.AnswerLimitExceeded):
+            parser.feed(OK + lines + b"X: a\r\nContent-Length: 1\r\n\r\na")
+
+    def test_all_parts_are_counted(self):
+        """Guards against parts that cost time but are not counted."""
+        self.parser.feed(
+            b"HTTP/1.1 103 Hints\r\nX: a\r\n\r\n"
+            + OK
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\na\r\n2\r\nbc\r\n0\r\nX-Late: b\r\n\r\n"
+        )
+        self.assertEqual(2 + 2 + 2, self.parser.part_count - 1)
+        self.assertEqual(3, self.parser.content_bytes)
+
     def test_trailers_are_not_headers(self):
         """Guards against merging trailers into the headers."""
         self.parser.feed(
