Parse answers at the pace that their parts allow

Limits counted bytes, but a target that sends tiny chunks makes a front work for each of them: with 40 callers of such a target 15 requests of another service were served in place of 318.

Connections to targets, the store and peers parse their bytes through PacedInput, all on one WorkShare. The first 64 parts of each answer are not charged, so ordinary answers never wait. A body that is already streamed is cut like one that is malformed; as before, this is logged with answer_passed_on and doesn't count against the target. Bytes that wait behind an answer close its connection, and a late answer is known by its head, before its body is complete.

Dropped answers are logged (answer_dropped) and counted (front_answers_dropped_total).

--- a/bench/front_fakes.py
+++ b/bench/front_fakes.py
@@ -8,6 +8,7 @@
 
 from bench import virtual_loop
 from fuchsiacourse import clock as clocks
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import crash_suspects
 from fuchsiacourse.front import evidence as evidences
 from fuchsiacourse.front import evidence_collector
@@ -36,8 +37,10 @@
 from fuchsiacourse.front import target_sender
 from fuchsiacourse.front import target_table
 from fuchsiacourse.front import wire_protocol
+from fuchsiacourse.front import work_share
 from fuchsiacourse import logs
 from fuchsiacourse.platform import wire_headers
+from fuchsiacourse import system_clock
 from fuchsiacourse import timers as timer_services
 
 HOST = "callers.example"
@@ -335,6 +338,22 @@
     )
 
 
+def limits_on_answers(
+    *,
+    clock: clocks.Clock | None = None,
+    metrics: front_metrics.FrontMetrics | None = None,
+    log: typing.Any = None,
+) -> answer_limits.AnswerLimits:
+    """Returns the limits of a front, in real time by default."""
+    clock = clock or system_clock.SystemClock()
+    return answer_limits.AnswerLimits(
+        clock=clock,
+        work=work_share.WorkShare(clock=clock),
+        metrics=metrics or front_metrics.FrontMetrics(gauges=dict),
+        log=logs.silent() if log is None else log,
+    )
+
+
 def _raise(error: Exception) -> None:
     """Fails the run for the error of a background task."""
     raise error
--- a/bench/scripted_targets.py
+++ b/bench/scripted_targets.py
@@ -39,6 +39,7 @@
         self._sender = pooled_sender.PooledSender(
             clock=self._clock,
             protocol=wire_headers.WireHeaders(),
+            limits=front_fakes.limits_on_answers(),
             idle_limit=lambda service: MAX_IDLE,
         )
 
--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -118,6 +118,15 @@
         """Whether the rest of an answer is being streamed."""
         return self._stream is not None
 
+    @property
+    def unfinished(self) -> http_answer.HttpAnswer | None:
+        """Head of the answer whose body is being buffered, None without."""
+        if not self._is_head_complete or self._stream is not None:
+            return None
+        return http_answer.HttpAnswer(
+            status=self._parser.get_status_code(), headers=self._headers
+        )
+
     def abort_body(self, error: Exception) -> None:
         """Aborts the body that is being streamed, if there is one.
 
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -8,9 +8,12 @@
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import answer_parser
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_answer
+from fuchsiacourse.front import paced_input
+from fuchsiacourse.front import work_meter
 
 # TCP keep-alive probes detect an unreachable peer, because a network partition
 # leaves connections open without a reset. Idle time and interval in seconds.
@@ -29,6 +32,9 @@
 # Parts of late answers. Tiny parts use up processor time long before the
 # limit in bytes is reached; full reads of the socket yield some hundred parts.
 MAX_LATE_PARTS = 50_000
+# Parts of each answer that are not charged: those of an ordinary head and of a
+# short body.
+FREE_ANSWER_PARTS = 64
 
 Accepts = typing.Callable[[http_answer.HttpAnswer], bool]
 
@@ -37,13 +43,34 @@
     """Client side of one HTTP connection.
 
     Args:
+        limits: Limits of the work for answers.
+        source: Name of the server in the logs.
         max_answer_bytes: Longest body of an answer that is buffered.
         streams_bodies: Whether long bodies are streamed while they arrive.
     """
 
     def __init__(
-        self, *, max_answer_bytes: int, streams_bodies: bool = False
+        self,
+        *,
+        limits: answer_limits.AnswerLimits,
+        source: str,
+        max_answer_bytes: int,
+        streams_bodies: bool = False,
     ) -> None:
+        self._limits = limits
+        self._source = source
+        self._meter = limits.meter()
+        self._paced = paced_input.PacedInput(
+            meter=self._meter,
+            consume=self._consume,
+            on_flow=self._update_reading,
+        )
+        # Whether the reader of a streamed answer wants no more bytes now.
+        self._is_stream_full = False
+        # Parts of the current answer that are not charged.
+        self._free_parts = 0
+        # Number of bytes read from the connection.
+        self._read_bytes = 0
         self._parser = answer_parser.AnswerParser(
             max_bytes=max_answer_bytes,
             stream_factory=self._begin_stream if streams_bodies else None,
@@ -81,6 +108,8 @@
         cls,
         address: tuple[str, int],
         *,
+        limits: answer_limits.AnswerLimits,
+        source: str,
         max_answer_bytes: int,
         streams_bodies: bool = False,
     ) -> ClientConnection:
@@ -88,6 +117,8 @@
 
         Args:
             address: IP address and port of the server.
+            limits: Limits of the work for answers.
+            source: Name of the server in the logs.
             max_answer_bytes: Longest body of an answer that is buffered.
             streams_bodies: Whether long bodies are streamed while they arrive.
 
@@ -97,6 +128,8 @@
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(
             lambda: cls(
+                limits=limits,
+                source=source,
                 max_answer_bytes=max_answer_bytes,
                 streams_bodies=streams_bodies,
             ),
@@ -140,14 +173,16 @@
                 nothing was sent.
             TargetOutcomeUnknown: The connection was lost without an answer,
                 or the request's body was truncated.
-            TargetBadAnswer: The answer is truncated or malformed, or too
-                many late answers came.
+            TargetBadAnswer: The answer is truncated or malformed, costs too
+                much, or too many late answers came.
         """
         assert self._transport is not None and self._waiter is None
         if not self.is_usable:
             raise errors.TargetUnreachable("connection already closed")
         self._accepts = accepts
         self._is_head = is_head
+        self._free_parts = FREE_ANSWER_PARTS
+        self._meter.begin_message()
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         if rest is not None:
@@ -207,28 +242,78 @@
     def close(self) -> None:
         """Aborts the connection; buffered bytes are dropped."""
         self.is_usable = False
+        self._paced.close()
         if self._transport is not None:
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Parses bytes from the server (asyncio callback)."""
-        was_streaming = self._parser.is_streaming
-        if self._waiter is None and not was_streaming:
+        """Takes bytes from the server (asyncio callback)."""
+        self._read_bytes += len(data)
+        self._paced.add(data)
+
+    def _consume(self, data: bytes) -> None:
+        """Parses bytes and delivers the answers that they complete."""
+        parser = self._parser
+        was_streaming = parser.is_streaming
+        if not self._is_awaited and not was_streaming:
             # No request is in progress, so the bytes answer nothing.
+            self.is_out_of_sync = True
             self.close()
             return
+        parts, content_bytes = parser.part_count, parser.content_bytes
         try:
-            self._parser.feed(data)
+            parser.feed(data)
         except errors.TargetBadAnswer as error:
             self._fail(error)
             return
+        self._charge(
+            parser.part_count - parts, parser.content_bytes - content_bytes
+        )
         if self._is_head:
-            self._parser.end_without_body()
+            parser.end_without_body()
         self._deliver_answers()
         if self.is_out_of_sync:
             self._check_late_limits(data)
-        if was_streaming and self._waiter is None:
+        if was_streaming and not self._is_awaited:
             self._after_stream()
+        if self._meter.is_exhausted:
+            self._end_costly_answer()
+
+    @property
+    def _is_awaited(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
+    def _charge(self, parts: int, content_bytes: int) -> None:
+        free_parts = self._free_parts
+        if parts <= free_parts:
+            self._free_parts = free_parts - parts
+            return
+        self._free_parts = 0
+        self._paced.charge(parts - free_parts, content_bytes)
+        self._check_head()
+
+    def _check_head(self) -> None:
+        """Notes a late answer before its body is complete."""
+        if self.is_out_of_sync or not self._is_awaited:
+            return
+        answer = self._parser.unfinished
+        assert self._accepts is not None
+        if answer is not None and not self._accepts(answer):
+            self._note_late()
+
+    def _note_late(self) -> None:
+        if not self.is_out_of_sync:
+            self._first_late_part = self._parser.part_count
+        self.is_out_of_sync = True
+
+    def _end_costly_answer(self) -> None:
+        if not self._is_awaited and not self._parser.is_streaming:
+            return
+        error = errors.AnswerLimitExceeded(
+            "parts", work_meter.MAX_MESSAGE_PARTS
+        )
+        self._parser.abort_body(error)
+        self._fail(error)
 
     def eof_received(self) -> bool:
         """Completes an answer without a length (asyncio callback).
@@ -245,6 +330,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the request that is in progress (asyncio callback)."""
         self.is_usable = False
+        self._paced.close()
         self._may_write.set()
         if self._body_task is not None and self._waiter is None:
             self._body_task.cancel()
@@ -267,13 +353,11 @@
                 answer.rest.discard()
             # A late answer to an earlier request; this request's answer
             # follows.
-            if not self.is_out_of_sync:
-                self._first_late_part = self._parser.part_count
-            self.is_out_of_sync = True
+            self._note_late()
             self._late_answers += 1
 
     def _check_late_limits(self, data: bytes) -> None:
-        if self._waiter is None or self._waiter.done():
+        if not self._is_awaited:
             return
         self._late_bytes += len(data)
         parts = self._parser.part_count - self._first_late_part
@@ -282,7 +366,9 @@
             or parts > MAX_LATE_PARTS
             or self._late_answers > MAX_LATE_ANSWERS
         ):
-            self._fail(errors.TargetBadAnswer("too many late answers"))
+            self._fail(
+                errors.AnswerLimitExceeded("late_answers", MAX_LATE_ANSWERS)
+            )
 
     def _finish(self, answer: http_answer.HttpAnswer) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -306,21 +392,33 @@
         )
 
     def _on_flow(self, is_paused: bool) -> None:
+        self._is_stream_full = is_paused
+        self._update_reading()
+
+    def _update_reading(self) -> None:
         if self._transport is None:
             return
-        if is_paused:
+        if self._is_stream_full or self._paced.is_paused:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
     def _close_if_unusable(self) -> None:
         self.idle_since_s = asyncio.get_running_loop().time()
-        if self._parser.answers or self._parser.has_begun:
+        has_next = self._paced.has_waiting or self._parser.has_begun
+        if self._parser.answers or has_next:
             self.is_out_of_sync = True
         if self._parser.closes or self.is_out_of_sync:
             self.close()
 
     def _fail(self, error: errors.TargetError) -> None:
+        if isinstance(error, errors.AnswerLimitExceeded):
+            self._limits.record_dropped(
+                self._source,
+                error,
+                read_bytes=self._read_bytes,
+                parts=self._parser.part_count,
+            )
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
         self.close()
--- a/fuchsiacourse/front/front_adapter.py
+++ b/fuchsiacourse/front/front_adapter.py
@@ -4,6 +4,7 @@
 
 import abc
 
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import directory
 from fuchsiacourse.front import front_settings
 from fuchsiacourse.front import http_answer
@@ -40,7 +41,11 @@
         """Prefix of the store keys of targets' registrations."""
 
     @abc.abstractmethod
-    def store(self, settings: front_settings.FrontSettings) -> stores.Store:
+    def store(
+        self,
+        settings: front_settings.FrontSettings,
+        limits: answer_limits.AnswerLimits,
+    ) -> stores.Store:
         """Returns a client of the platform's store."""
 
     @abc.abstractmethod
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -8,6 +8,7 @@
 import typing
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import config_follower
@@ -47,6 +48,7 @@
 from fuchsiacourse.front import suspect_exchange
 from fuchsiacourse.front import target_follower
 from fuchsiacourse.front import target_table
+from fuchsiacourse.front import work_share
 from fuchsiacourse import logs
 from fuchsiacourse import store as stores
 from fuchsiacourse import system_clock
@@ -118,12 +120,20 @@
             is_serving=lambda: self.is_ready,
         )
         self._table = target_table.TargetTable(clock=self._clock, log=log)
+        self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
+        self._work = work_share.WorkShare(clock=self._clock)
+        self._answer_limits = answer_limits.AnswerLimits(
+            clock=self._clock,
+            work=self._work,
+            metrics=self._metrics,
+            log=log,
+        )
         self._sender = pooled_sender.PooledSender(
             clock=self._clock,
             protocol=adapter.protocol,
+            limits=self._answer_limits,
             idle_limit=self._idle_limit,
         )
-        self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
         self._rejections = rejection_log.RejectionLog(
             clock=self._clock,
             protocol=adapter.protocol,
@@ -134,7 +144,9 @@
             clock=self._clock, bounds=settings.bounds
         )
         self._forwarder = self._make_forwarder()
-        self._peer_client = peer_client.PeerClient(port=settings.peer_port)
+        self._peer_client = peer_client.PeerClient(
+            port=settings.peer_port, limits=self._answer_limits
+        )
         self._suspect_copier = suspect_copier.SuspectCopier(
             timers=self._timers,
             rng=self._rng,
@@ -145,7 +157,7 @@
             suspects=self._forwarder.suspects,
             log=log,
         )
-        store = adapter.store(settings)
+        store = adapter.store(settings, self._answer_limits)
         self._relay = self._make_relay(store)
         self._configs = self._make_config_follower(store)
         self._targets = self._make_target_follower(store)
--- a/fuchsiacourse/front/paced_input.py
+++ b/fuchsiacourse/front/paced_input.py
@@ -65,6 +65,11 @@
         self._is_closed = False
         self._is_consuming = False
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether bytes wait to be parsed."""
+        return bool(self._waiting)
+
     def add(self, data: bytes) -> None:
         """Parses bytes, or keeps them while the connection is paused."""
         if self._is_closed:
--- a/fuchsiacourse/front/peer_client.py
+++ b/fuchsiacourse/front/peer_client.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import http_answer
 
@@ -23,12 +24,16 @@
 
     Args:
         port: TCP port on which the fronts serve their peers.
+        limits: Limits of the work for answers.
     """
 
-    __slots__ = ("_port",)
+    __slots__ = ("_port", "_limits")
 
-    def __init__(self, *, port: int) -> None:
+    def __init__(
+        self, *, port: int, limits: answer_limits.AnswerLimits
+    ) -> None:
         self._port = port
+        self._limits = limits
 
     async def get(self, ip: str, target: str) -> bytes:
         """Returns the body of a peer's answer.
@@ -53,7 +58,10 @@
 
     async def _exchange(self, ip: str, data: bytes) -> http_answer.HttpAnswer:
         connection = await client_connection.ClientConnection.open(
-            (ip, self._port), max_answer_bytes=MAX_ANSWER_BYTES
+            (ip, self._port),
+            limits=self._limits,
+            source=ip,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
         try:
             return await connection.exchange(data, accepts=lambda _: True)
--- a/fuchsiacourse/front/pooled_sender.py
+++ b/fuchsiacourse/front/pooled_sender.py
@@ -7,6 +7,7 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import http_answer
@@ -72,6 +73,7 @@
     Args:
         clock: Source of time.
         protocol: Writes and reads the platform's headers.
+        limits: Limits of the work for answers.
         idle_limit: Returns the number of idle connections to keep to a
             target of the given service.
     """
@@ -81,11 +83,13 @@
         *,
         clock: clocks.Clock,
         protocol: wire_protocol.WireProtocol,
+        limits: answer_limits.AnswerLimits,
         idle_limit: typing.Callable[[str], int],
     ) -> None:
         self._clock = clock
         self._idle_limit = idle_limit
         self._protocol = protocol
+        self._limits = limits
         self._idle_by_key: dict[int, _IdleList] = {}
         self.opened_count = 0
 
@@ -180,6 +184,8 @@
         return await asyncio.wait_for(
             client_connection.ClientConnection.open(
                 target.record.address,
+                limits=self._limits,
+                source=target.record.id,
                 max_answer_bytes=MAX_ANSWER_BYTES,
                 streams_bodies=True,
             ),
--- a/fuchsiacourse/platform/object_store.py
+++ b/fuchsiacourse/platform/object_store.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.platform import tolerant_json
@@ -51,14 +52,20 @@
 
     Args:
         address: IP address and port of the store.
+        limits: Limits of the work for answers.
         is_first_start: Whether the whole deployment starts for the first
             time.
     """
 
     def __init__(
-        self, *, address: tuple[str, int], is_first_start: bool = False
+        self,
+        *,
+        address: tuple[str, int],
+        limits: answer_limits.AnswerLimits,
+        is_first_start: bool = False,
     ) -> None:
         self._address = address
+        self._limits = limits
         self._host = f"{address[0]}:{address[1]}"
         self._idle: list[client_connection.ClientConnection] = []
         self._is_first_start = is_first_start
@@ -253,7 +260,10 @@
         try:
             return await asyncio.wait_for(
                 client_connection.ClientConnection.open(
-                    self._address, max_answer_bytes=MAX_ANSWER_BYTES
+                    self._address,
+                    limits=self._limits,
+                    source="store",
+                    max_answer_bytes=MAX_ANSWER_BYTES,
                 ),
                 CONNECT_TIMEOUT_S,
             )
--- a/fuchsiacourse/platform/platform_adapter.py
+++ b/fuchsiacourse/platform/platform_adapter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fuchsiacourse.front import answer_limits
 from fuchsiacourse.front import directory
 from fuchsiacourse.front import front_adapter
 from fuchsiacourse.front import front_settings
@@ -46,10 +47,15 @@
         """Prefix of the store keys of targets' registrations."""
         return target_codec.PREFIX
 
-    def store(self, settings: front_settings.FrontSettings) -> stores.Store:
+    def store(
+        self,
+        settings: front_settings.FrontSettings,
+        limits: answer_limits.AnswerLimits,
+    ) -> stores.Store:
         """Returns a client of the platform's store."""
         return object_store.ObjectStore(
             address=settings.store_address,
+            limits=limits,
             is_first_start=settings.is_first_start,
         )
 
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -151,6 +151,7 @@
         self.sender = pooled_sender.PooledSender(
             clock=self.clock,
             protocol=wire_headers.WireHeaders(),
+            limits=front_fakes.limits_on_answers(),
             idle_limit=lambda service: 2,
         )
         self.failures: list[Exception] = []
--- a/tests/test_copy_exchange.py
+++ b/tests/test_copy_exchange.py
@@ -35,7 +35,9 @@
         await self.server.start()
         port = self.server.address[1]
         self.source = copy_exchange.HttpCopySource(
-            client=peer_client.PeerClient(port=port)
+            client=peer_client.PeerClient(
+                port=port, limits=front_fakes.limits_on_answers()
+            )
         )
 
     async def asyncTearDown(self) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from bench import front_fakes
 from bench import scripted_targets
 from bench import virtual_loop
 from fuchsiacourse import errors
@@ -101,7 +102,10 @@
         self.addCleanup(server.close)
         for _ in range(len(endless_answers)):
             connection = await client_connection.ClientConnection.open(
-                server.sockets[0].getsockname(), max_answer_bytes=1_000_000
+                server.sockets[0].getsockname(),
+                limits=front_fakes.limits_on_answers(),
+                source="t1",
+                max_answer_bytes=1_000_000,
             )
             with self.assertRaises(errors.TargetBadAnswer):
                 await connection.exchange(b"GET", accepts=lambda _: True)
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -6,6 +6,7 @@
 
 import uvicorn
 
+from bench import front_fakes
 from fuchsiacourse import errors
 from fuchsiacourse.platform import object_store
 from fuchsiacourse.platform import objects_app
@@ -39,7 +40,9 @@
         while not self.server.started:
             await asyncio.sleep(0.01)
         address = self.server.servers[0].sockets[0].getsockname()
-        self.store = object_store.ObjectStore(address=address)
+        self.store = object_store.ObjectStore(
+            address=address, limits=front_fakes.limits_on_answers()
+        )
 
     async def asyncTearDown(self) -> None:
         self.store.close()
@@ -159,7 +162,9 @@
         """Guards against a stale list of a history that the store lost."""
         for is_first_start in (True, False):
             client = object_store.ObjectStore(
-                address=self.store._address, is_first_start=is_first_start
+                address=self.store._address,
+                limits=front_fakes.limits_on_answers(),
+                is_first_start=is_first_start,
             )
             queries: list[str] = []
             call = client._call
@@ -205,7 +210,9 @@
     async def test_store_that_does_not_listen(self):
         """Guards against a refused connection that raises another error."""
         self.store.close()
-        unreachable = object_store.ObjectStore(address=("127.0.0.1", 1))
+        unreachable = object_store.ObjectStore(
+            address=("127.0.0.1", 1), limits=front_fakes.limits_on_answers()
+        )
         with self.assertRaises(errors.StoreUnavailable):
             await unreachable.get("boxes/b")
 
@@ -221,7 +228,9 @@
         self.unresponsive: set[asyncio.Task] = set()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         address = self.server.sockets[0].getsockname()
-        self.store = object_store.ObjectStore(address=address)
+        self.store = object_store.ObjectStore(
+            address=address, limits=front_fakes.limits_on_answers()
+        )
 
     async def asyncTearDown(self) -> None:
         self.store.close()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 
+from bench import front_fakes
 from fuchsiacourse import errors
 from fuchsiacourse.platform import object_store
 from fuchsiacourse.platform import target_codec
@@ -29,7 +30,9 @@
         self.body = b""
         self.server = await asyncio.start_server(self.answer, "127.0.0.1", 0)
         address = self.server.sockets[0].getsockname()
-        self.store = object_store.ObjectStore(address=address)
+        self.store = object_store.ObjectStore(
+            address=address, limits=front_fakes.limits_on_answers()
+        )
 
     async def asyncTearDown(self) -> None:
         self.store.close()
--- a/tests/test_pooled_sender.py
+++ b/tests/test_pooled_sender.py
@@ -76,6 +76,7 @@
         self.sender = pooled_sender.PooledSender(
             clock=system_clock.SystemClock(),
             protocol=wire_headers.WireHeaders(),
+            limits=front_fakes.limits_on_answers(),
             idle_limit=lambda service: self.idle_limit,
         )
         self.idle_limit = 2
--- a/tests/test_suspect_copies.py
+++ b/tests/test_suspect_copies.py
@@ -96,7 +96,9 @@
             on_error=self.failures.append,
         )
         await self.server.start()
-        self.client = peer_client.PeerClient(port=self.server.address[1])
+        self.client = peer_client.PeerClient(
+            port=self.server.address[1], limits=front_fakes.limits_on_answers()
+        )
         self.source = suspect_exchange.HttpSuspectSource(client=self.client)
 
     async def asyncTearDown(self) -> None:
