Pace callers' uploads in tiny parts and end those without end

The limits on a caller counted bytes only: each chunk of an upload was kept and passed on as a part of its own, and all that one read had received was parsed in one turn, about 40,000 chunks of one byte.

The parts of one slice are joined now. A caller's connection is parsed through PacedInput, in slices, and pauses until the work that it has caused is paid for; all servers of a front divide one share of work. It is read on only if neither the pace, the flow of a body nor the queue of pipelined requests holds it up, and bytes that wait are a request in progress at a stop. A body in more than MAX_MESSAGE_PARTS unpaid parts is rejected with 413, whatever the age of the configuration, or cut off if it is already forwarded. request_rejected names the parts and bytes read; a rejection that cuts a forwarded body off is logged as well.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -460,6 +460,27 @@
         after="if True:",
         test="tests.test_caller_connection",
     ),
+    Mutation(
+        rule="DENIED: others beside uploads in tiny parts",
+        module="request_parser.py",
+        before="self._charge_meter(self._parts, self._part_bytes)",
+        after="pass",
+        test="tests.test_upload_parts",
+    ),
+    Mutation(
+        rule="DENIED: uploads in tiny parts without end",
+        module="request_parser.py",
+        before="        if self._meter.is_exhausted:",
+        after="        if False:",
+        test="tests.test_upload_parts",
+    ),
+    Mutation(
+        rule="DENIED: bytes of a caller that must wait",
+        module="paced_input.py",
+        before="not (self.is_paused or self._is_held):",
+        after="not self.is_paused:",
+        test="tests.test_paced_input",
+    ),
     Mutation(
         rule="LOST: requests in progress at the exit",
         module="front_program.py",
--- a/fuchsiacourse/errors.py
+++ b/fuchsiacourse/errors.py
@@ -130,6 +130,10 @@
         self.status = status
 
 
+class TooManyParts(RequestRejected):
+    """A request has too many parts or header lines, whatever its bytes."""
+
+
 class RequestRefused(FuchsiacourseError):
     """A request is refused: it ends without an answer of a target.
 
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -12,8 +12,11 @@
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
+from fuchsiacourse.front import paced_input
 from fuchsiacourse.front import request_parser
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import work_meter
+from fuchsiacourse.front import work_share
 
 # Pipelined requests that may be queued before reading pauses.
 MAX_PIPELINED = 16
@@ -53,6 +56,7 @@
     clock: clocks.Clock
     handler: Handler
     budget: body_budget.BodyBudget
+    work: work_share.WorkShare
 
     @property
     def limits(self) -> route_table.CallerLimits:
@@ -79,6 +83,8 @@
         *,
         served: int,
         limits: route_table.CallerLimits,
+        parts: int,
+        read_bytes: int,
     ) -> None:
         """Logs a rejected request.
 
@@ -87,6 +93,8 @@
             rejection: Status and reason.
             served: Number of requests on the connection before it.
             limits: Limits that applied to the request.
+            parts: Number of parts that were read on the connection.
+            read_bytes: Bytes of heads and bodies among them.
         """
 
     def report_failure(self, error: Exception) -> None:
@@ -104,11 +112,19 @@
         self._server = server
         # Number of requests that were passed to the handler.
         self._served = 0
+        self._meter = work_meter.WorkMeter(
+            clock=server.clock, share=server.work
+        )
+        self._input = paced_input.PacedInput(
+            meter=self._meter, consume=self._consume, on_flow=self._on_pace
+        )
         self._parser = request_parser.RequestParser(
             clock=server.clock,
             limits=lambda: server.limits,
             budget=server.budget,
             on_flow=self._on_flow,
+            meter=self._meter,
+            charge=self._input.charge,
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
@@ -137,7 +153,7 @@
     @property
     def is_reading(self) -> bool:
         """Whether an incomplete request is read that will be answered."""
-        return self._parser.is_reading and not self.is_lingering
+        return self._has_input and not self.is_lingering
 
     @property
     def is_lingering(self) -> bool:
@@ -182,15 +198,7 @@
         self._last_read_s = self._server.clock.now()
         if self._rejection is not None or self.is_lingering:
             return
-        try:
-            self._parser.feed(data)
-        except errors.RequestRejected as error:
-            self._rejection = self._refuse_if_stale(error)
-            if isinstance(error.__cause__, Exception) and (
-                error.status == _SERVER_ERROR
-            ):
-                self._server.report_failure(error.__cause__)
-        self._serve_next()
+        self._input.add(data)
 
     def eof_received(self) -> bool:
         """Handles a half-close as a disconnect (asyncio callback).
@@ -208,6 +216,7 @@
             self._answer_rest.close()
         self._may_write.set()
         self._mark_disconnected()
+        self._input.close()
         self._parser.close()
         self._server.remove_connection(self)
 
@@ -224,7 +233,7 @@
 
         A new connection stays open for its first request.
         """
-        is_idle = self._task is None and not self._parser.is_reading
+        is_idle = self._task is None and not self._has_input
         if is_idle and not (self.awaits_first_request or self.is_lingering):
             self._close()
 
@@ -263,7 +272,7 @@
             return
         if self._task is not None:
             is_silent = now_s - self._last_read_s > limits.idle_timeout_s
-            if is_silent and not self._is_flow_paused:
+            if is_silent and not self._is_paused:
                 self._parser.abort_body(
                     errors.BodyTruncated("caller stopped sending its body")
                 )
@@ -277,14 +286,62 @@
                 and now_s - started_s > limits.head_timeout_s
             )
         if is_late:
+            self._input.close()
             self._rejection = errors.RequestRejected(
                 _TIMEOUT, "request not complete in time"
             )
             self._serve_next()
-        elif started_s is None:
+        elif not self._has_input:
             if now_s - self._idle_since_s > limits.idle_timeout_s:
                 self._close()
 
+    @property
+    def _has_input(self) -> bool:
+        """Whether an incomplete request or unparsed bytes have been read."""
+        return self._parser.is_reading or self._input.has_waiting
+
+    @property
+    def _is_held(self) -> bool:
+        """Whether what has been parsed must be used before more is."""
+        return (
+            self._is_flow_paused or len(self._parser.requests) > MAX_PIPELINED
+        )
+
+    @property
+    def _is_paused(self) -> bool:
+        """Whether the caller must not be read now."""
+        if self._rejection is None and self._input.is_paused:
+            return True
+        return self._is_held
+
+    def _consume(self, data: bytes) -> None:
+        try:
+            self._parser.feed(data)
+        except errors.RequestRejected as error:
+            self._reject(error)
+        self._serve_next()
+
+    def _reject(self, error: errors.RequestRejected) -> None:
+        self._input.close()
+        self._rejection = self._refuse_if_stale(error)
+        if self._parser.has_cut_body:
+            # The request is being answered, so the rejection isn't sent.
+            self._record(error)
+        if isinstance(error.__cause__, Exception) and (
+            error.status == _SERVER_ERROR
+        ):
+            self._server.report_failure(error.__cause__)
+
+    def _record(self, rejection: errors.RequestRejected) -> None:
+        self._server.record_rejection(
+            self._parser.partial_request,
+            rejection,
+            served=self._served,
+            limits=self._parser.limits,
+            parts=self._meter.parts,
+            read_bytes=self._meter.content_bytes,
+        )
+
     def _refuse_if_stale(
         self, rejection: errors.RequestRejected
     ) -> errors.RequestRejected:
@@ -292,7 +349,9 @@
 
         Newer limits may allow the request, so a 4xx would be wrong.
         """
-        exceeds_limit = rejection.status in _LIMIT_STATUSES
+        exceeds_limit = rejection.status in _LIMIT_STATUSES and not isinstance(
+            rejection, errors.TooManyParts
+        )
         if not exceeds_limit or self._server.is_config_current:
             return rejection
         return errors.RequestRejected(
@@ -311,12 +370,7 @@
                 self._serve(request, self._presence)
             )
         elif self._rejection is not None:
-            self._server.record_rejection(
-                self._parser.partial_request,
-                self._rejection,
-                served=self._served,
-                limits=self._parser.limits,
-            )
+            self._record(self._rejection)
             headers = [(b"content-type", b"text/plain")]
             if self._rejection.status == _UNAVAILABLE:
                 headers.append((b"retry-after", b"%d" % RETRY_AFTER_S))
@@ -333,17 +387,23 @@
             # The timeout of the body starts now.
             self._last_read_s = self._server.clock.now()
             self._send(_CONTINUE)
-        queued = len(self._parser.requests)
-        if queued > MAX_PIPELINED or self._is_flow_paused:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
+        self._update_reading()
 
     def _on_flow(self, is_paused: bool) -> None:
         self._is_flow_paused = is_paused
+        self._update_reading()
+
+    def _on_pace(self) -> None:
+        # The pause is no silence of the caller.
+        self._last_read_s = self._server.clock.now()
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Parses bytes that wait, and reads more unless something holds."""
+        self._input.hold(self._is_held)
         if self._transport is None:
             return
-        if is_paused:
+        if self._is_paused and not self.is_lingering:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -360,7 +420,7 @@
             answer = http_answer.HttpAnswer(status=_SERVER_ERROR, headers=[])
         self._server.budget.release(len(request.body))
         # Closing would drop a request that was read behind this one.
-        has_next = bool(self._parser.requests) or self._parser.is_reading
+        has_next = bool(self._parser.requests) or self._has_input
         is_last = self._server.is_stopping and not has_next
         keeps_alive = request.keeps_alive and not is_last
         rest = request.rest
@@ -439,7 +499,8 @@
 
     def _close_after_body(self) -> None:
         """Closes the connection, or lingers while input may be unread."""
-        is_whole = not self._parser.is_reading and not self._parser.requests
+        is_whole = not self._has_input and not self._parser.requests
+        self._input.close()
         if self._transport is None or (is_whole and self._rejection is None):
             self._close()
             return
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -13,6 +13,7 @@
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import rejection_log
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import work_share
 
 # Connections that the kernel queues until the front accepts them.
 _BACKLOG = 1024
@@ -37,6 +38,8 @@
         on_error: Called with an exception that a handler raised.
         is_config_current: Returns whether the limits are confirmed to be up
             to date.
+        work: Share of the front's work that all connections divide; None for
+            one of this server's own.
     """
 
     def __init__(
@@ -50,11 +53,13 @@
         rejections: rejection_log.RejectionLog,
         on_error: OnError,
         is_config_current: IsCurrent = lambda: True,
+        work: work_share.WorkShare | None = None,
     ) -> None:
         self.clock = clock
         self.address = address
         self.handler = handler
         self.budget = budget
+        self.work = work or work_share.WorkShare(clock=clock)
         self.is_stopping = False
         self._limits = limits
         self._is_config_current = is_config_current
@@ -165,6 +170,8 @@
         *,
         served: int,
         limits: route_table.CallerLimits,
+        parts: int,
+        read_bytes: int,
     ) -> None:
         """Logs a rejected request.
 
@@ -173,6 +180,8 @@
             rejection: Status and reason.
             served: Number of requests on the connection before it.
             limits: Limits that applied to the request.
+            parts: Number of parts that were read on the connection.
+            read_bytes: Bytes of heads and bodies among them.
         """
         self._rejections.record_rejection(
             request,
@@ -182,6 +191,8 @@
             served=served,
             max_head_bytes=limits.max_head_bytes,
             max_body_bytes=limits.max_body_bytes,
+            parts=parts,
+            read_bytes=read_bytes,
         )
 
     def report_failure(self, error: Exception) -> None:
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -97,6 +97,7 @@
         self._adapter = adapter
         self._log = log
         self._clock = system_clock.SystemClock()
+        self._work = work_share.WorkShare(clock=self._clock)
         self._rng = random.Random()
         self._timers = timer_services.Timers(
             clock=self._clock, rng=self._rng, on_error=self._on_error
@@ -424,6 +425,7 @@
                 rejections=self._rejections,
                 on_error=self._on_error,
                 is_config_current=self._is_config_current,
+                work=self._work,
             )
             for address, handler in handlers
             if address is not None
--- a/fuchsiacourse/front/paced_input.py
+++ b/fuchsiacourse/front/paced_input.py
@@ -43,6 +43,7 @@
         "_timer",
         "_is_closed",
         "_is_consuming",
+        "_is_held",
     )
 
     def __init__(
@@ -64,6 +65,12 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed = False
         self._is_consuming = False
+        self._is_held = False
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether received bytes have not been parsed yet."""
+        return bool(self._waiting)
 
     @property
     def has_waiting(self) -> bool:
@@ -90,6 +97,18 @@
             self._pause_s, self._meter.charge(parts, content_bytes)
         )
 
+    def hold(self, is_held: bool) -> None:
+        """Holds up the parsing, or goes on with it.
+
+        It is independent of the pace. A held connection must not be read.
+
+        Args:
+            is_held: Whether received bytes must wait.
+        """
+        self._is_held = is_held
+        if self._waiting and not (self.is_paused or self._is_consuming):
+            self._run()
+
     def close(self) -> None:
         """Drops the bytes that wait and all further ones."""
         self._is_closed = True
@@ -101,7 +120,7 @@
     def _run(self) -> None:
         self._is_consuming = True
         try:
-            while self._waiting and not self.is_paused:
+            while self._waiting and not (self.is_paused or self._is_held):
                 self._consume_slice()
         finally:
             self._is_consuming = False
--- a/fuchsiacourse/front/rejection_log.py
+++ b/fuchsiacourse/front/rejection_log.py
@@ -66,6 +66,8 @@
         served: int | None = None,
         max_head_bytes: int | None = None,
         max_body_bytes: int | None = None,
+        parts: int | None = None,
+        read_bytes: int | None = None,
     ) -> None:
         """Logs and counts a rejection, with the limits that were applied.
 
@@ -80,6 +82,9 @@
                 applied, in bytes.
             max_body_bytes: Limit on the body that the connection applied, in
                 bytes.
+            parts: Number of body parts, heads, trailers and surplus header
+                lines that were read on the connection.
+            read_bytes: Bytes of heads and bodies among them.
         """
         self._metrics.count(
             "front_rejections_total", status=str(status), reason=reason
@@ -98,6 +103,8 @@
             served=served,
             max_head_bytes=max_head_bytes,
             max_body_bytes=max_body_bytes,
+            parts=parts,
+            read_bytes=read_bytes,
             config_version=None if config is None else config.version,
             config_age_s=round(self._clock.now() - self._config_since_s, 2),
         )
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -17,6 +17,7 @@
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_request
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import work_meter
 
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
@@ -41,6 +42,12 @@
 # starts a request, completes a head nor carries body bytes is limited too;
 # this many bytes are allowed on top of the limits of head and target.
 _FEED_SLACK_BYTES = 65_536
+# Header lines of a head that count as one part together.
+_FREE_HEADER_LINES = 32
+# Kept parts of a body are joined with the next one up to this many bytes.
+_SMALL_PART_BYTES = 4_096
+
+Charge = typing.Callable[[int, int], typing.Any]
 
 Limits = typing.Callable[[], route_table.CallerLimits]
 
@@ -61,11 +68,14 @@
             ``requests`` releases the bytes of its body.
         on_flow: Called with True to pause reading from the caller, with
             False to resume it.
+        meter: Counts the work of the connection.
+        charge: Called with numbers of parts and bytes to count at the meter.
     """
 
     __slots__ = (
         "requests",
         "wants_continue",
+        "has_cut_body",
         "head_started_s",
         "_clock",
         "_current_limits",
@@ -79,6 +89,11 @@
         "_trailer_bytes",
         "_no_progress_bytes",
         "_has_progress",
+        "_pieces",
+        "_parts",
+        "_part_bytes",
+        "_meter",
+        "_charge_meter",
         "_body",
         "_body_bytes",
         "_reserved_bytes",
@@ -95,8 +110,17 @@
         limits: Limits,
         budget: body_budget.BodyBudget,
         on_flow: body_stream.FlowCallback,
+        meter: work_meter.WorkMeter,
+        charge: Charge,
     ) -> None:
         self._budget = budget
+        self._meter = meter
+        self._charge_meter = charge
+        # Parts and bytes that the meter has not counted yet.
+        self._parts = 0
+        self._part_bytes = 0
+        # Parts of the body in the bytes that are being parsed.
+        self._pieces: list[bytes] = []
         self._on_flow = on_flow
         self._stream: body_stream.BodyStream | None = None
         self.requests: collections.deque[http_request.HttpRequest] = (
@@ -104,6 +128,8 @@
         )
         # Whether the caller waits for "100 Continue" before it sends its body.
         self.wants_continue = False
+        # Whether a rejection has cut off a body that is already forwarded.
+        self.has_cut_body = False
         # Monotonic time of the first byte of the request that is being read,
         # in seconds; None between requests.
         self.head_started_s: float | None = None
@@ -182,6 +208,8 @@
             else:
                 self._count_no_progress(len(data))
         except errors.RequestRejected as error:
+            self._charge()
+            self.has_cut_body = self._stream is not None
             self.abort_body(error)
             raise
 
@@ -189,6 +217,8 @@
         """Parses bytes; a fault of the front is not blamed on the caller."""
         try:
             self._feed(data)
+            self._keep_pieces()
+            self._check_work()
         except errors.RequestRejected:
             raise
         except Exception as error:
@@ -244,6 +274,7 @@
         if self._is_reparsing:
             self._is_reparsing = False
             return
+        self._meter.begin_message()
         self._limits = self._current_limits()
         self.head_started_s = self._clock.now()
 
@@ -277,9 +308,12 @@
         ):
             raise errors.RequestRejected(_HEADERS_TOO_LARGE, "head too large")
         self._headers.append((name.lower(), value.strip(b" \t")))
+        if len(self._headers) > _FREE_HEADER_LINES:
+            self._parts += 1
 
     def _drop_trailer(self, name: bytes, value: bytes) -> None:
         """Counts a trailer and drops it; it must not alter the request."""
+        self._parts += 1
         self._trailer_bytes += len(name) + len(value) + _HEADER_EXTRA_BYTES
         if self._trailer_bytes > self._limits.max_head_bytes:
             raise errors.RequestRejected(
@@ -293,6 +327,8 @@
             RequestRejected: The head is malformed or not supported.
         """
         self._has_progress = True
+        self._parts += 1
+        self._part_bytes += self._head_bytes
         self._offers_upgrade = self._parser.should_upgrade()
         if self._offers_upgrade and self._parser.get_method() == _CONNECT:
             raise errors.RequestRejected(_BAD_REQUEST, "no tunnels")
@@ -321,12 +357,22 @@
         ]
 
     def on_body(self, body: bytes) -> None:
-        """Handles a part of a body (httptools callback).
+        """Handles a part of a body (httptools callback)."""
+        self._pieces.append(body)
+
+    def _keep_pieces(self) -> None:
+        """Joins the parsed parts of a body and keeps or passes them on.
 
         Raises:
             RequestRejected: The body is too large, or the memory budget for
                 bodies is used up.
         """
+        if not self._pieces:
+            return
+        body = b"".join(self._pieces)
+        self._parts += len(self._pieces)
+        self._part_bytes += len(body)
+        self._pieces.clear()
         self.wants_continue = False
         self._has_progress = True
         self._body_bytes += len(body)
@@ -335,7 +381,10 @@
             self._stream.feed(body)
             return
         self._reserve(len(body))
-        self._body.append(body)
+        if self._body and len(self._body[-1]) < _SMALL_PART_BYTES:
+            self._body[-1] += body
+        else:
+            self._body.append(body)
         if self._body_bytes > body_stream.MAX_BUFFERED_BYTES:
             # The stream buffers up to this much; _end_stream releases it, not
             # whoever removes the request.
@@ -351,6 +400,8 @@
         if self._offers_upgrade:
             # The head is parsed again, see _head_without_upgrade.
             return
+        self._keep_pieces()
+        self._charge()
         if self._stream is None:
             self._queue()
         else:
@@ -358,6 +409,20 @@
             self._end_stream()
         self._reset()
 
+    def _charge(self) -> None:
+        """Counts the work since the last call."""
+        if self._parts:
+            self._charge_meter(self._parts, self._part_bytes)
+            self._parts = 0
+            self._part_bytes = 0
+
+    def _check_work(self) -> None:
+        if not self._parts:
+            return
+        self._charge()
+        if self._meter.is_exhausted:
+            raise errors.TooManyParts(_TOO_LARGE, "body in too many parts")
+
     def _accepts_chunked(self) -> bool:
         return self._parser.get_http_version() == "1.1"
 
@@ -412,6 +477,7 @@
         self.head_started_s = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._pieces.clear()
         self._reserved_bytes = 0
         self._reset_head()
 
--- a/tests/test_paced_input.py
+++ b/tests/test_paced_input.py
@@ -109,6 +109,29 @@
         self.assertAlmostEqual(0.22, pieces[-1][0], delta=0.05)
         self.assertEqual((True, False), (flows[0], flows[-1]))
 
+    def test_held_input_waits(self):
+        """Guards against parsing on while a body or an answer must wait."""
+        pieces: list[bytes] = []
+        clock = front_fakes.ManualClock()
+
+        def consume(piece):
+            pieces.append(piece)
+            paced.hold(True)
+
+        paced = paced_input.PacedInput(
+            meter=work_meter.WorkMeter(
+                clock=clock, share=work_share.WorkShare(clock=clock)
+            ),
+            consume=consume,
+            on_flow=lambda: None,
+        )
+        paced.add(b"a" * 5000)
+        self.assertEqual([4096], [len(piece) for piece in pieces])
+        self.assertTrue(paced.has_waiting)
+        paced.hold(False)
+        self.assertEqual(b"a" * 5000, b"".join(pieces))
+        self.assertFalse(paced.has_waiting)
+
     def test_closed_input_parses_nothing_more(self):
         """Guards against parsing bytes of a connection that was closed."""
         pieces: list[bytes] = []
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -7,6 +7,8 @@
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import request_parser
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import work_meter
+from fuchsiacourse.front import work_share
 
 HEAD = b"POST /orders/1?a=b HTTP/1.1\r\nHost: Callers.Example:80\r\n"
 
@@ -29,7 +31,12 @@
         self.budget = body_budget.BodyBudget(max_bytes=8000)
         self.flows: list[bool] = []
         self.limits = limits(head=1000, body=5000)
+        meter = work_meter.WorkMeter(
+            clock=self.clock, share=work_share.WorkShare(clock=self.clock)
+        )
         self.parser = request_parser.RequestParser(
+            meter=meter,
+            charge=meter.charge,
             on_flow=self.flows.append,
             clock=self.clock,
             limits=lambda: self.limits,
--- a/tests/test_request_parser_traffic.py
+++ b/tests/test_request_parser_traffic.py
@@ -9,6 +9,8 @@
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import request_parser
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import work_meter
+from fuchsiacourse.front import work_share
 
 CONNECTIONS = 200
 MAX_HEAD_BYTES = 2000
@@ -217,9 +219,15 @@
             head_timeout_s=3.0,
             idle_timeout_s=15.0,
         )
+        clock = front_fakes.ManualClock()
+        meter = work_meter.WorkMeter(
+            clock=clock, share=work_share.WorkShare(clock=clock)
+        )
         return request_parser.RequestParser(
             on_flow=self.fail,
-            clock=front_fakes.ManualClock(),
+            clock=clock,
+            meter=meter,
+            charge=meter.charge,
             limits=lambda: limits,
             budget=body_budget.BodyBudget(max_bytes=10 * MAX_BODY_BYTES),
         )
--- a/tests/test_stale_limits.py
+++ b/tests/test_stale_limits.py
@@ -8,6 +8,7 @@
 from fuchsiacourse.front import body_budget
 from fuchsiacourse.front import caller_connection
 from fuchsiacourse.front import route_table
+from fuchsiacourse.front import work_share
 
 LIMITS = route_table.CallerLimits(
     max_head_bytes=1000,
@@ -25,6 +26,7 @@
         server = types.SimpleNamespace(
             clock=front_fakes.ManualClock(),
             budget=body_budget.BodyBudget(),
+            work=work_share.WorkShare(clock=front_fakes.ManualClock()),
             limits=LIMITS,
             is_config_current=False,
             is_stopping=False,
