Create the share of work and join small parts in one place

The answers' and the callers' side each made a WorkShare, so the limit of a front was twice what it says, and each joined the parts of a body in a way of its own.

--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -122,7 +122,6 @@
         )
         self._table = target_table.TargetTable(clock=self._clock, log=log)
         self._metrics = front_metrics.FrontMetrics(gauges=self._gauges)
-        self._work = work_share.WorkShare(clock=self._clock)
         self._answer_limits = answer_limits.AnswerLimits(
             clock=self._clock,
             work=self._work,
--- a/fuchsiacourse/front/paced_input.py
+++ b/fuchsiacourse/front/paced_input.py
@@ -72,11 +72,6 @@
         """Whether received bytes have not been parsed yet."""
         return bool(self._waiting)
 
-    @property
-    def has_waiting(self) -> bool:
-        """Whether bytes wait to be parsed."""
-        return bool(self._waiting)
-
     def add(self, data: bytes) -> None:
         """Parses bytes, or keeps them while the connection is paused."""
         if self._is_closed:
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -44,11 +44,8 @@
 _FEED_SLACK_BYTES = 65_536
 # Header lines of a head that count as one part together.
 _FREE_HEADER_LINES = 32
-# Kept parts of a body are joined with the next one up to this many bytes.
-_SMALL_PART_BYTES = 4_096
 
 Charge = typing.Callable[[int, int], typing.Any]
-
 Limits = typing.Callable[[], route_table.CallerLimits]
 
 
@@ -381,10 +378,7 @@
             self._stream.feed(body)
             return
         self._reserve(len(body))
-        if self._body and len(self._body[-1]) < _SMALL_PART_BYTES:
-            self._body[-1] += body
-        else:
-            self._body.append(body)
+        body_stream.append_part(self._body, body)
         if self._body_bytes > body_stream.MAX_BUFFERED_BYTES:
             # The stream buffers up to this much; _end_stream releases it, not
             # whoever removes the request.
