End forwarded uploads that come too late in a planned stop

The schedule asked only about bodies that aren't forwarded yet.

A run whose body is forwarded and not whole gets its final answer when the body doesn't fit any more. A test on virtual time failed before for want of the call; without the condition (a new mutation) it takes as long as the upload.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -452,6 +452,13 @@
         after="        return None",
         test="tests.test_planned_stop",
     ),
+    Mutation(
+        rule="LOST: forwarded uploads that come too late in a stop",
+        module="forwarder.py",
+        before="if run.is_receiving and not",
+        after="if False and not",
+        test="tests.test_stopping_front",
+    ),
     Mutation(
         rule="LOST: answers to callers that still send",
         module="caller_connection.py",
--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -123,6 +123,17 @@
         for run in list(self._runs):
             run.end()
 
+    def end_late_uploads(self) -> None:
+        """Ends the runs whose bodies are forwarded and come too late.
+
+        They can't be refused, because a target may act on part of a body.
+        """
+        for run in list(self._runs):
+            if run.is_receiving and not self.stop.may_serve(
+                self.times.usual_s(run.service), begun_s=run.received_s
+            ):
+                run.end()
+
     async def handle(
         self,
         request: http_request.HttpRequest,
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -233,12 +233,12 @@
         logs.event(self._log, "stop_started", busy=front_server.busy)
         self._membership.announce()
         while self._clock.now() < schedule.listens_until_s:
-            front_server.refuse_unread(self._forwarder.refuse_unread)
+            self._end_late_uploads(front_server)
             await self._clock.sleep(_STOP_POLL_S)
         front_server.stop_listening()
         front_server.close_idle()
         while front_server.busy and self._clock.now() < schedule.exits_at_s:
-            front_server.refuse_unread(self._forwarder.refuse_unread)
+            self._end_late_uploads(front_server)
             if self._clock.now() >= schedule.answers_until_s:
                 self._forwarder.end_runs()
             await self._clock.sleep(_STOP_POLL_S)
@@ -246,6 +246,10 @@
         self._log_cut_off(front_server.requests, began_s)
         logs.event(self._log, "stopped", cut_off=front_server.busy)
 
+    def _end_late_uploads(self, server: caller_server.CallerServer) -> None:
+        server.refuse_unread(self._forwarder.refuse_unread)
+        self._forwarder.end_late_uploads()
+
     def _log_cut_off(
         self, requests: list[http_request.HttpRequest], began_s: float
     ) -> None:
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -122,6 +122,22 @@
                 if final is None or rest is not final.rest:
                     rest.close()
 
+    @property
+    def service(self) -> str:
+        """Service that serves the request."""
+        return self._service
+
+    @property
+    def received_s(self) -> float:
+        """Monotonic time of the first byte of the request, in seconds."""
+        return self._request.received_s
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the rest of the request's body is still being received."""
+        rest = self._request.rest
+        return rest is not None and not rest.is_ended
+
     def end(self) -> None:
         """Ends the run: its final answer follows without further attempts."""
         if not self._ended.done():
--- a/tests/test_stopping_front.py
+++ b/tests/test_stopping_front.py
@@ -5,6 +5,7 @@
 
 from bench import front_fakes
 from bench import virtual_loop
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import caller_presence
 from fuchsiacourse.front import outcome
 from fuchsiacourse.front import stop_schedule
@@ -100,3 +101,55 @@
         )
         self.assertEqual(503, answer.status)
         self.assertEqual(1, len(sender.sent_ids))
+
+    def end_upload(self, *, ends_after_s: float):
+        """Handles a request whose body is forwarded while it comes.
+
+        Args:
+            ends_after_s: Seconds from the begin of the stop to its end.
+
+        Returns:
+            The answer and the seconds that it took.
+        """
+
+        async def main():
+            front = front_fakes.forwarder(
+                front_fakes.FakeSender(
+                    lambda target, count: (4.0, front_fakes.answered())
+                ),
+                front_fakes.record("t1"),
+            )
+            front.config = front_fakes.config(
+                front_fakes.route(is_idempotent=False, timeout_s=20.0)
+            )
+            front.stop.begin()
+            began_s = front.clock.now()
+            rest = body_stream.BodyStream(
+                on_flow=lambda is_paused: None, on_close=lambda: None
+            )
+            request = front_fakes.request(
+                received_s=began_s, deadline_ms=20_000
+            )
+            request.rest = rest
+            handled = asyncio.ensure_future(
+                front.handle(request, caller_presence.CallerPresence())
+            )
+            asyncio.get_running_loop().call_later(ends_after_s, rest.end)
+            while not handled.done():
+                front.end_late_uploads()
+                await asyncio.sleep(0.05)
+            return handled.result(), front.clock.now() - began_s
+
+        return virtual_loop.run(main())
+
+    def test_forwarded_upload_that_comes_in_time_is_finished(self):
+        """Guards against ending a body that still fits."""
+        answer, took_s = self.end_upload(ends_after_s=1.0)
+        self.assertEqual(200, answer.status)
+        self.assertAlmostEqual(4.0, took_s, delta=0.1)
+
+    def test_forwarded_upload_that_comes_too_late_is_ended(self):
+        """Guards against reading a body whose answer the exit cuts off."""
+        answer, took_s = self.end_upload(ends_after_s=5.5)
+        self.assertEqual(504, answer.status)
+        self.assertLess(took_s, 4.9)
