Let callers take answers until shortly before the end of the grace time

That margin is for final answers that are still to be written; an answer that waits for its caller loses nothing by a later exit.

The new test with a real front process fails without the wait (IncompleteReadError after 5.9 of 12 MB).

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -459,6 +459,13 @@
         after="if False and not",
         test="tests.test_stopping_front",
     ),
+    Mutation(
+        rule="LOST: answers that callers take at the end of a stop",
+        module="front_program.py",
+        before="            front_server.writing\n",
+        after="            False\n",
+        test="tests.test_planned_stop",
+    ),
     Mutation(
         rule="LOST: answers to callers that still send",
         module="caller_connection.py",
--- a/fuchsiacourse/front/front_program.py
+++ b/fuchsiacourse/front/front_program.py
@@ -243,6 +243,11 @@
                 self._forwarder.end_runs()
             await self._clock.sleep(_STOP_POLL_S)
             front_server.close_idle()
+        while (
+            front_server.writing
+            and self._clock.now() < schedule.writes_until_s
+        ):
+            await self._clock.sleep(_STOP_POLL_S)
         self._log_cut_off(front_server.requests, began_s)
         logs.event(self._log, "stopped", cut_off=front_server.busy)
 
--- a/fuchsiacourse/front/stop_schedule.py
+++ b/fuchsiacourse/front/stop_schedule.py
@@ -22,6 +22,9 @@
 # Time reserved for the exit of the process at the end of the grace time, in
 # seconds; a slow host needs some of it.
 EXIT_MARGIN_S = 0.6
+# The same for an exit that only answers wait for which callers read slowly, in
+# seconds.
+WRITE_MARGIN_S = 0.2
 # Time before the exit at which requests in progress get their final answers,
 # in seconds; the answers have to be sent, and their callers may still be
 # sending.
@@ -59,6 +62,11 @@
         """Monotonic time at which the process must exit, in seconds."""
         return self._began_s + max(0.0, self._bounds.stop_s - EXIT_MARGIN_S)
 
+    @property
+    def writes_until_s(self) -> float:
+        """Monotonic time until which callers may read answers, in seconds."""
+        return self._began_s + max(0.0, self._bounds.stop_s - WRITE_MARGIN_S)
+
     @property
     def answers_until_s(self) -> float:
         """Monotonic time until which targets may answer, in seconds."""
--- a/tests/front_process_case.py
+++ b/tests/front_process_case.py
@@ -30,6 +30,8 @@
 
     async def asyncSetUp(self) -> None:
         self.work_s = 0.05
+        # Bytes that the target adds to its answers.
+        self.answer_filler = b""
         self.runs: list[str] = []
         self.tasks: set[asyncio.Task] = set()
         await self.start_store()
@@ -132,7 +134,8 @@
                 id = fields["x-fuchsiacourse-request-id"]
                 self.runs.append(id)
                 await asyncio.sleep(self.work_s)
-                writer.write(test_pooled_sender.answer(id, id.encode()))
+                body = id.encode() + self.answer_filler
+                writer.write(test_pooled_sender.answer(id, body))
         except (asyncio.IncompleteReadError, OSError):
             # The front has closed the connection.
             pass
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -177,3 +177,14 @@
         await self.reading
         cut_off = [line for line in self.lines if "request_cut_off" in line]
         self.assertEqual(1, len(cut_off), "".join(self.lines[-8:]))
+
+    async def test_answer_that_a_caller_takes_at_the_end(self):
+        """Guards against an exit that leaves no time for a slow reader."""
+        self.answer_filler = b"a" * 12_000_000
+        caller = await self.connect()
+        caller.send("q1")
+        await asyncio.sleep(0.3)
+        await self.stop_and_wait(GRACE_S - 0.55)
+        status, _, body = await caller.read()
+        self.assertEqual((200, b"q1"), (status, body[:2]))
+        self.assertEqual(2 + len(self.answer_filler), len(body))
