Round the time to return up to the next hundredth

The Retry-After of a front's own 503 was rounded to the nearest hundredth of a second, so a caller could return up to 5 ms before a target takes its request and was refused once more. The value is rounded up now.

test_retry_after_is_rounded_up failed before with 3.09 for 3.0938 and 3.0901, and passes now.

--- a/fuchsiacourse/platform/wire_headers.py
+++ b/fuchsiacourse/platform/wire_headers.py
@@ -91,10 +91,16 @@
         if request_id:
             headers.append((_REQUEST_ID, request_id.encode("latin-1")))
         if retry_after_s is not None:
-            headers.append((_RETRY_AFTER, b"%.2f" % retry_after_s))
+            headers.append((_RETRY_AFTER, _rounded_up(retry_after_s)))
         return headers
 
 
+def _rounded_up(time_s: float) -> bytes:
+    # A caller that returns before the time would be refused once more. The
+    # inner rounding removes errors of the representation.
+    return b"%.2f" % (math.ceil(round(time_s * 100.0, 6)) / 100.0)
+
+
 def _timeout_s(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -341,6 +341,22 @@
         )
         self.assertIn((b"retry-after", b"0.50"), headers)
 
+    def test_retry_after_is_rounded_up(self):
+        """Guards against callers that return before their time."""
+        for time_s, expected in (
+            (0.0, b"0.00"),
+            (0.07, b"0.07"),
+            (0.29, b"0.29"),
+            (3.098, b"3.10"),
+            (3.0938, b"3.10"),
+            (3.0901, b"3.10"),
+        ):
+            with self.subTest(time_s=time_s):
+                headers = self.protocol.local_answer_headers(
+                    request_id="q1", retry_after_s=time_s
+                )
+                self.assertIn((b"retry-after", expected), headers)
+
 
 class DirectoryEndpointsTest(unittest.TestCase):
     """Guards against answers to probes of other paths."""
