Let the stand-in targets state wishes, and show times to return

The stand-in of targets that the load tool plays against couldn't state that it leaves or that it wants nothing for some time. PUT /control takes leaving (in all answers, health reports included, until the next start) and retry_after_s (each request gets a 503 with that time and isn't run) now. fuchsiacourse-load reports the last statuses and the longest Retry-After of each kind.

The three new tests of the stand-in and of the result failed before (no header, 200 in place of 503, no statuses); the one of the caller is new with the field.

--- a/fuchsiacourse/load_result.py
+++ b/fuchsiacourse/load_result.py
@@ -21,7 +21,16 @@
 class KindResult:
     """Counts and latencies of one request kind."""
 
-    __slots__ = ("sent", "good", "worth", "worth_good", "verdicts", "latency")
+    __slots__ = (
+        "sent",
+        "good",
+        "worth",
+        "worth_good",
+        "verdicts",
+        "statuses",
+        "retry_after_s",
+        "latency",
+    )
 
     def __init__(self) -> None:
         self.sent = 0
@@ -29,12 +38,24 @@
         self.worth = 0.0
         self.worth_good = 0.0
         self.verdicts: collections.Counter[str] = collections.Counter()
+        # Number of last answers by status, 0 for no answer.
+        self.statuses: collections.Counter[int] = collections.Counter()
+        # Longest time after which a caller was asked to return, in seconds,
+        # None if none was.
+        self.retry_after_s: float | None = None
         self.latency = hdrh.histogram.HdrHistogram(
             LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
         )
 
     def add(
-        self, *, latency_s: float, verdict: str, is_good: bool, worth: float
+        self,
+        *,
+        latency_s: float,
+        verdict: str,
+        is_good: bool,
+        worth: float,
+        status: int = 0,
+        retry_after_s: float | None = None,
     ) -> None:
         """Records a finished request.
 
@@ -43,10 +64,16 @@
             verdict: Verdict of the last attempt.
             is_good: Whether it was answered completely and in time.
             worth: Worth of the request kind.
+            status: HTTP status of the last answer, 0 if there was none.
+            retry_after_s: Time after which the last answer asks the caller to
+                return, in seconds, None if it asks for none.
         """
         self.sent += 1
         self.worth += worth
         self.verdicts[verdict] += 1
+        self.statuses[status] += 1
+        if retry_after_s is not None:
+            self.retry_after_s = max(retry_after_s, self.retry_after_s or 0.0)
         if is_good:
             self.good += 1
             self.worth_good += worth
@@ -92,6 +119,11 @@
                     "sent": item.sent,
                     "good": item.good,
                     "verdicts": dict(item.verdicts),
+                    "statuses": {
+                        str(status): count
+                        for status, count in item.statuses.items()
+                    },
+                    "longest_retry_after_s": item.retry_after_s,
                     "latency_ms": {
                         str(percentile): item.percentile_ms(percentile)
                         for percentile in PERCENTILES
@@ -111,6 +143,8 @@
             "p99 ms",
             "p99.9 ms",
             "verdicts",
+            "statuses",
+            "retry after s",
         )
         for name, item in sorted(self.kinds_by_name.items()):
             table.add_row(
@@ -124,6 +158,15 @@
                     f"{verdict} {count}"
                     for verdict, count in sorted(item.verdicts.items())
                 ),
+                ", ".join(
+                    f"{status} {count}"
+                    for status, count in sorted(item.statuses.items())
+                ),
+                (
+                    ""
+                    if item.retry_after_s is None
+                    else f"{item.retry_after_s:g}"
+                ),
             )
         table.add_row("worth in time", "", f"{self.worth_ratio:.1%}")
         return table
--- a/fuchsiacourse/load_run.py
+++ b/fuchsiacourse/load_run.py
@@ -157,6 +157,8 @@
             and call.status < 400
             and latency_s <= kind.deadline_ms / 1000,
             worth=kind.worth,
+            status=call.status,
+            retry_after_s=call.retry_after_s,
         )
         self.result.retries += call.attempts - 1
         self.calls.append(LoadCall(item=item, body=body, result=call))
--- a/fuchsiacourse/platform/wire_headers.py
+++ b/fuchsiacourse/platform/wire_headers.py
@@ -95,6 +95,24 @@
         return headers
 
 
+def wish_headers(
+    *, is_leaving: bool, retry_after_s: float | None
+) -> http_request.Headers:
+    """Returns the headers by which a target states its wishes.
+
+    Args:
+        is_leaving: Whether it wants nothing new because it stops.
+        retry_after_s: Time for which it wants nothing, in seconds, None if it
+            states none.
+    """
+    headers: http_request.Headers = []
+    if is_leaving:
+        headers.append((_LEAVING, b"1"))
+    if retry_after_s is not None:
+        headers.append((_RETRY_AFTER, b"%.2f" % retry_after_s))
+    return headers
+
+
 def _rounded_up(time_s: float) -> bytes:
     # A caller that returns before the time would be refused once more. The
     # inner rounding removes errors of the representation.
--- a/fuchsiacourse/retrying_caller.py
+++ b/fuchsiacourse/retrying_caller.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import json
+import math
 import random
 import typing
 
@@ -40,6 +41,8 @@
         not_run_keys: Keys that were answered not-run.
         interrupted_attempts: Number of attempts that were sent and got no
             complete answer.
+        retry_after_s: Value of Retry-After in the last answer, in seconds,
+            None if it has none that can be read.
     """
 
     __slots__ = (
@@ -50,6 +53,7 @@
         "keys",
         "not_run_keys",
         "interrupted_attempts",
+        "retry_after_s",
     )
 
     def __init__(
@@ -62,6 +66,7 @@
         keys: collections.abc.Sequence[str] = (),
         not_run_keys: collections.abc.Sequence[str] = (),
         interrupted_attempts: int = 0,
+        retry_after_s: float | None = None,
     ) -> None:
         self.status = status
         self.verdict = verdict
@@ -70,6 +75,7 @@
         self.keys = tuple(keys)
         self.not_run_keys = tuple(not_run_keys)
         self.interrupted_attempts = interrupted_attempts
+        self.retry_after_s = retry_after_s
 
 
 class _AddressList:
@@ -231,6 +237,7 @@
                     status=response.status,
                     verdict=_read_verdict(response),
                     body=content,
+                    retry_after_s=_read_retry_after_s(response),
                 )
         except aiohttp.ClientConnectorError:
             # This attempt was not sent, but an earlier one may have run.
@@ -279,6 +286,14 @@
         return content if content.get("addresses") else None
 
 
+def _read_retry_after_s(response: aiohttp.ClientResponse) -> float | None:
+    try:
+        time_s = float(response.headers.get("Retry-After", ""))
+    except ValueError:
+        return None
+    return time_s if math.isfinite(time_s) else None
+
+
 def _read_verdict(response: aiohttp.ClientResponse) -> verdicts.Verdict:
     try:
         return verdicts.Verdict(response.headers.get("Request-Verdict", ""))
--- a/fuchsiacourse/stub_target.py
+++ b/fuchsiacourse/stub_target.py
@@ -39,6 +39,14 @@
     flapping_period_s: float = pydantic.Field(default=0.0, ge=0)
     probes_healthy: bool = True
     draining: bool = False
+    leaving: bool = pydantic.Field(
+        default=False, description="All answers say that the target leaves."
+    )
+    retry_after_s: float | None = pydantic.Field(
+        default=None,
+        ge=0,
+        description="Requests get a 503 with this time to wait.",
+    )
     cold_s: float = pydantic.Field(default=0.0, ge=0)
     cold_factor: float = pydantic.Field(default=3.0, gt=0)
     crash_mark: str = pydantic.Field(
@@ -133,10 +141,11 @@
         return age_s % period_s < period_s / 2
 
     def restart(self) -> None:
-        """Starts a new incarnation, which is not draining."""
+        """Starts a new incarnation, which neither drains nor leaves."""
         self._starts += 1
         self._started_s = time.monotonic()
         self.faults.draining = False
+        self.faults.leaving = False
 
     def set_faults(self, faults: StubFaults) -> None:
         """Replaces the faults and begins the cold start, if there is one."""
--- a/fuchsiacourse/stub_target_server.py
+++ b/fuchsiacourse/stub_target_server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 import pydantic
 
+from fuchsiacourse.platform import wire_headers
 from fuchsiacourse import service_file
 from fuchsiacourse import stub_target
 
@@ -19,6 +20,7 @@
 _SHUTDOWN_S = 1.0
 # Deadline of a request whose header has none, in seconds.
 _NO_DEADLINE_S = 3600.0
+_UNAVAILABLE = 503
 
 
 class StubTargetServer:
@@ -72,7 +74,9 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == self.target.service.probe_path:
-            return web.json_response(self.target.report())
+            return web.json_response(
+                self.target.report(), headers=self._wish_headers()
+            )
         if request.path == CONTROL_PATH:
             return await self._control(request)
         if request.path == RECORD_PATH:
@@ -115,6 +119,8 @@
         kind = self.target.find_kind(request.method, request.path)
         if kind is None:
             return self._answer(request, 404, {"error": "unknown path"})
+        if self.target.faults.retry_after_s is not None:
+            return self._turn_away(request)
         run = self.target.try_start(
             request_id=request.headers.get("Request-Id", ""),
             kind=kind,
@@ -130,6 +136,14 @@
             return self._answer(request, 504, {"error": "deadline passed"})
         return await self._finish(request, run, kind)
 
+    def _turn_away(self, request: web.BaseRequest) -> web.Response:
+        return self._answer(
+            request,
+            _UNAVAILABLE,
+            {"error": "no requests wanted"},
+            retry_after_s=self.target.faults.retry_after_s,
+        )
+
     async def _finish(
         self,
         request: web.BaseRequest,
@@ -159,12 +173,14 @@
         *,
         request_id: str | None = None,
         media_type: str = "application/json",
+        retry_after_s: float | None = None,
     ) -> web.Response:
         return web.Response(
             status=status,
             body=json.dumps(content).encode(),
             headers={
                 **self._headers(request, request_id),
+                **self._wish_headers(retry_after_s),
                 "Content-Type": media_type,
             },
         )
@@ -180,6 +196,17 @@
             headers["Target-State"] = "draining"
         return headers
 
+    def _wish_headers(
+        self, retry_after_s: float | None = None
+    ) -> dict[str, str]:
+        return {
+            name.decode(): value.decode()
+            for name, value in wire_headers.wish_headers(
+                is_leaving=self.target.faults.leaving,
+                retry_after_s=retry_after_s,
+            )
+        }
+
     async def _send_truncated(
         self, request: web.BaseRequest, content: dict[str, typing.Any]
     ) -> web.StreamResponse:
@@ -187,6 +214,7 @@
         response = web.StreamResponse(
             headers={
                 **self._headers(request),
+                **self._wish_headers(),
                 "Content-Type": "application/json",
                 "Content-Length": str(len(body)),
             }
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 
+import rich.console
 from typer import testing
 
 from fuchsiacourse import arrival_profile
@@ -71,6 +72,26 @@
             self.assertIn("-50.0%", outcome.output)
             self.assertEqual(1.0, json.loads(result.to_json())["worth_ratio"])
 
+    def test_statuses_and_times_to_return_are_reported(self):
+        """Guards against 503 answers that a run doesn't show."""
+        result = load_result.LoadResult()
+        for status, retry_after_s in ((200, None), (503, 1.5), (503, 0.5)):
+            result.kind("larder/lookup").add(
+                latency_s=0.1,
+                verdict="not-run",
+                is_good=False,
+                worth=1,
+                status=status,
+                retry_after_s=retry_after_s,
+            )
+        found = json.loads(result.to_json())["kinds"]["larder/lookup"]
+        self.assertEqual({"200": 1, "503": 2}, found["statuses"])
+        self.assertEqual(1.5, found["longest_retry_after_s"])
+        console = rich.console.Console(width=160)
+        with console.capture() as printed:
+            console.print(result.table())
+        self.assertIn("200 1, 503 2", printed.get())
+
     def test_unknown_profile_is_rejected(self):
         """Guards against falling back to another profile."""
         outcome = testing.CliRunner().invoke(
--- a/tests/test_retrying_caller.py
+++ b/tests/test_retrying_caller.py
@@ -17,6 +17,7 @@
 
     async def asyncSetUp(self) -> None:
         self.verdicts: list[str] = []
+        self.more_headers: dict[str, str] = {}
         self.seen: list[tuple[str, str]] = []
         app = web.Application()
         app.router.add_get("/fleet/addresses", self.list_addresses)
@@ -50,7 +51,10 @@
             (headers["Idempotency-Key"], headers["Request-Attempt"])
         )
         answer = self.verdicts.pop(0)
-        return web.Response(status=503, headers={"Request-Verdict": answer})
+        return web.Response(
+            status=503,
+            headers={"Request-Verdict": answer, **self.more_headers},
+        )
 
     async def send(self, *answers: str) -> retrying_caller.CallResult:
         self.verdicts = list(answers)
@@ -75,3 +79,16 @@
         result = await self.send("", "ran")
         self.assertEqual(("fc1-0-0-0", "2"), self.seen[1])
         self.assertEqual(2, result.attempts)
+
+    async def test_time_to_return_of_the_last_answer_is_kept(self):
+        """Guards against odd times to return that break a load run."""
+        for text, expected_s in (
+            ("1.5", 1.5),
+            ("soon", None),
+            ("nan", None),
+            ("1e999", None),
+        ):
+            with self.subTest(text=text):
+                self.more_headers = {"Retry-After": text}
+                result = await self.send("ran")
+                self.assertEqual(expected_s, result.retry_after_s)
--- a/tests/test_target_stub.py
+++ b/tests/test_target_stub.py
@@ -112,6 +112,28 @@
         self.assertEqual("another", (await self.send_booking()).request_id)
         self.assertEqual(422, await self.control(slow=2))
 
+    async def test_leaving_is_in_all_answers_until_the_next_start(self):
+        """Guards against a leaving target whose wish a front can't learn."""
+        await self.control(leaving=True, error_share=0.5)
+        for number in range(10):
+            answer = await self.send_booking(f"a-{number}")
+            self.assertEqual("1", answer.header("Server-Leaving"))
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://{self.address}/health") as report:
+                self.assertEqual("1", report.headers["Server-Leaving"])
+        self.target.restart()
+        answer = await self.send_booking("b")
+        self.assertEqual("", answer.header("Server-Leaving"))
+
+    async def test_target_that_wants_nothing_for_a_time_runs_nothing(self):
+        """Guards against a request that runs although it is turned away."""
+        await self.control(retry_after_s=2.5)
+        answer = await self.send_booking()
+        self.assertEqual(503, answer.status)
+        self.assertEqual(2.5, float(answer.header("Retry-After")))
+        self.assertEqual([], (await self.record())["runs"])
+        self.assertEqual(422, await self.control(retry_after_s=-1))
+
     async def test_draining_is_in_answers_and_health_reports(self):
         """Guards against a drain that is visible only in the host list."""
         await self.control(draining=True, cold_s=60.0)
