Send tiny parts without end in the fault soak

Two modes are new: chunks of one byte, and header lines of four characters. The kind of an endless answer is that of the mode in which the request began, as for the other modes.

Tests of the two modes; no soak was run with them yet.

--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -30,9 +30,14 @@
 # test machine's processors can sustain.
 FILLER = b"X-Filler: " + b"f" * 30_000 + b"\r\n"
 FILLER_PAUSE_S = 0.001
+# Blocks of endless answers in tiny parts.
+ONE_BYTE_CHUNKS = b"1\r\nf\r\n" * 5_000
+HEADER_LINES = b"X: f\r\n" * 5_000
 _PREFIX = "x-fuchsiacourse-"
 _SIGNATURE = "response-signature: s"
 _NOT_RUN = "not-executed: 1"
+_NO_LENGTH = b"Content-Length: 0\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 class Mode(enum.Enum):
@@ -58,6 +63,8 @@
     LATE_WITHOUT_ID = "late answer without id"
     ENDLESS_HEAD = "endless head"
     ENDLESS_BODY = "endless body"
+    ENDLESS_CHUNKS = "endless chunks of one byte"
+    ENDLESS_LINES = "endless short header lines"
 
 
 # Modes in which a target rejects valid requests or answers without end.
@@ -68,7 +75,16 @@
     Mode.LATE_WITHOUT_ID,
     Mode.ENDLESS_HEAD,
     Mode.ENDLESS_BODY,
+    Mode.ENDLESS_CHUNKS,
+    Mode.ENDLESS_LINES,
 )
+# Blocks of the modes that answer without end.
+_FILLERS = {
+    Mode.ENDLESS_HEAD: FILLER,
+    Mode.ENDLESS_BODY: FILLER,
+    Mode.ENDLESS_CHUNKS: ONE_BYTE_CHUNKS,
+    Mode.ENDLESS_LINES: HEADER_LINES,
+}
 
 
 def body_for(id: str, sent: bytes) -> bytes:
@@ -260,15 +276,18 @@
         return True
 
     async def _answer_endlessly(
-        self, id: str, writer: asyncio.StreamWriter
+        self, mode: Mode, id: str, writer: asyncio.StreamWriter
     ) -> None:
         head = _answer(200, id, b"")[: -len(b"\r\n")]
-        if self.mode is Mode.ENDLESS_BODY:
-            head = head.replace(b"Content-Length: 0\r\n", b"") + b"\r\n"
+        if mode is Mode.ENDLESS_BODY:
+            head = head.replace(_NO_LENGTH, b"") + b"\r\n"
+        if mode is Mode.ENDLESS_CHUNKS:
+            head = head.replace(_NO_LENGTH, _CHUNKED) + b"\r\n"
+        filler = _FILLERS[mode]
         self._checker.record_aborted_answer(id)
         writer.write(head)
         while True:
-            writer.write(FILLER)
+            writer.write(filler)
             await writer.drain()
             await asyncio.sleep(FILLER_PAUSE_S)
 
@@ -288,8 +307,8 @@
         await asyncio.sleep(
             {Mode.SLOW: SLOW_S, Mode.HANGS: 60.0}.get(mode, work_s)
         )
-        if mode in (Mode.ENDLESS_HEAD, Mode.ENDLESS_BODY):
-            await self._answer_endlessly(id, writer)
+        if mode in _FILLERS:
+            await self._answer_endlessly(mode, id, writer)
         signed = self._with_limit(id, _answer(200, id, body))
         if mode is Mode.RESETS:
             writer.transport.abort()
--- a/tests/test_fault_target.py
+++ b/tests/test_fault_target.py
@@ -112,3 +112,19 @@
             await self.head(fault_target.Mode.ENDLESS_HEAD)
         data = await self.reader.readexactly(MANY_BYTES)
         self.assertNotIn(b"\r\n\r\n", data)
+
+    async def test_endless_chunks(self):
+        """Guards against chunks that end, are longer or have a length."""
+        _, fields = await self.head(fault_target.Mode.ENDLESS_CHUNKS)
+        self.assertEqual("chunked", fields["transfer-encoding"])
+        self.assertNotIn("content-length", fields)
+        data = await self.reader.readexactly(MANY_BYTES)
+        self.assertEqual(b"1\r\nf\r\n" * (MANY_BYTES // 6), data)
+
+    async def test_endless_lines(self):
+        """Guards against short header lines that end."""
+        with self.assertRaises((asyncio.LimitOverrunError, TimeoutError)):
+            await self.head(fault_target.Mode.ENDLESS_LINES)
+        data = await self.reader.readexactly(MANY_BYTES)
+        self.assertNotIn(b"\r\n\r\n", data)
+        self.assertGreater(data.count(b"X: f\r\n"), MANY_BYTES // 10)
