Measure floods of answers and of uploads

front_floods runs two front processes, a store, three targets of one service that answer without end, and 5 and then 40 callers a front of which some read, some don't and some leave; or the callers upload without end. Two callers a front use another service at a steady rate. Bounds: peak memory 30 MB above that before the floods, p99 of the other service twice that without a flood, none of its requests unserved. The stand-ins end by themselves after a time and a number of bytes.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -18,6 +18,7 @@
     "bench.measure_queue",
     "bench.measure_latency",
     "bench.measure_fronts",
+    "bench.measure_floods",
     "bench.measure_limits",
     "bench.measure_placement",
 )
