Count unserved requests in the p99 beside a flood

A flood beside which few requests were served had the p99 of those few. Requests that aren't served count as endless waits now, and the figure's note states what a front used of a core and the load of the machine.

--- a/bench/flood_testbed.py
+++ b/bench/flood_testbed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -134,6 +135,10 @@
             _status_bytes(front.process.pid, field) for front in self._fronts
         ]
 
+    def processor_s(self) -> list[float]:
+        """Returns the processor time that each front has used, in seconds."""
+        return [_processor_s(front.process.pid) for front in self._fronts]
+
     async def prepare_flood(
         self, form: flood_form.Form, *, callers: int, seconds: float
     ) -> None:
@@ -287,6 +292,15 @@
     }
 
 
+def _processor_s(pid: int) -> float:
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    # User and system time are the 14th and 15th field; the second is the
+    # name in parentheses.
+    fields = stat.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
 def _status_bytes(pid: int, field: str) -> int:
     status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
     for line in status.splitlines():
--- a/bench/measure_floods.py
+++ b/bench/measure_floods.py
@@ -10,6 +10,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import os
 import pathlib
 import sys
 import tempfile
@@ -59,6 +61,8 @@
             before the first flood.
         latencies_s: Latencies of the other service's served requests.
         unserved: Number of its requests that were not served.
+        front_cores: Processor time of the busiest front by elapsed time.
+        load: Load average of the machine at the end of the flood.
         note: What was sent and read.
     """
 
@@ -68,6 +72,8 @@
         "growth_bytes",
         "latencies_s",
         "unserved",
+        "front_cores",
+        "load",
         "note",
     )
 
@@ -79,6 +85,8 @@
         growth_bytes: int,
         latencies_s: list[float],
         unserved: int,
+        front_cores: float,
+        load: float,
         note: str,
     ) -> None:
         self.form = form
@@ -86,6 +94,8 @@
         self.growth_bytes = growth_bytes
         self.latencies_s = latencies_s
         self.unserved = unserved
+        self.front_cores = front_cores
+        self.load = load
         self.note = note
 
     def figures(self, quiet_s: float) -> list[figure.Figure]:
@@ -97,6 +107,8 @@
         name = f"front_floods_{self.form.value}_{self.callers}"
         quiet_ms = quiet_s * _MILLISECONDS
         served = len(self.latencies_s)
+        # A request that is not served has no latency that could meet a bound.
+        waits_s = [*self.latencies_s, *[math.inf] * self.unserved]
         return [
             figure.Figure(
                 name=f"{name}_memory",
@@ -107,10 +119,14 @@
             ),
             figure.Figure(
                 name=f"{name}_p99",
-                value=p99(self.latencies_s) * _MILLISECONDS,
+                value=p99(waits_s) * _MILLISECONDS,
                 unit="ms",
                 bound=P99_FACTOR_BOUND * quiet_ms,
                 baselines={"quiet": quiet_ms},
+                note=(
+                    f"busiest front {100 * self.front_cores:.0f} % of a core,"
+                    f" load {self.load:.0f}"
+                ),
             ),
             figure.Figure(
                 name=f"{name}_unserved",
@@ -193,7 +209,13 @@
     before: list[int],
 ) -> FloodResult:
     await testbed.prepare_flood(form, callers=callers, seconds=FLOOD_S)
+    loop = asyncio.get_running_loop()
+    begin_s, cpu_s = loop.time(), testbed.processor_s()
     flood, _ = await asyncio.gather(testbed.run_flood(), steady.run(FLOOD_S))
+    cpu_used_s = max(
+        after - spent
+        for after, spent in zip(testbed.processor_s(), cpu_s, strict=True)
+    )
     peaks = testbed.memory_bytes("VmHWM")
     sender = "callers" if form in flood_form.UPLOADS else "targets"
     if not flood[sender]["sent_bytes"]:
@@ -208,6 +230,8 @@
         ),
         latencies_s=latencies_s,
         unserved=unserved,
+        front_cores=cpu_used_s / (loop.time() - begin_s),
+        load=os.getloadavg()[0],
         note=f"{flood['callers']['requests']} requests, {sent_mb:.0f} MB sent",
     )
 
--- a/tests/test_measure_floods.py
+++ b/tests/test_measure_floods.py
@@ -25,6 +25,8 @@
         result = measure_floods.FloodResult(
             form=flood_form.Form.ANSWER_JUNK,
             callers=5,
+            front_cores=1.0,
+            load=8.0,
             note="",
             **(values | changes),
         )
@@ -46,6 +48,11 @@
             ["p99", "unserved"], self.missed(latencies_s=[], unserved=9)
         )
 
+    def test_unserved_requests_count_as_slow(self):
+        """Guards against a p99 of the few requests that were served."""
+        changes = {"latencies_s": [0.1] * 97, "unserved": 3}
+        self.assertEqual(["p99", "unserved"], self.missed(**changes))
+
     def test_p99(self):
         """Guards against a percentile that omits slow requests."""
         self.assertEqual(99, measure_floods.p99(range(101)))
