--- a/bench/flood_testbed.py
+++ b/bench/flood_testbed.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import pathlib
 import signal
 import sys
@@ -135,8 +134,13 @@
             _status_bytes(front.process.pid, field) for front in self._fronts
         ]
 
-    def processor_s(self) -> list[float]:
-        """Returns the processor time that each front has used, in seconds."""
+    def processor_s(self) -> list[tuple[float, float]]:
+        """Returns the processor time of each front.
+
+        Returns:
+            The time that a front has used, and the time that it was ready
+            and waited for a processor, in seconds.
+        """
         return [_processor_s(front.process.pid) for front in self._fronts]
 
     async def prepare_flood(
@@ -292,13 +296,10 @@
     }
 
 
-def _processor_s(pid: int) -> float:
-    stat = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
-    # User and system time are the 14th and 15th field; the second is the
-    # name in parentheses.
-    fields = stat.rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
+def _processor_s(pid: int) -> tuple[float, float]:
+    path = pathlib.Path(f"/proc/{pid}/schedstat")
+    used_ns, waited_ns, _ = path.read_text(encoding="ascii").split()
+    return int(used_ns) / 1e9, int(waited_ns) / 1e9
 
 
 def _status_bytes(pid: int, field: str) -> int:
--- a/bench/measure_floods.py
+++ b/bench/measure_floods.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import math
-import os
 import pathlib
 import sys
 import tempfile
@@ -61,8 +60,9 @@
             before the first flood.
         latencies_s: Latencies of the other service's served requests.
         unserved: Number of its requests that were not served.
-        front_cores: Processor time of the busiest front by elapsed time.
-        load: Load average of the machine at the end of the flood.
+        used_share: Processor time of the busiest front by elapsed time.
+        waited_share: Time in which that front was ready and had no processor,
+            by elapsed time.
         note: What was sent and read.
     """
 
@@ -72,8 +72,8 @@
         "growth_bytes",
         "latencies_s",
         "unserved",
-        "front_cores",
-        "load",
+        "used_share",
+        "waited_share",
         "note",
     )
 
@@ -85,8 +85,8 @@
         growth_bytes: int,
         latencies_s: list[float],
         unserved: int,
-        front_cores: float,
-        load: float,
+        used_share: float,
+        waited_share: float,
         note: str,
     ) -> None:
         self.form = form
@@ -94,8 +94,8 @@
         self.growth_bytes = growth_bytes
         self.latencies_s = latencies_s
         self.unserved = unserved
-        self.front_cores = front_cores
-        self.load = load
+        self.used_share = used_share
+        self.waited_share = waited_share
         self.note = note
 
     def figures(self, quiet_s: float) -> list[figure.Figure]:
@@ -124,8 +124,8 @@
                 bound=P99_FACTOR_BOUND * quiet_ms,
                 baselines={"quiet": quiet_ms},
                 note=(
-                    f"busiest front {100 * self.front_cores:.0f} % of a core,"
-                    f" load {self.load:.0f}"
+                    f"busiest front ran {100 * self.used_share:.0f} %, "
+                    f"waited for a core {100 * self.waited_share:.0f} %"
                 ),
             ),
             figure.Figure(
@@ -210,12 +210,13 @@
 ) -> FloodResult:
     await testbed.prepare_flood(form, callers=callers, seconds=FLOOD_S)
     loop = asyncio.get_running_loop()
-    begin_s, cpu_s = loop.time(), testbed.processor_s()
+    begin_s, begin = loop.time(), testbed.processor_s()
     flood, _ = await asyncio.gather(testbed.run_flood(), steady.run(FLOOD_S))
-    cpu_used_s = max(
-        after - spent
-        for after, spent in zip(testbed.processor_s(), cpu_s, strict=True)
+    used_s, waited_s = max(
+        (end[0] - start[0], end[1] - start[1])
+        for start, end in zip(begin, testbed.processor_s(), strict=True)
     )
+    elapsed_s = loop.time() - begin_s
     peaks = testbed.memory_bytes("VmHWM")
     sender = "callers" if form in flood_form.UPLOADS else "targets"
     if not flood[sender]["sent_bytes"]:
@@ -230,8 +231,8 @@
         ),
         latencies_s=latencies_s,
         unserved=unserved,
-        front_cores=cpu_used_s / (loop.time() - begin_s),
-        load=os.getloadavg()[0],
+        used_share=used_s / elapsed_s,
+        waited_share=waited_s / elapsed_s,
         note=f"{flood['callers']['requests']} requests, {sent_mb:.0f} MB sent",
     )
 
--- a/tests/test_measure_floods.py
+++ b/tests/test_measure_floods.py
@@ -25,8 +25,8 @@
         result = measure_floods.FloodResult(
             form=flood_form.Form.ANSWER_JUNK,
             callers=5,
-            front_cores=1.0,
-            load=8.0,
+            used_share=1.0,
+            waited_share=0.0,
             note="",
             **(values | changes),
         )
