Check requests that a planned stop drops unrun or answers itself

The fault soak counted a request as lost only if it had run at a target and its connection was closed. A whole request that a stopping front drops before any target has it, and an answer of the front's own in place of one of a target at work, went unnoticed.

Around planned stops both count now: the first if the connection ends more than 0.2 s after the last byte was sent, the second unless the target was still at work in the last sixth of the grace time on a request that was whole within 3 s of SIGTERM. A busy machine excuses only the first, which is a time bound. The excuse also holds for a long answer that has begun, which no other answer can replace; a connection that is closed without one counts as before.

--- a/bench/fault_checker.py
+++ b/bench/fault_checker.py
@@ -18,6 +18,16 @@
 CONFIG_S = 2.0
 # Allowance for reading and scheduling on a busy machine, in seconds.
 SLACK_S = 0.5
+# Time allowed for a graceful shutdown, time after it in which it still counts,
+# and time after its last byte in which a request may cross the front's close,
+# in seconds.
+GRACE_S = 6.0
+AFTER_STOP_S = 1.0
+LOSS_SLACK_S = 0.2
+# A request that was whole this long after SIGTERM, in seconds, may be ended
+# when its target is still at work in the last part of the grace time.
+EXCUSED_SENT_S = 3.0
+EXCUSED_END_S = GRACE_S * 5.0 / 6.0
 # Statuses that state that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Statuses that reject or redirect a request: any other 3xx or 4xx.
@@ -29,7 +39,7 @@
 # host at the users' sites.
 MEMORY_BYTES = 150_000_000
 # Most violations that are kept.
-MAX_VIOLATIONS = 50
+MAX_VIOLATIONS = 200
 # Longest part of a path in a message, in characters.
 MAX_PATH_CHARS = 60
 # Component of a fault that affects everything on this machine.
@@ -51,6 +61,7 @@
         is_safe: Whether the request may run more than once.
         at_s: Monotonic time of sending, in seconds.
         form: Form in which the request was written.
+        time_s: Time after which the request may fail, in seconds.
     """
 
     __slots__ = (
@@ -61,6 +72,8 @@
         "at_s",
         "form",
         "status",
+        "time_s",
+        "whole_s",
     )
 
     def __init__(
@@ -72,6 +85,7 @@
         is_safe: bool,
         at_s: float,
         form: str = "plain",
+        time_s: float = float("inf"),
     ) -> None:
         self.form = form
         self.front = front
@@ -80,6 +94,9 @@
         self.is_safe = is_safe
         self.at_s = at_s
         self.status: int | None = None
+        self.time_s = time_s
+        # Monotonic time at which the last byte was sent, in seconds.
+        self.whole_s: float | None = None
 
 
 class FaultChecker:
@@ -112,6 +129,10 @@
         # by component.
         self._fault_until_s: dict[str, float] = {}
         self._planned_until_s: dict[str, float] = {}
+        # Monotonic time at which planned work began, in seconds.
+        self._planned_at_s: dict[str, float] = {}
+        # Targets that are at work on a request, by its id.
+        self._targets_by_id: dict[str, list[str]] = {}
 
     def record_fault(
         self, component: str, for_s: float = 0.0, *, is_planned: bool = False
@@ -122,13 +143,16 @@
         it to drop requests.
 
         Args:
-            component: IP address of a front, ``store`` or ``MACHINE``.
+            component: IP address of a front, id of a target, ``store`` or
+                ``MACHINE``.
             for_s: Duration, in seconds.
             is_planned: Whether the fault is planned work.
         """
         until_s_by_component = (
             self._planned_until_s if is_planned else self._fault_until_s
         )
+        if is_planned:
+            self._planned_at_s[component] = self._clock.now()
         until_s = self._clock.now() + for_s
         until_s_by_component[component] = max(
             until_s_by_component.get(component, 0.0), until_s
@@ -162,6 +186,7 @@
         path: str,
         body: bytes,
         draining_s: float | None,
+        target: str = "",
     ) -> None:
         """Records that a target has begun to run a request.
 
@@ -173,6 +198,7 @@
             draining_s: Monotonic time at which the store accepted the
                 target's draining state, in seconds, None if the target is
                 not draining.
+            target: Id of the target.
         """
         sent = self.sent_by_id.get(id)
         if sent is None or (sent.path, sent.digest) != (
@@ -182,6 +208,7 @@
             form = "" if sent is None else f" ({sent.form})"
             self._add_violation(f"UNASKED: {id} {path[:MAX_PATH_CHARS]}{form}")
             return
+        self._targets_by_id.setdefault(id, []).append(target)
         self.runs_by_id[id] += 1
         self.checked["run"] += 1
         if not sent.is_safe and self.runs_by_id[id] > 1:
@@ -199,6 +226,11 @@
             )
         self.checked["drain"] += 1
 
+    def record_work_end(self, id: str, target: str) -> None:
+        """Records that a target has ended its work on a request."""
+        if target in self._targets_by_id.get(id, ()):
+            self._targets_by_id[id].remove(target)
+
     def record_limited_answer(
         self, id: str, limit: fault_limits.LimitCheck
     ) -> None:
@@ -319,21 +351,107 @@
             self._add_violation(f"REFUSED: {id} ran and got {status}")
         if status in REJECTION_STATUSES and is_allowed and not is_signed:
             self._check_rejection(id, sent, status)
+        if not is_signed:
+            self._check_own_answer(id, sent, status)
+
+    def record_lost_connection(
+        self,
+        id: str,
+        *,
+        ended_s: float | None = None,
+        has_answer_begun: bool = False,
+    ) -> None:
+        """Records that a connection has ended without a complete answer.
 
-    def record_lost_connection(self, id: str) -> None:
-        """Records that a connection has ended without an answer."""
+        Args:
+            id: Request id.
+            ended_s: Monotonic time of the end in seconds, None for now.
+            has_answer_begun: Whether the head of the answer has arrived.
+        """
         sent = self.sent_by_id[id]
         self.checked["cut off"] += 1
-        if not self.runs_by_id[id] or id in self._aborted_ids:
-            # The front closed an idle connection while the request was on its
-            # way, or the target aborted the answer.
+        ended_s = self._clock.now() if ended_s is None else ended_s
+        if id in self._aborted_ids or not self._has_no_fault(sent):
             return
+        if self.runs_by_id[id]:
+            # No other answer can replace one that has begun.
+            if has_answer_begun and self._may_end(id, sent, ended_s):
+                self.checked["answer cut off at work"] += 1
+                return
+        elif not self._is_dropped(sent, ended_s):
+            # The request may have crossed the close of the connection.
+            return
+        self._add_violation(
+            f"LOST: {id} connection closed by {sent.front}"
+            f" {self._phase(id, sent, ended_s)}"
+        )
+
+    def _has_no_fault(self, sent: SentRequest, *others: str) -> bool:
+        """Returns whether a request had no unplanned fault around it."""
         since_s = sent.at_s - STABILITY_S
-        if self._fault_until_s.get(sent.front, 0.0) < since_s:
+        return all(
+            self._fault_until_s.get(component, 0.0) < since_s
+            for component in (sent.front, *others)
+        )
+
+    def _stopped_at_s(self, front: str, at_s: float) -> float | None:
+        """Returns when the stop began that a front is in, None without one."""
+        until_s = self._planned_until_s.get(front, 0.0) + AFTER_STOP_S
+        return self._planned_at_s[front] if at_s < until_s else None
+
+    def _is_dropped(self, sent: SentRequest, ended_s: float) -> bool:
+        """Returns whether a stop drops a request that has not run."""
+        if self._stopped_at_s(sent.front, ended_s) is None:
+            return False
+        if sent.whole_s is None:
+            self.checked["cut off while sending"] += 1
+            return False
+        # A late caller sees the close of the connection late.
+        is_timely = self._fault_until_s.get(MACHINE, 0.0) < sent.whole_s
+        return is_timely and ended_s > sent.whole_s + LOSS_SLACK_S
+
+    def _may_end(self, id: str, sent: SentRequest, ended_s: float) -> bool:
+        """Returns whether a stop may end a request at a target."""
+        if ended_s >= sent.at_s + sent.time_s:
+            return True
+        stop_s = self._stopped_at_s(sent.front, ended_s)
+        whole_s = sent.at_s if sent.whole_s is None else sent.whole_s
+        return (
+            stop_s is not None
+            and bool(self._targets_by_id.get(id))
+            and whole_s <= stop_s + EXCUSED_SENT_S
+            and ended_s >= stop_s + EXCUSED_END_S
+        )
+
+    def _check_own_answer(
+        self, id: str, sent: SentRequest, status: int
+    ) -> None:
+        now_s = self._clock.now()
+        targets = self._targets_by_id.get(id)
+        if not targets or self._stopped_at_s(sent.front, now_s) is None:
+            return
+        self.checked["own answer at work"] += 1
+        if self._may_end(id, sent, now_s):
+            return
+        if self._has_no_fault(sent, *targets):
             self._add_violation(
-                f"LOST: {id} connection closed by {sent.front}"
+                f"LOST: {id} {status} by {sent.front} itself"
+                f" {self._phase(id, sent, now_s)}"
             )
 
+    def _phase(self, id: str, sent: SentRequest, ended_s: float) -> str:
+        """Returns the times of a request after SIGTERM, for a message."""
+        stop_s = self._stopped_at_s(sent.front, ended_s)
+        since_s = sent.at_s if stop_s is None else stop_s
+        whole = "" if sent.whole_s is None else f"{sent.whole_s - since_s:.2f}"
+        return (
+            f"({sent.form}, runs={self.runs_by_id[id]},"
+            f" at_work={len(self._targets_by_id.get(id, ()))},"
+            f" {'calm' if stop_s is None else 'stop'},"
+            f" sent {sent.at_s - since_s:.2f}..{whole},"
+            f" end {ended_s - since_s:.2f})"
+        )
+
     def record_timeout(self, id: str) -> None:
         """Records an answer that is incomplete after twice its timeout.
 
--- a/bench/fault_testbed.py
+++ b/bench/fault_testbed.py
@@ -40,7 +40,7 @@
 TARGETS = 5
 # Time allowed for a graceful shutdown, and delay before a front that has ended
 # is started again, in seconds.
-STOP_S = 6.0
+STOP_S = fault_checker.GRACE_S
 RESTART_S = 0.3
 # Number of changes that the store keeps for watches; a history fault writes
 # more than these.
