Judge slow bodies and answers by what reaches the fault soak's targets

With bodies that take seconds, a target that had begun to drain meanwhile or had stated a limit counted a request as late that had reached it before. Its arrival is now the arrival of its head. Requests with short bodies are judged as before.

Answers in parts state neither wish nor limit.

--- a/bench/fault_checker.py
+++ b/bench/fault_checker.py
@@ -187,6 +187,7 @@
         body: bytes,
         draining_s: float | None,
         target: str = "",
+        arrived_s: float | None = None,
     ) -> None:
         """Records that a target has begun to run a request.
 
@@ -199,6 +200,8 @@
                 target's draining state, in seconds, None if the target is
                 not draining.
             target: Id of the target.
+            arrived_s: Monotonic time at which the head of the request arrived
+                in seconds, None for now; its body may take long.
         """
         sent = self.sent_by_id.get(id)
         if sent is None or (sent.path, sent.digest) != (
@@ -218,7 +221,7 @@
         self._check_route(id, sent, service)
         if draining_s is None:
             return
-        late_s = self._clock.now() - draining_s
+        late_s = self._at_s(arrived_s) - draining_s
         if late_s > DRAIN_S + SLACK_S and self.time_bounds_hold(sent.front):
             self._add_violation(
                 f"DRAIN: {id} runs {late_s:.2f} s after its target began to"
@@ -244,7 +247,11 @@
             limit.record_answer(sent.front, self._clock.now())
 
     def record_limited_arrival(
-        self, id: str, target: str, limit: fault_limits.LimitCheck
+        self,
+        id: str,
+        target: str,
+        limit: fault_limits.LimitCheck,
+        arrived_s: float | None = None,
     ) -> None:
         """Records the arrival of a request at a target with a rate limit.
 
@@ -252,6 +259,7 @@
             id: Request id.
             target: Id of the target.
             limit: Its limit.
+            arrived_s: Monotonic time of the head in seconds, None for now.
         """
         sent = self.sent_by_id.get(id)
         if sent is None:
@@ -261,7 +269,7 @@
             limit.forget(sent.front)
             return
         self.checked["limited"] += 1
-        count = limit.record_arrival(sent.front, self._clock.now())
+        count = limit.record_arrival(sent.front, self._at_s(arrived_s))
         if count is not None:
             self._add_violation(
                 f"LIMIT: {target} takes {limit.rate_per_s:g} a second and got"
@@ -277,7 +285,11 @@
             wish.record_answer(sent.front, self._clock.now())
 
     def record_wish_arrival(
-        self, id: str, target: str, wish: fault_wishes.WishCheck
+        self,
+        id: str,
+        target: str,
+        wish: fault_wishes.WishCheck,
+        arrived_s: float | None = None,
     ) -> None:
         """Records the arrival of a request at a target with a wish.
 
@@ -285,6 +297,7 @@
             id: Request id.
             target: Id of the target.
             wish: Its wish.
+            arrived_s: Monotonic time of the head in seconds, None for now.
         """
         sent = self.sent_by_id.get(id)
         if sent is None:
@@ -294,7 +307,7 @@
             wish.forget(sent.front)
             return
         self.checked["wishes"] += 1
-        fault = wish.record_arrival(sent.front, self._clock.now())
+        fault = wish.record_arrival(sent.front, self._at_s(arrived_s))
         if fault:
             self._add_violation(f"{fault}; {id} reached {target}")
 
@@ -374,7 +387,7 @@
         """
         sent = self.sent_by_id[id]
         self.checked["cut off"] += 1
-        ended_s = self._clock.now() if ended_s is None else ended_s
+        ended_s = self._at_s(ended_s)
         if id in self._aborted_ids or not self._has_no_fault(sent):
             return
         if self.runs_by_id[id]:
@@ -390,6 +403,9 @@
             f" {self._phase(id, sent, ended_s)}"
         )
 
+    def _at_s(self, at_s: float | None) -> float:
+        return self._clock.now() if at_s is None else at_s
+
     def _has_no_fault(self, sent: SentRequest, *others: str) -> bool:
         """Returns whether a request had no unplanned fault around it."""
         since_s = sent.at_s - STABILITY_S
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -149,6 +149,7 @@
         self._ip = ip
         self._checker = checker
         self._rng = rng
+        self._clock = clock
         self._started_ms = int(clock.wall() * 1000)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -208,6 +209,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         line, fields = await fault_wire.read_head(reader)
+        arrived_s = self._clock.now()
         id = fields.get(_PREFIX + "request-id", "")
         is_long = int(fields.get("content-length", 0)) > LONG_BODY_BYTES
         if self.mode is Mode.REJECTS_EARLY and is_long:
@@ -218,9 +220,13 @@
             writer.write(_answer(421, id, b"", _NOT_RUN))
             return True
         if self.limit is not None:
-            self._checker.record_limited_arrival(id, self.id, self.limit)
+            self._checker.record_limited_arrival(
+                id, self.id, self.limit, arrived_s
+            )
         if self.wish is not None:
-            self._checker.record_wish_arrival(id, self.id, self.wish)
+            self._checker.record_wish_arrival(
+                id, self.id, self.wish, arrived_s
+            )
         is_held = self.wish is not None and self.wish.hold_s is not None
         is_declining = self.mode is Mode.DECLINES and self._rng.random() < 0.5
         if is_held or is_declining:
@@ -237,6 +243,7 @@
             body=body,
             draining_s=self.draining_s,
             target=self.id,
+            arrived_s=arrived_s,
         )
         try:
             return await self._run(
@@ -321,7 +328,11 @@
         )
         if mode in _FILLERS:
             await self._answer_endlessly(mode, id, writer)
-        signed = self._with_limit(id, _answer(200, id, body))
+        signed = _answer(200, id, body)
+        stream_s = _stated_s(path, "/stream/", 0.0)
+        if not stream_s:
+            # A front may give up an answer in parts before it is told.
+            signed = self._with_limit(id, signed)
         if mode is Mode.RESETS:
             writer.transport.abort()
             return False
@@ -334,11 +345,9 @@
             writer.write(_answer(200, f"{id}-old", b"other"))
         if mode is Mode.LATE_WITHOUT_ID:
             writer.write(_answer(404, "", b"other", ""))
-        await _write_slowly(
-            self._with_wish(id, signed),
-            writer,
-            _stated_s(path, "/stream/", 0.0),
-        )
+        if not stream_s:
+            signed = self._with_wish(id, signed)
+        await _write_slowly(signed, writer, stream_s)
         if mode is Mode.ADDS:
             writer.write(b"more bytes")
         return True
--- a/tests/test_fault_checker.py
+++ b/tests/test_fault_checker.py
@@ -94,6 +94,17 @@
         self.run_at_target("q2", draining_s=long_ago_s)
         self.assert_violations("DRAIN")
 
+    def test_slow_body_at_a_draining_target(self):
+        """Guards against a violation by a body that arrives slowly."""
+        self.send("q1")
+        now_s = self.clock.now()
+        self.clock.now_s += 5.0
+        self.run_at_target("q1", draining_s=now_s, arrived_s=now_s + 0.1)
+        self.assert_violations()
+        self.send("q2")
+        self.run_at_target("q2", draining_s=now_s, arrived_s=now_s + 2.6)
+        self.assert_violations("DRAIN")
+
     def test_lost_connection(self):
         """Guards against a lost request that a fault elsewhere excuses."""
         self.send("q1")
