Limit the header lines of a caller's request by count

A head was limited by its bytes only, so a large limit allowed any number of tiny lines.

A head of more than 1,000 lines is rejected with 431, whatever the age of the configuration.

The new test failed before: a head of 1,001 lines below the limit in bytes was accepted; 1,000 lines pass.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -488,6 +488,13 @@
         after="        if False:",
         test="tests.test_upload_parts",
     ),
+    Mutation(
+        rule="DENIED: heads of tiny lines",
+        module="request_parser.py",
+        before="if len(self._headers) > MAX_HEADER_LINES:",
+        after="if False:",
+        test="tests.test_request_parser",
+    ),
     Mutation(
         rule="DENIED: bytes of a caller that must wait",
         module="paced_input.py",
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -42,6 +42,8 @@
 # starts a request, completes a head nor carries body bytes is limited too;
 # this many bytes are allowed on top of the limits of head and target.
 _FEED_SLACK_BYTES = 65_536
+# Most header lines of a head.
+MAX_HEADER_LINES = 1_000
 # Header lines of a head that count as one part together.
 _FREE_HEADER_LINES = 32
 
@@ -306,7 +308,14 @@
             raise errors.RequestRejected(_HEADERS_TOO_LARGE, "head too large")
         self._headers.append((name.lower(), value.strip(b" \t")))
         if len(self._headers) > _FREE_HEADER_LINES:
-            self._parts += 1
+            self._count_header_line()
+
+    def _count_header_line(self) -> None:
+        self._parts += 1
+        if len(self._headers) > MAX_HEADER_LINES:
+            raise errors.TooManyParts(
+                _HEADERS_TOO_LARGE, "too many header lines"
+            )
 
     def _drop_trailer(self, name: bytes, value: bytes) -> None:
         """Counts a trailer and drops it; it must not alter the request."""
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -31,12 +31,12 @@
         self.budget = body_budget.BodyBudget(max_bytes=8000)
         self.flows: list[bool] = []
         self.limits = limits(head=1000, body=5000)
-        meter = work_meter.WorkMeter(
+        self.meter = work_meter.WorkMeter(
             clock=self.clock, share=work_share.WorkShare(clock=self.clock)
         )
         self.parser = request_parser.RequestParser(
-            meter=meter,
-            charge=meter.charge,
+            meter=self.meter,
+            charge=self.meter.charge,
             on_flow=self.flows.append,
             clock=self.clock,
             limits=lambda: self.limits,
@@ -242,6 +242,23 @@
         many = b"".join(b"X-%d: %s\r\n" % (i, b"v" * 50) for i in range(40))
         self.assertEqual(431, self.rejected(HEAD + many + b"\r\n"))
 
+    def test_header_lines_are_limited_by_count(self):
+        """Guards against a head of tiny lines that goes on and on."""
+        self.limits = limits(head=1_000_000, body=0)
+        lines = b"a:\r\n" * 999
+        self.parser.feed(HEAD + lines + b"\r\n")
+        self.assertEqual(1000, len(self.parser.requests[0].headers))
+        self.setUp()
+        self.limits = limits(head=1_000_000, body=0)
+        self.assertEqual(431, self.rejected(HEAD + lines + b"a:\r\n\r\n"))
+
+    def test_trailers_are_parts(self):
+        """Guards against tiny trailers that cost nothing."""
+        self.limits = limits(head=1_000_000, body=10)
+        start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+        self.parser.feed(start + b"a:\r\n" * 5000 + b"\r\n")
+        self.assertGreaterEqual(self.meter.parts, 5000)
+
     def test_long_target_does_not_count_as_headers(self):
         """Guards against counting the target toward the limit of headers."""
         host = b"Host: h\r\n"
