Count what waits of callers' requests against the memory budget

The memory budget counted bodies only. Heads, pipelined requests and received bytes that wait to be parsed counted nothing, however many connections had some.

A connection now reserves the memory of what waits on it, beyond 4 KB, and its request is rejected with 503 if the budget is used up.

Two tests over loopback failed before: 3,000 pipelined requests behind one that is answered took nothing from the budget, and were all queued with 20 KB left of it; they are rejected now. Two mutations are new and found.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -488,6 +488,21 @@
         after="        if False:",
         test="tests.test_upload_parts",
     ),
+    Mutation(
+        rule="DENIED: memory of waiting requests",
+        module="caller_connection.py",
+        before="        self._reserve_held()\n",
+        after="",
+        test="tests.test_upload_parts",
+    ),
+    Mutation(
+        rule="LOST: memory of waiting requests",
+        module="caller_connection.py",
+        before="        self._server.budget.release(self._held_bytes)\n"
+        "        self._held_bytes = 0\n        self._server.remove",
+        after="        self._server.remove",
+        test="tests.test_upload_parts",
+    ),
     Mutation(
         rule="DENIED: heads of tiny lines",
         module="request_parser.py",
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -20,6 +20,8 @@
 
 # Pipelined requests that may be queued before reading pauses.
 MAX_PIPELINED = 16
+# Memory for heads and unparsed bytes that a connection has beside the budget.
+FREE_HELD_BYTES = 4_096
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TIMEOUT = 408
 _SERVER_ERROR = 500
@@ -137,6 +139,8 @@
         self._may_write = asyncio.Event()
         self._may_write.set()
         self._is_flow_paused = False
+        # Memory that is reserved for heads and unparsed bytes.
+        self._held_bytes = 0
         # Monotonic time until which the input is read and dropped after the
         # final answer, in seconds; None before it.
         self._linger_until_s: float | None = None
@@ -218,6 +222,8 @@
         self._mark_disconnected()
         self._input.close()
         self._parser.close()
+        self._server.budget.release(self._held_bytes)
+        self._held_bytes = 0
         self._server.remove_connection(self)
 
     def pause_writing(self) -> None:
@@ -403,11 +409,30 @@
         self._input.hold(self._is_held)
         if self._transport is None:
             return
+        self._reserve_held()
         if self._is_paused and not self.is_lingering:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
+    def _reserve_held(self) -> None:
+        """Counts heads and unparsed bytes against the memory budget."""
+        held = self._input.waiting_bytes + self._parser.held_bytes
+        count = max(0, held - FREE_HELD_BYTES)
+        if count == self._held_bytes:
+            return
+        self._server.budget.release(self._held_bytes)
+        self._held_bytes = 0
+        if self._server.budget.reserve(count):
+            self._held_bytes = count
+        elif self._rejection is None and not self.is_lingering:
+            error = errors.RequestRejected(
+                _UNAVAILABLE, "no memory for the request now"
+            )
+            self._parser.cut_off(error)
+            self._reject(error)
+            self._serve_next()
+
     async def _serve(
         self,
         request: http_request.HttpRequest,
--- a/fuchsiacourse/front/http_request.py
+++ b/fuchsiacourse/front/http_request.py
@@ -20,6 +20,7 @@
         accepts_chunked: Whether the caller understands chunked answers.
         rest: Stream of the rest of a long body, None if the body is
             complete.
+        head_bytes: Memory of the head while the request is queued.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "keeps_alive",
         "accepts_chunked",
         "rest",
+        "head_bytes",
     )
 
     def __init__(
@@ -44,6 +46,7 @@
         keeps_alive: bool,
         accepts_chunked: bool = True,
         rest: body_stream.BodyStream | None = None,
+        head_bytes: int = 0,
     ) -> None:
         self.method = method
         self.target = target
@@ -53,6 +56,7 @@
         self.keeps_alive = keeps_alive
         self.accepts_chunked = accepts_chunked
         self.rest = rest
+        self.head_bytes = head_bytes
 
     def without_body(self) -> HttpRequest:
         """Returns the request without its body, which uses memory."""
--- a/fuchsiacourse/front/paced_input.py
+++ b/fuchsiacourse/front/paced_input.py
@@ -72,6 +72,11 @@
         """Whether received bytes have not been parsed yet."""
         return bool(self._waiting)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Number of received bytes that have not been parsed yet."""
+        return len(self._waiting)
+
     def add(self, data: bytes) -> None:
         """Parses bytes, or keeps them while the connection is paused."""
         if self._is_closed:
--- a/fuchsiacourse/front/request_parser.py
+++ b/fuchsiacourse/front/request_parser.py
@@ -46,6 +46,9 @@
 MAX_HEADER_LINES = 1_000
 # Header lines of a head that count as one part together.
 _FREE_HEADER_LINES = 32
+# Memory of a header line and of a request beside their bytes.
+_LINE_BYTES = 150
+_REQUEST_BYTES = 500
 
 Charge = typing.Callable[[int, int], typing.Any]
 Limits = typing.Callable[[], route_table.CallerLimits]
@@ -151,6 +154,11 @@
         while self.requests:
             self._budget.release(len(self.requests.popleft().body))
 
+    def cut_off(self, error: errors.RequestRejected) -> None:
+        """Aborts the body of a request that is rejected."""
+        self.has_cut_body = self._stream is not None
+        self.abort_body(error)
+
     def abort_body(self, error: Exception) -> None:
         """Aborts the body that is being streamed, if there is one.
 
@@ -166,6 +174,14 @@
         """Limits at the first byte of the latest request."""
         return self._limits
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the heads that have been read and not been removed."""
+        count = self._head_bytes + _LINE_BYTES * len(self._headers)
+        for request in self.requests:
+            count += request.head_bytes
+        return count
+
     @property
     def is_reading_body(self) -> bool:
         """Whether a head is complete and its body is not."""
@@ -208,8 +224,7 @@
                 self._count_no_progress(len(data))
         except errors.RequestRejected as error:
             self._charge()
-            self.has_cut_body = self._stream is not None
-            self.abort_body(error)
+            self.cut_off(error)
             raise
 
     def _feed_reporting_faults(self, data: bytes) -> None:
@@ -459,6 +474,11 @@
                 keeps_alive=self._parser.should_keep_alive(),
                 accepts_chunked=self._accepts_chunked(),
                 rest=self._stream,
+                head_bytes=(
+                    _REQUEST_BYTES
+                    + self._head_bytes
+                    + _LINE_BYTES * len(self._headers)
+                ),
             )
         )
 
--- a/tests/test_upload_parts.py
+++ b/tests/test_upload_parts.py
@@ -20,6 +20,8 @@
 GET = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
 ONE_BYTE = b"1\r\na\r\n"
 END = b"0\r\n\r\n"
+# Memory budget of the server.
+MAX_BYTES = 2_000_000
 
 
 class UploadPartsTest(unittest.IsolatedAsyncioTestCase):
@@ -31,6 +33,9 @@
         self.parts: list[bytes] = []
         self.cut: list[str] = []
         self.metrics = front_metrics.FrontMetrics(gauges=dict)
+        self.budget = body_budget.BodyBudget(max_bytes=MAX_BYTES)
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
         self.floods: list[asyncio.Task[None]] = []
         lines = structlog.testing.capture_logs()
         self.lines = self.enterContext(lines)
@@ -44,7 +49,7 @@
                 head_timeout_s=3.0,
                 idle_timeout_s=15.0,
             ),
-            budget=body_budget.BodyBudget(),
+            budget=self.budget,
             rejections=front_fakes.rejections(
                 metrics=self.metrics, log=structlog.get_logger()
             ),
@@ -60,6 +65,7 @@
         self.assertEqual([], self.failures)
 
     async def handle(self, request, presence) -> http_answer.HttpAnswer:
+        await self.may_answer.wait()
         parts = [request.body]
         try:
             while request.rest and (part := await request.rest.read()):
@@ -152,6 +158,42 @@
         self.assertEqual([b"abcd" * count], self.bodies)
         self.assertLess(len(self.parts), count / 100)
 
+    async def test_waiting_requests_count_against_the_budget(self):
+        """Guards against pipelined requests that use memory unseen."""
+        self.may_answer.clear()
+        reader, writer = await self.connect()
+        line = b"A: %s\r\n" % (b"a" * 8000)
+        writer.write(GET * 3000 + b"GET /2 HTTP/1.1\r\n" + line + b"B:")
+        await asyncio.sleep(0.3)
+        self.assertFalse(self.budget.reserve(MAX_BYTES - 50_000))
+        self.may_answer.set()
+        async with asyncio.timeout(20.0):
+            for _ in range(3000):
+                await reader.readuntil(b"ok")
+        self.assertFalse(self.budget.reserve(MAX_BYTES))
+        writer.close()
+        async with asyncio.timeout(5.0):
+            while self.server.busy:
+                await asyncio.sleep(0.01)
+        self.assertTrue(self.budget.reserve(MAX_BYTES))
+
+    async def test_waiting_requests_without_memory_are_rejected(self):
+        """Guards against many callers' requests that exhaust the memory."""
+        self.assertTrue(self.budget.reserve(MAX_BYTES - 20_000))
+        self.may_answer.clear()
+        reader, writer = await self.connect()
+        writer.write(GET * 3000)
+        await asyncio.sleep(0.3)
+        self.may_answer.set()
+        async with asyncio.timeout(20.0):
+            answers = await reader.read()
+            while not answers.endswith(b"now\n"):
+                answers += await reader.read(65_536)
+        writer.close()
+        self.assertIn(b" 503 ", answers)
+        self.assertIn(b"no memory for the request now", answers)
+        self.assertLess(answers.count(b" 200 "), 200)
+
     async def test_upload_in_chunks_of_ten_bytes_passes(self):
         """Guards against rejecting an honest upload of 100,000 chunks."""
         head = await self.upload(b"a\r\n0123456789\r\n" * 100_000, END)
