Bound the requests that are read behind one that is answered

Two faults of the accounts of what waits:

- The number of queued requests was only looked at when an answer had ended, so everything that a caller sent behind a request that is being answered was parsed and queued.
A refusal in the middle of a slice cut off a body that ended in it, and its first part was queued as a whole request.

Reading is reconsidered after each slice, and the memory for what waits is reserved once the parsing has stopped.

Two tests failed before: 40,000 requests sent behind one that is answered were queued beyond 600 KB of the budget; a POST with the first part of its body was queued a second time. Two mutations are new and found.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -503,6 +503,20 @@
         after="        self._server.remove",
         test="tests.test_upload_parts",
     ),
+    Mutation(
+        rule="DENIED: memory of requests behind an answer",
+        module="caller_connection.py",
+        before="            self._update_reading()\n            return\n",
+        after="            return\n",
+        test="tests.test_upload_parts",
+    ),
+    Mutation(
+        rule="UNASKED: first part of a body that is cut off",
+        module="caller_connection.py",
+        before="if self._transport is None or self._input.is_consuming:",
+        after="if self._transport is None:",
+        test="tests.test_upload_parts",
+    ),
     Mutation(
         rule="DENIED: heads of tiny lines",
         module="request_parser.py",
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -204,6 +204,7 @@
         if self._rejection is not None or self.is_lingering:
             return
         self._input.add(data)
+        self._update_reading()
 
     def eof_received(self) -> bool:
         """Handles a half-close as a disconnect (asyncio callback).
@@ -366,7 +367,10 @@
         )
 
     def _serve_next(self) -> None:
-        if self._task is not None or self._transport is None:
+        if self._transport is None:
+            return
+        if self._task is not None:
+            self._update_reading()
             return
         if self._parser.requests:
             request = self._parser.requests.popleft()
@@ -418,7 +422,8 @@
         ):
             return
         self._input.hold(self._is_held)
-        if self._transport is None:
+        if self._transport is None or self._input.is_consuming:
+            # Whoever has the bytes parsed calls this again.
             return
         self._reserve_held()
         self._is_read_paused = self._is_paused and not self.is_lingering
--- a/fuchsiacourse/front/paced_input.py
+++ b/fuchsiacourse/front/paced_input.py
@@ -42,7 +42,7 @@
         "_pause_s",
         "_timer",
         "_is_closed",
-        "_is_consuming",
+        "is_consuming",
         "_is_held",
     )
 
@@ -65,7 +65,8 @@
         self._pause_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed = False
-        self._is_consuming = False
+        # Whether bytes are being parsed.
+        self.is_consuming = False
         self._is_held = False
 
     def add(self, data: bytes) -> None:
@@ -73,7 +74,7 @@
         if self._is_closed:
             return
         self.waiting = self.waiting + data if self.waiting else data
-        if not self.is_paused and not self._is_consuming:
+        if not self.is_paused and not self.is_consuming:
             self._run()
 
     def charge(self, parts: int, content_bytes: int) -> None:
@@ -97,7 +98,7 @@
             is_held: Whether received bytes must wait.
         """
         self._is_held = is_held
-        if self.waiting and not (self.is_paused or self._is_consuming):
+        if self.waiting and not (self.is_paused or self.is_consuming):
             self._run()
 
     def close(self) -> None:
@@ -109,12 +110,12 @@
             self._timer = None
 
     def _run(self) -> None:
-        self._is_consuming = True
+        self.is_consuming = True
         try:
             while self.waiting and not (self.is_paused or self._is_held):
                 self._consume_slice()
         finally:
-            self._is_consuming = False
+            self.is_consuming = False
 
     def _consume_slice(self) -> None:
         size = self._slice_bytes
--- a/tests/test_upload_parts.py
+++ b/tests/test_upload_parts.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import structlog
 
 from bench import front_fakes
 from fuchsiacourse import errors
 from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import body_stream
+from fuchsiacourse.front import caller_connection
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import http_answer
@@ -177,6 +180,50 @@
                 await asyncio.sleep(0.01)
         self.assertTrue(self.budget.reserve(MAX_BYTES))
 
+    async def test_requests_behind_an_answer_wait(self):
+        """Guards against queueing all that a caller sends meanwhile."""
+        self.may_answer.clear()
+        reader, writer = await self.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.1)
+        for _ in range(40):
+            writer.write(GET * 1000)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        # Queued requests need many times the bytes that a read takes.
+        self.assertTrue(self.budget.reserve(MAX_BYTES - 600_000))
+        self.may_answer.set()
+        async with asyncio.timeout(20.0):
+            for _ in range(1000):
+                await reader.readuntil(b"ok")
+        writer.close()
+
+    async def test_body_cut_off_for_memory_is_no_second_request(self):
+        """Guards against serving the first part of a body as a whole one."""
+        paths = []
+
+        async def handle(request, presence):
+            paths.append(request.path)
+            await asyncio.sleep(3600.0)
+
+        self.server.handler = handle
+        connection = caller_connection.CallerConnection(server=self.server)
+        connection.connection_made(mock.Mock())
+        left = 2 * body_stream.HIGH_WATER_BYTES + 100_000
+        self.assertTrue(self.budget.reserve(MAX_BYTES - left))
+        head = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 640000\r\n\r\n"
+        connection.data_received(head)
+        for _ in range(8):
+            connection.data_received(b"a" * 64_000)
+        # The body ends in the bytes that make it wait.
+        connection.data_received(b"a" * 128_000 + GET * 10_000)
+        await asyncio.sleep(0.0)
+        self.assertEqual(["/1"], paths)
+        queued = connection._parser.requests
+        self.assertEqual({b"GET"}, {request.method for request in queued})
+        connection._task.cancel()
+        connection.connection_lost(None)
+
     async def test_waiting_requests_without_memory_are_rejected(self):
         """Guards against many callers' requests that exhaust the memory."""
         self.assertTrue(self.budget.reserve(MAX_BYTES - 20_000))
