Share the memory for long answers among all connections

Each connection could buffer up to 256 KB of a body before it is forwarded, twice, 256 KB of its stream and a read of 256 KB, whatever the number of connections.

Answers above 32 KB divide 4 MB, with at most 256 KB and at least 32 KB for each: it is the length from which a body is streamed and the high water mark of its stream. Connections read 64 KB at a time into one buffer of the front, and the parser lets go of the parts that it has handed over.

--- a/fuchsiacourse/front/answer_limits.py
+++ b/fuchsiacourse/front/answer_limits.py
@@ -6,11 +6,16 @@
 
 from fuchsiacourse import clock as clocks
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_budget
 from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import work_meter
 from fuchsiacourse.front import work_share
 from fuchsiacourse import logs
 
+# Bytes that are read from a connection at a time. They may have to wait until
+# they are parsed.
+READ_BYTES = 65_536
+
 
 class AnswerLimits:
     """What all connections on which a front gets answers have in common.
@@ -22,7 +27,14 @@
         log: Logger.
     """
 
-    __slots__ = ("_clock", "_work", "_metrics", "_log")
+    __slots__ = (
+        "budget",
+        "read_buffer",
+        "_clock",
+        "_work",
+        "_metrics",
+        "_log",
+    )
 
     def __init__(
         self,
@@ -32,6 +44,10 @@
         metrics: front_metrics.FrontMetrics,
         log: typing.Any,
     ) -> None:
+        # Memory for long answers.
+        self.budget = answer_budget.AnswerBudget()
+        # Buffer into which each connection reads; it is emptied at once.
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._clock = clock
         self._work = work
         self._metrics = metrics
--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -11,6 +11,7 @@
 import httptools
 
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_budget
 from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.front import http_request
@@ -35,6 +36,8 @@
         max_bytes: Longest body that is buffered, in bytes.
         stream_factory: Returns a stream for a longer body; None buffers all
             bodies.
+        budget: Memory for long answers, None without a limit for all
+            together.
     """
 
     __slots__ = (
@@ -45,6 +48,8 @@
         "content_bytes",
         "_max_bytes",
         "_stream_factory",
+        "_budget",
+        "_is_long",
         "_stream",
         "_parser",
         "_headers",
@@ -58,7 +63,11 @@
     )
 
     def __init__(
-        self, *, max_bytes: int, stream_factory: StreamFactory | None = None
+        self,
+        *,
+        max_bytes: int,
+        stream_factory: StreamFactory | None = None,
+        budget: answer_budget.AnswerBudget | None = None,
     ) -> None:
         # Answers, oldest first; the body of the last may still be streamed.
         self.answers: collections.deque[http_answer.HttpAnswer] = (
@@ -74,6 +83,9 @@
         self.content_bytes = 0
         self._max_bytes = max_bytes
         self._stream_factory = stream_factory
+        self._budget = budget
+        # Whether the current answer counts as long.
+        self._is_long = False
         self._stream: body_stream.BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
         # Parts of a body that are joined before they are kept or passed on.
@@ -137,6 +149,13 @@
         if stream is not None:
             stream.fail(error)
 
+    def release(self) -> None:
+        """Returns the memory of an unfinished answer to the budget."""
+        if self._is_long:
+            assert self._budget is not None
+            self._is_long = False
+            self._budget.remove()
+
     def _fail_malformed(self, error: errors.TargetBadAnswer) -> None:
         # Answers before the malformed bytes are complete and stay valid.
         self.closes = True
@@ -221,6 +240,8 @@
             self._stream.feed(body)
             return
         self._body_bytes += len(body)
+        if self._body_bytes > answer_budget.MIN_SHARE_BYTES:
+            self._count_long()
         must_stream = self._must_stream()
         if not must_stream and self._body_bytes > self._max_bytes:
             raise self._exceeded("body_bytes", self._max_bytes)
@@ -228,15 +249,21 @@
         if must_stream:
             self._begin_stream()
 
+    def _count_long(self) -> None:
+        if self._budget is not None and not self._is_long:
+            self._is_long = True
+            self._budget.add()
+
     def _exceeded(self, limit: str, value: int) -> errors.AnswerLimitExceeded:
         self._limit_error = errors.AnswerLimitExceeded(limit, value)
         return self._limit_error
 
     def _must_stream(self) -> bool:
-        return (
-            self._stream_factory is not None
-            and self._body_bytes > body_stream.MAX_BUFFERED_BYTES
-        )
+        if self._stream_factory is None:
+            return False
+        if self._body_bytes > body_stream.MAX_BUFFERED_BYTES:
+            return True
+        return self._is_long and self._body_bytes > self._budget.share_bytes
 
     def _begin_stream(self) -> None:
         assert self._stream_factory is not None
@@ -255,16 +282,18 @@
         self._reset()
 
     def _queue(self) -> None:
+        body, self._body = b"".join(self._body), []
         self.answers.append(
             http_answer.HttpAnswer(
                 status=self._parser.get_status_code(),
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=body,
                 rest=self._stream,
             )
         )
 
     def _reset(self) -> None:
+        self.release()
         self.has_begun = False
         self._headers: http_request.Headers = []
         self._body: list[bytes] = []
--- a/fuchsiacourse/front/body_stream.py
+++ b/fuchsiacourse/front/body_stream.py
@@ -12,17 +12,17 @@
 # Bodies of up to this many bytes are buffered whole before they are forwarded,
 # so that a request can be retried and a truncated answer is never started.
 MAX_BUFFERED_BYTES = 262_144
-# The sender is paused above the high and resumed below the low water mark of
-# buffered bytes. Together with the kernel's buffers, the high water mark keeps
-# a link of 1 Gbit/s busy for 2 ms.
+# The sender is paused above the high water mark of buffered bytes and resumed
+# below a quarter of it. Together with the kernel's buffers, the high water
+# mark keeps a link of 1 Gbit/s busy for 2 ms.
 HIGH_WATER_BYTES = 262_144
-LOW_WATER_BYTES = 65_536
 # Parts are joined while they are kept up to the first and when they are read
 # up to the second of these lengths, because a part costs far more than a byte.
 JOINED_BYTES = 4_096
 READ_BYTES = 65_536
 
 FlowCallback = typing.Callable[[bool], None]
+HighWater = typing.Callable[[], int]
 CloseCallback = typing.Callable[[], None]
 EndCallback = typing.Callable[[Exception | None], None]
 
@@ -34,6 +34,8 @@
         on_flow: Called with True to pause the sender, with False to resume
             it.
         on_close: Called when the reader closes the stream before its end.
+        high_water: Returns the high water mark in bytes, None for
+            ``HIGH_WATER_BYTES``.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "on_end",
         "_on_flow",
         "_on_close",
+        "_high_water",
         "_parts",
         "_buffered_bytes",
         "_is_paused",
@@ -52,7 +55,11 @@
     )
 
     def __init__(
-        self, *, on_flow: FlowCallback, on_close: CloseCallback
+        self,
+        *,
+        on_flow: FlowCallback,
+        on_close: CloseCallback,
+        high_water: HighWater | None = None,
     ) -> None:
         # Whether reading has started; the body can't be read a second time.
         self.has_been_read = False
@@ -64,6 +71,7 @@
         self.on_end: EndCallback | None = None
         self._on_flow = on_flow
         self._on_close = on_close
+        self._high_water = high_water
         self._parts: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._is_paused = False
@@ -88,7 +96,7 @@
             return
         append_part(self._parts, data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > HIGH_WATER_BYTES and not self._is_paused:
+        if not self._is_paused and self._buffered_bytes > self._max_bytes():
             self._is_paused = True
             self._on_flow(True)
         self._arrived.set()
@@ -145,7 +153,7 @@
             await self.wait_for(self._arrived)
         part = self._take()
         self._buffered_bytes -= len(part)
-        if self._buffered_bytes < LOW_WATER_BYTES:
+        if self._is_paused and self._buffered_bytes < self._max_bytes() // 4:
             self._resume()
         return part
 
@@ -179,6 +187,11 @@
             taken.append(parts.popleft())
         return b"".join(taken)
 
+    def _max_bytes(self) -> int:
+        if self._high_water is None:
+            return HIGH_WATER_BYTES
+        return self._high_water()
+
     def _resume(self) -> None:
         if self._is_paused:
             self._is_paused = False
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -39,7 +39,7 @@
 Accepts = typing.Callable[[http_answer.HttpAnswer], bool]
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Client side of one HTTP connection.
 
     Args:
@@ -74,6 +74,7 @@
         self._parser = answer_parser.AnswerParser(
             max_bytes=max_answer_bytes,
             stream_factory=self._begin_stream if streams_bodies else None,
+            budget=limits.budget,
         )
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[http_answer.HttpAnswer] | None = None
@@ -246,10 +247,14 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for bytes from the server (asyncio callback)."""
+        return self._limits.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Takes bytes from the server (asyncio callback)."""
-        self._read_bytes += len(data)
-        self._paced.add(data)
+        self._read_bytes += nbytes
+        self._paced.add(bytes(self._limits.read_buffer[:nbytes]))
 
     def _consume(self, data: bytes) -> None:
         """Parses bytes and delivers the answers that they complete."""
@@ -331,6 +336,7 @@
         """Fails the request that is in progress (asyncio callback)."""
         self.is_usable = False
         self._paced.close()
+        self._parser.release()
         self._may_write.set()
         if self._body_task is not None and self._waiter is None:
             self._body_task.cancel()
@@ -388,9 +394,14 @@
 
     def _begin_stream(self) -> body_stream.BodyStream:
         return body_stream.BodyStream(
-            on_flow=self._on_flow, on_close=self.close
+            on_flow=self._on_flow,
+            on_close=self.close,
+            high_water=self._stream_bytes,
         )
 
+    def _stream_bytes(self) -> int:
+        return self._limits.budget.share_bytes
+
     def _on_flow(self, is_paused: bool) -> None:
         self._is_stream_full = is_paused
         self._update_reading()
--- a/tests/test_costly_answers.py
+++ b/tests/test_costly_answers.py
@@ -1,12 +1,16 @@
 """Tests of answers that cost far more than their bytes."""
 
 import asyncio
+import tracemalloc
 import unittest
 from unittest import mock
 
 from bench import front_fakes
 from bench import virtual_loop
 from fuchsiacourse import errors
+from fuchsiacourse.front import answer_budget
+from fuchsiacourse.front import answer_limits
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import client_connection
 from fuchsiacourse.front import front_metrics
 from fuchsiacourse.front import paced_input
@@ -16,7 +20,6 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 TINY = b"1\r\na\r\n"
-READ_BYTES = 65_536
 
 
 class FakeTransport:
@@ -39,6 +42,14 @@
         self.is_reading = False
 
 
+def receive(connection, data: bytes) -> None:
+    """Delivers bytes to a connection in reads."""
+    for start in range(0, len(data), answer_limits.READ_BYTES):
+        piece = data[start : start + answer_limits.READ_BYTES]
+        connection.get_buffer(-1)[: len(piece)] = piece
+        connection.buffer_updated(len(piece))
+
+
 class CostlyAnswersTest(unittest.TestCase):
     """Answers in tiny parts must not take the front from other work.
 
@@ -79,12 +90,13 @@
 
     async def feed(self, connection, transport, data: bytes) -> None:
         """Delivers bytes as fast as the connection reads them."""
-        for start in range(0, len(data), READ_BYTES):
+        size = answer_limits.READ_BYTES
+        for start in range(0, len(data), size):
             while not transport.is_reading:
                 if transport.is_aborted:
                     return
                 await asyncio.sleep(0.001)
-            connection.data_received(data[start : start + READ_BYTES])
+            receive(connection, data[start : start + size])
 
     def test_tiny_chunks_without_end(self):
         """Guards against a target that takes the front from others."""
@@ -171,12 +183,12 @@
         async def main():
             connection, transport, task = self.connect()
             await asyncio.sleep(0)
-            connection.data_received(CHUNKED)
+            receive(connection, CHUNKED)
             for _ in range(600):
                 self.assertTrue(transport.is_reading)
-                connection.data_received(b"1e\r\n" + b"a" * 30 + b"\r\n")
+                receive(connection, b"1e\r\n" + b"a" * 30 + b"\r\n")
                 await asyncio.sleep(0.05)
-            connection.data_received(b"0\r\n\r\n")
+            receive(connection, b"0\r\n\r\n")
             self.assertEqual(b"a" * 18_000, (await task).body)
             self.assertTrue(connection.is_usable)
 
@@ -216,7 +228,7 @@
             await self.feed(flood, flood_transport, CHUNKED + TINY * 11_000)
             answer = OK + b"X: a\r\n" * 20 + b"Content-Length: 2\r\n\r\nab"
             for _ in range(500):
-                connection.data_received(answer)
+                receive(connection, answer)
                 self.assertTrue(transport.is_reading)
                 self.assertEqual(b"ab", (await task).body)
                 task = asyncio.ensure_future(
@@ -240,7 +252,7 @@
             size = len(CHUNKED + body) + len(b"X: \r\n")
             padding = b"a" * (-size % paced_input.MIN_SLICE_BYTES)
             head = CHUNKED[:-2] + b"X: %s\r\n\r\n" % padding
-            connection.data_received(head + body + OK[:10])
+            receive(connection, head + body + OK[:10])
             self.assertEqual(b"a" * 2000, (await task).body)
             self.assertFalse(connection.is_usable)
 
@@ -254,13 +266,73 @@
             await asyncio.sleep(0)
             size = 400_000
             head = OK + b"Connection: close\r\nContent-Length: %d\r\n\r\n"
-            connection.data_received(head % size + b"a" * size)
+            receive(connection, head % size + b"a" * size)
             answer = await task
             self.assertTrue(answer.rest.is_ended)
             self.assertFalse(connection.is_usable)
 
         self.run_front(main)
 
+    def test_long_answers_share_their_memory(self):
+        """Guards against memory that grows with the number of callers."""
+        data = CHUNKED + (b"fe00\r\n" + b"a" * 0xFE00 + b"\r\n") * 20
+
+        async def main():
+            opened = [self.connect() for _ in range(40)]
+            await asyncio.sleep(0)
+            tracemalloc.start()
+            try:
+                feeds = [
+                    asyncio.ensure_future(self.feed(*item[:2], data))
+                    for item in opened
+                ]
+                await asyncio.sleep(0.5)
+                held_bytes, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            # No caller reads its answer, so no target is read on.
+            self.assertFalse(any(item[1].is_reading for item in opened))
+            answers = [await task for _, _, task in opened]
+            for (connection, _, _), answer in zip(opened, answers):
+                answer.rest.close()
+                connection.connection_lost(None)
+            self.assertTrue(all(item[1].is_aborted for item in opened))
+            await asyncio.gather(*feeds)
+            return held_bytes
+
+        self.assertLess(
+            self.run_front(main),
+            4 * answer_budget.MAX_BYTES + 80 * answer_limits.READ_BYTES,
+        )
+        self.assertEqual(
+            body_stream.HIGH_WATER_BYTES, self.limits.budget.share_bytes
+        )
+
+    def test_memory_of_answers_that_end_is_used_again(self):
+        """Guards against shares that shrink with each answer."""
+        size = 100_000
+        answer = OK + b"Content-Length: %d\r\n\r\n" % size + b"a" * size
+
+        async def main():
+            connection, _, task = self.connect()
+            await asyncio.sleep(0)
+            for _ in range(200):
+                receive(connection, answer)
+                self.assertEqual(size, len((await task).body))
+                task = asyncio.ensure_future(
+                    connection.exchange(b"GET", accepts=lambda _: True)
+                )
+                await asyncio.sleep(0)
+            receive(connection, answer[:-1])
+            connection.close()
+            connection.connection_lost(None)
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.run_front(main)
+        self.assertEqual(
+            body_stream.HIGH_WATER_BYTES, self.limits.budget.share_bytes
+        )
+
 
 class PacedEndTest(unittest.IsolatedAsyncioTestCase):
     """The end of a connection must not overtake the bytes before it."""
