--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -283,14 +283,14 @@
     Mutation(
         rule="COST: pace of answers in tiny parts",
         module="client_connection.py",
-        before="self._paced.charge(parts - free_parts, content_bytes)",
+        before="self._paced.charge(parts, content_bytes)",
         after="pass",
         test="tests.test_costly_answers",
     ),
     Mutation(
         rule="COST: answers in tiny parts without end",
         module="client_connection.py",
-        before="if self._meter.is_exhausted:",
+        before="if is_charged and self._meter.is_exhausted:",
         after="if False:",
         test="tests.test_costly_answers",
     ),
--- a/fuchsiacourse/front/answer_parser.py
+++ b/fuchsiacourse/front/answer_parser.py
@@ -109,7 +109,8 @@
         self._bodiless_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            self._join_parts()
+            if self._new_parts:
+                self._join_parts()
         except errors.AnswerLimitExceeded as error:
             self._fail_malformed(error)
         except httptools.HttpParserError as error:
@@ -189,8 +190,8 @@
         Raises:
             AnswerLimitExceeded: The head has too many lines.
         """
-        self.part_count += 1
         if self._is_head_complete:
+            self.part_count += 1
             return
         if len(self._headers) >= MAX_HEAD_LINES:
             raise self._exceeded("head_lines", MAX_HEAD_LINES)
@@ -198,7 +199,7 @@
 
     def on_headers_complete(self) -> None:
         """Handles the end of a head (httptools callback)."""
-        self.part_count += 1
+        self.part_count += 1 + len(self._headers)
         self._is_head_complete = True
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS:
@@ -218,7 +219,8 @@
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             self._reset()
             return
-        self._join_parts()
+        if self._new_parts:
+            self._join_parts()
         self._complete()
         self._bodiless_bytes = 0
 
@@ -229,8 +231,6 @@
             AnswerLimitExceeded: The body is too long and isn't streamed.
         """
         parts = self._new_parts
-        if not parts:
-            return
         body = parts[0] if len(parts) == 1 else b"".join(parts)
         self._bodiless_bytes = 0
         self.part_count += len(parts)
@@ -293,7 +293,8 @@
         )
 
     def _reset(self) -> None:
-        self.release()
+        if self._is_long:
+            self.release()
         self.has_begun = False
         self._headers: http_request.Headers = []
         self._body: list[bytes] = []
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -260,7 +260,7 @@
         """Parses bytes and delivers the answers that they complete."""
         parser = self._parser
         was_streaming = parser.is_streaming
-        if not self._is_awaited and not was_streaming:
+        if not was_streaming and not self._is_awaited:
             # No request is in progress, so the bytes answer nothing.
             self.is_out_of_sync = True
             self.close()
@@ -271,9 +271,12 @@
         except errors.TargetBadAnswer as error:
             self._fail(error)
             return
-        self._charge(
-            parser.part_count - parts, parser.content_bytes - content_bytes
-        )
+        parts = parser.part_count - parts
+        is_charged = parts > self._free_parts
+        if is_charged:
+            self._charge(parts, parser.content_bytes - content_bytes)
+        else:
+            self._free_parts -= parts
         if self._is_head:
             parser.end_without_body()
         self._deliver_answers()
@@ -281,7 +284,7 @@
             self._check_late_limits(data)
         if was_streaming and not self._is_awaited:
             self._after_stream()
-        if self._meter.is_exhausted:
+        if is_charged and self._meter.is_exhausted:
             self._end_costly_answer()
 
     @property
@@ -289,12 +292,9 @@
         return self._waiter is not None and not self._waiter.done()
 
     def _charge(self, parts: int, content_bytes: int) -> None:
-        free_parts = self._free_parts
-        if parts <= free_parts:
-            self._free_parts = free_parts - parts
-            return
+        parts -= self._free_parts
         self._free_parts = 0
-        self._paced.charge(parts - free_parts, content_bytes)
+        self._paced.charge(parts, content_bytes)
         self._check_head()
 
     def _check_head(self) -> None:
