--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -311,7 +311,8 @@
     Mutation(
         rule="MIXED: bytes that wait behind an answer",
         module="client_connection.py",
-        before="has_next = self._paced.has_waiting or self._parser.has_begun",
+        before="has_next = bool(self._paced.waiting) or "
+        "self._parser.has_begun",
         after="has_next = self._parser.has_begun",
         test="tests.test_costly_answers",
     ),
--- a/fuchsiacourse/front/client_connection.py
+++ b/fuchsiacourse/front/client_connection.py
@@ -416,7 +416,7 @@
 
     def _close_if_unusable(self) -> None:
         self.idle_since_s = asyncio.get_running_loop().time()
-        has_next = self._paced.has_waiting or self._parser.has_begun
+        has_next = bool(self._paced.waiting) or self._parser.has_begun
         if self._parser.answers or has_next:
             self.is_out_of_sync = True
         if self._parser.closes or self.is_out_of_sync:
