Never end a body whose parts were dropped as if it were complete

A body that had ended with parts unread had the same.

The stream fails before it resumes its sender. Two tests failed before: BodyTruncated not raised.

--- a/fuchsiacourse/front/body_stream.py
+++ b/fuchsiacourse/front/body_stream.py
@@ -126,10 +126,16 @@
         """Stops reading and calls ``on_close`` if the body has not ended."""
         if self._is_closed:
             return
+        error = errors.BodyTruncated("reader closed the stream")
+        was_ended = self._is_ended
+        # Resuming the sender may bring the end of the body, which would make
+        # the dropped bytes look like a complete body.
+        self._finish(error)
+        if self._parts:
+            self._error = error
         self.discard()
-        if not self._is_ended:
+        if not was_ended:
             self._on_close()
-            self._finish(errors.BodyTruncated("reader closed the stream"))
 
     async def read(self) -> bytes:
         """Returns the next bytes, or no bytes at the end of the body.
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -96,6 +96,40 @@
         self.assertEqual(200_000, sum(map(len, reads)))
         self.assertLess(len(reads), 10)
 
+    def test_closed_stream_never_looks_complete(self):
+        """Guards against a truncated body that is passed on as complete.
+
+        Resuming the sender may bring the end of the body at once.
+        """
+
+        async def main():
+            def on_flow(is_paused):
+                if not is_paused:
+                    stream.end()
+
+            stream = body_stream.BodyStream(
+                on_flow=on_flow, on_close=self.count_close
+            )
+            stream.feed(b"a" * (body_stream.HIGH_WATER_BYTES + 1))
+            stream.close()
+            with self.assertRaises(errors.BodyTruncated):
+                await stream.read()
+
+        virtual_loop.run(main())
+
+    def test_ended_stream_that_is_closed_never_looks_complete(self):
+        """Guards against dropped parts of a body that had ended."""
+
+        async def main():
+            stream = self.stream()
+            stream.feed(b"a")
+            stream.end()
+            stream.close()
+            with self.assertRaises(errors.BodyTruncated):
+                await stream.read()
+
+        virtual_loop.run(main())
+
     def test_failure_is_raised_after_the_parts(self):
         """Guards against a truncated body that looks complete."""
 
