--- a/fuchsiacourse/front/forwarder.py
+++ b/fuchsiacourse/front/forwarder.py
@@ -129,9 +129,8 @@
         They can't be refused, because a target may act on part of a body.
         """
         for run in list(self._runs):
-            if run.is_receiving and not self.stop.may_serve(
-                self.times.usual_s(run.service), begun_s=run.received_s
-            ):
+            usual_s = self.times.usual_s(run.service)
+            if run.is_receiving and not self.stop.may_finish(usual_s):
                 run.end()
 
     async def handle(
--- a/fuchsiacourse/front/request_run.py
+++ b/fuchsiacourse/front/request_run.py
@@ -127,11 +127,6 @@
         """Service that serves the request."""
         return self._service
 
-    @property
-    def received_s(self) -> float:
-        """Monotonic time of the first byte of the request, in seconds."""
-        return self._request.received_s
-
     @property
     def is_receiving(self) -> bool:
         """Whether the rest of the request's body is still being received."""
--- a/fuchsiacourse/front/stop_schedule.py
+++ b/fuchsiacourse/front/stop_schedule.py
@@ -29,10 +29,11 @@
 # in seconds; the answers have to be sent, and their callers may still be
 # sending.
 ANSWER_MARGIN_S = 0.2
-# Multiple of the usual time that must be left for a request whose body ends
-# after SERVE_S. Most work ends in it; the caller of a refused request loses
-# only its upload, not its answer.
+# Multiple of the usual time, and least time in seconds, that must be left for
+# a request whose body ends after SERVE_S. Most work ends in it; the caller of
+# a refused request loses only its upload, not its answer.
 UPLOAD_FACTOR = 3.0
+MIN_UPLOAD_LEFT_S = 1.0
 
 
 class StopSchedule:
@@ -97,5 +98,15 @@
         is_late = now_s >= self._began_s + serve_s
         if is_late and (begun_s is None or begun_s >= self._began_s + serve_s):
             return False
-        needed_s = UPLOAD_FACTOR * usual_s if is_late else usual_s
+        needed_s = usual_s
+        if is_late:
+            needed_s = max(UPLOAD_FACTOR * usual_s, MIN_UPLOAD_LEFT_S)
         return now_s + needed_s <= self.answers_until_s
+
+    def may_finish(self, usual_s: float) -> bool:
+        """Returns whether work that begins now may end before the exit.
+
+        Args:
+            usual_s: Usual time of the service, in seconds.
+        """
+        return self._clock.now() + usual_s <= self.answers_until_s
