Let callers take the last answer of a stop when they send on

A stopping front closed a connection right after its last answer. The front now ends its own side and drops what comes until the caller closes, as it does after a rejection. The exit waits only for callers that were still sending.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -145,6 +145,8 @@
         # Monotonic time until which the input is read and dropped after the
         # final answer, in seconds; None before it.
         self._linger_until_s: float | None = None
+        # Whether the caller was still sending when it got its final answer.
+        self._may_lose_answer = False
         self._accepted_s = server.clock.now()
         self._idle_since_s = self._accepted_s
         # Monotonic time of the last bytes from the caller, in seconds.
@@ -165,6 +167,11 @@
         """Whether the caller has its final answer and may still be sending."""
         return self._linger_until_s is not None
 
+    @property
+    def may_lose_answer(self) -> bool:
+        """Whether an exit may take the final answer from a sending caller."""
+        return self.is_lingering and self._may_lose_answer
+
     @property
     def open_request(self) -> http_request.HttpRequest | None:
         """The request that closing the connection would cut off, if any."""
@@ -541,9 +548,11 @@
 
     def _close_after_body(self) -> None:
         """Closes the connection, or lingers while input may be unread."""
-        is_whole = not self._has_input and not self._parser.requests
+        has_input = self._has_input or bool(self._parser.requests)
+        self._may_lose_answer = has_input or self._rejection is not None
         self._input.close()
-        if self._transport is None or (is_whole and self._rejection is None):
+        is_needed = self._may_lose_answer or self._server.is_stopping
+        if self._transport is None or not is_needed:
             self._close()
             return
         now_s = self._server.clock.now()
--- a/fuchsiacourse/front/caller_server.py
+++ b/fuchsiacourse/front/caller_server.py
@@ -88,7 +88,7 @@
         return sum(
             item.is_busy
             or item.is_reading
-            or item.is_lingering
+            or item.may_lose_answer
             or item.awaits_first_request
             or item.has_unsent_answer
             for item in self._connections
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -254,6 +254,29 @@
                     answer, _ = await self.read_answer()
                     self.assertIn(b" %s " % expected, answer)
 
+    async def test_stop_lets_a_pipelining_caller_take_its_answer(self):
+        """Guards against a reset by a request that crosses the close."""
+        size = 8_000_000
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, self.server.address)
+            self.release.clear()
+            await loop.sock_sendall(caller, GET % b"long")
+            while not self.presences:
+                await asyncio.sleep(0.01)
+            self.server.is_stopping = True
+            self.release.set()
+            await asyncio.sleep(0.1)
+            await loop.sock_sendall(caller, GET % b"2")
+            read = 0
+            async with asyncio.timeout(5.0):
+                while read < size:
+                    part = await loop.sock_recv(caller, 1 << 20)
+                    self.assertNotEqual(b"", part)
+                    read += len(part)
+
     async def test_rejected_upload_gets_its_answer(self):
         """Guards against a reset that takes a 413 from a sending caller."""
         count = self.limits.max_body_bytes + 8_000_000
