--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -478,6 +478,9 @@
             rest.close()
             keeps_alive = False
         await self._answer(request, answer, keeps_alive)
+        if rest is not None:
+            # A body that nobody has read whole would pause reading for ever.
+            rest.close()
         self._task = None
         self._request = request.without_body()
         self._idle_since_s = self._server.clock.now()
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -254,6 +254,42 @@
                     answer, _ = await self.read_answer()
                     self.assertIn(b" %s " % expected, answer)
 
+    async def upload_unread(self, count: int) -> None:
+        """Sends a body in chunks whose rest the handler doesn't read."""
+        self.writer.write(
+            b"POST /1 HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"%x\r\n%s\r\n" % (count, b"a" * count)
+            + b"0\r\n\r\n"
+        )
+        await self.writer.drain()
+
+    async def test_next_request_after_a_body_that_nobody_reads(self):
+        """Guards against a connection that is never read again."""
+        self.budget.release(10_000_000)
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=10_000_000,
+            head_timeout_s=3.0,
+            idle_timeout_s=15.0,
+        )
+        for count in range(520_000, 800_000, 20_000):
+            with self.subTest(count=count):
+                self.writer.close()
+                self.reader, self.writer = await asyncio.open_connection(
+                    *self.server.address
+                )
+                self.release.clear()
+                await self.upload_unread(count)
+                await asyncio.sleep(0.02)
+                self.release.set()
+                async with asyncio.timeout(5.0):
+                    head, _ = await self.read_answer()
+                    if b"connection: close" in head.lower():
+                        continue
+                    self.writer.write(GET % b"2")
+                    self.assertEqual(b"/2", (await self.read_answer())[1])
+
     async def test_stop_lets_a_pipelining_caller_take_its_answer(self):
         """Guards against a reset by a request that crosses the close."""
         size = 8_000_000
