Answer the next request only once the caller takes the answers before

The next request waits until the caller has taken most of what was written, and a caller that takes nothing for the idle timeout is disconnected.

The new test failed before: 10 requests handled in place of 1.

--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -481,6 +481,7 @@
         if rest is not None:
             # A body that nobody has read whole would pause reading for ever.
             rest.close()
+        await self._wait_until_taken()
         self._task = None
         self._request = request.without_body()
         self._idle_since_s = self._server.clock.now()
@@ -520,6 +521,22 @@
         finally:
             self._answer_rest = None
 
+    async def _wait_until_taken(self) -> None:
+        """Waits until the caller has taken most of what was written.
+
+        A caller that takes nothing for the idle timeout is disconnected.
+        """
+        while not self._may_write.is_set() and self._transport is not None:
+            left = self._transport.get_write_buffer_size()
+            try:
+                await asyncio.wait_for(
+                    self._may_write.wait(), self._server.limits.idle_timeout_s
+                )
+            except TimeoutError:
+                transport = self._transport
+                if transport and transport.get_write_buffer_size() >= left:
+                    transport.abort()
+
     async def _stream(
         self, answer: http_answer.HttpAnswer, keeps_alive: bool
     ) -> None:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -290,6 +290,26 @@
                     self.writer.write(GET % b"2")
                     self.assertEqual(b"/2", (await self.read_answer())[1])
 
+    async def test_caller_that_takes_nothing(self):
+        """Guards against answers without end in the buffer of a caller."""
+        self.limits = route_table.CallerLimits(
+            max_head_bytes=4096,
+            max_body_bytes=100,
+            head_timeout_s=3.0,
+            idle_timeout_s=0.3,
+        )
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, self.server.address)
+            await loop.sock_sendall(caller, GET % b"long" * 10)
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(self.presences))
+            async with asyncio.timeout(5.0):
+                while self.server.writing:
+                    await asyncio.sleep(0.05)
+
     async def test_stop_lets_a_pipelining_caller_take_its_answer(self):
         """Guards against a reset by a request that crosses the close."""
         size = 8_000_000
