Bound the answers that are kept whole for HTTP/1.0 callers

An answer without a length is kept whole for a caller of HTTP/1.0, because a truncated one would look complete there. Its memory comes from the budget of bodies now, and without any left the caller gets 502.

The new test failed before: no answer within 5 s.

--- a/bench/front_mutations.py
+++ b/bench/front_mutations.py
@@ -27,6 +27,10 @@
 SOAK_COMMAND = ["-m", "bench.fault_soak", "--seeds=4", "--seconds=30"]
 SOAK_TIMEOUT_S = 400.0
 
+# Tests of a real front process are named one by one, because all together
+# they take longer than TEST_TIMEOUT_S.
+_PLANNED_STOP = "tests.test_planned_stop.PlannedStopTest"
+
 
 class Mutation:
     """Change of the source that disables one safeguard.
@@ -464,14 +468,14 @@
         module="forwarder.py",
         before="return self._refuse_for_stop(fields, request)\n        finger",
         after="pass\n        finger",
-        test="tests.test_planned_stop",
+        test=f"{_PLANNED_STOP}.test_late_request_on_kept_connection",
     ),
     Mutation(
         rule="LOST: uploads that a stop finds half read",
         module="caller_server.py",
         before="            or item.is_reading\n",
         after="",
-        test="tests.test_planned_stop",
+        test=f"{_PLANNED_STOP}.test_upload_that_fits_is_waited_for",
     ),
     Mutation(
         rule="LOST: uploads that come too late in a stop",
@@ -479,7 +483,7 @@
         before="        fields = self.protocol.request_fields(request)\n"
         "        return self._refuse_for_stop(fields, request)",
         after="        return None",
-        test="tests.test_planned_stop",
+        test=f"{_PLANNED_STOP}.test_late_upload_is_refused_before_its_end",
     ),
     Mutation(
         rule="LOST: forwarded uploads that come too late in a stop",
@@ -493,13 +497,41 @@
         module="front_program.py",
         before="            front_server.writing\n",
         after="            False\n",
-        test="tests.test_planned_stop",
+        test=f"{_PLANNED_STOP}.test_answer_that_a_caller_takes_at_the_end",
+    ),
+    Mutation(
+        rule="UNASKED: dropped parts of a body that ends",
+        module="body_stream.py",
+        before="        self._finish(error)\n        if self._parts:",
+        after="        if self._parts:",
+        test="tests.test_body_stream",
+    ),
+    Mutation(
+        rule="LOST: connections whose body nobody reads",
+        module="caller_connection.py",
+        before="            rest.close()\n"
+        "        await self._wait_until_taken()",
+        after="            pass\n        await self._wait_until_taken()",
+        test="tests.test_caller_connection",
+    ),
+    Mutation(
+        rule="COST: answers that a caller doesn't take",
+        module="caller_connection.py",
+        before="        await self._wait_until_taken()\n        self._task",
+        after="        self._task",
+        test="tests.test_caller_connection",
+    ),
+    Mutation(
+        rule="COST: whole answers for old callers",
+        module="caller_connection.py",
+        before="if not self._server.budget.reserve(len(part)):",
+        after="if False:",
+        test="tests.test_caller_connection",
     ),
     Mutation(
         rule="LOST: answers to callers that still send",
         module="caller_connection.py",
-        before="if self._transport is None or (is_whole and "
-        "self._rejection is None):",
+        before="if self._transport is None or not is_needed:",
         after="if True:",
         test="tests.test_caller_connection",
     ),
@@ -565,7 +597,7 @@
         module="front_program.py",
         before="                self._forwarder.end_runs()\n",
         after="                pass\n",
-        test="tests.test_planned_stop",
+        test=f"{_PLANNED_STOP}.test_work_beyond_the_grace_time",
     ),
     Mutation(
         rule="REFUSED: requests that a stop ends",
--- a/fuchsiacourse/front/caller_connection.py
+++ b/fuchsiacourse/front/caller_connection.py
@@ -25,6 +25,7 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TIMEOUT = 408
 _SERVER_ERROR = 500
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 # Statuses of requests that exceed a configured limit.
 _LIMIT_STATUSES = frozenset((413, 414, 431))
@@ -509,8 +510,7 @@
             if answer.is_chunked and not request.accepts_chunked:
                 # HTTP/1.0 ends this body by closing the connection, so a
                 # truncated body would look complete.
-                await _read_rest(answer)
-                self._write(answer, keeps_alive=keeps_alive)
+                await self._send_whole(answer, keeps_alive)
             else:
                 await self._stream(answer, keeps_alive)
         except errors.BodyTruncated:
@@ -521,6 +521,39 @@
         finally:
             self._answer_rest = None
 
+    async def _send_whole(
+        self, answer: http_answer.HttpAnswer, keeps_alive: bool
+    ) -> None:
+        """Sends an answer once its body is complete.
+
+        Its memory comes from the budget of bodies; without any left, the
+        answer is replaced by a 502.
+
+        Raises:
+            BodyTruncated: The answer is truncated.
+        """
+        rest = answer.rest
+        assert rest is not None
+        parts = [answer.body]
+        reserved = 0
+        try:
+            while part := await rest.read():
+                if not self._server.budget.reserve(len(part)):
+                    rest.close()
+                    answer = http_answer.HttpAnswer(
+                        status=_BAD_GATEWAY, headers=[]
+                    )
+                    parts = []
+                    break
+                reserved += len(part)
+                parts.append(part)
+            answer.body = b"".join(parts)
+            answer.rest = None
+            self._write(answer, keeps_alive=keeps_alive)
+            await self._wait_until_taken()
+        finally:
+            self._server.budget.release(reserved)
+
     async def _wait_until_taken(self) -> None:
         """Waits until the caller has taken most of what was written.
 
@@ -589,17 +622,3 @@
     def _close(self) -> None:
         if self._transport is not None:
             self._transport.close()
-
-
-async def _read_rest(answer: http_answer.HttpAnswer) -> None:
-    """Reads the rest of an answer into its body.
-
-    Raises:
-        BodyTruncated: The answer is truncated.
-    """
-    assert answer.rest is not None
-    parts = [answer.body]
-    while part := await answer.rest.read():
-        parts.append(part)
-    answer.body = b"".join(parts)
-    answer.rest = None
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -7,6 +7,7 @@
 
 from bench import front_fakes
 from fuchsiacourse.front import body_budget
+from fuchsiacourse.front import body_stream
 from fuchsiacourse.front import caller_connection
 from fuchsiacourse.front import caller_server
 from fuchsiacourse.front import http_answer
@@ -310,6 +311,26 @@
                 while self.server.writing:
                     await asyncio.sleep(0.05)
 
+    async def test_whole_answer_for_an_old_caller_is_bounded(self):
+        """Guards against an endless answer that is kept for HTTP/1.0."""
+        stream = body_stream.BodyStream(
+            on_flow=lambda is_paused: None, on_close=lambda: None
+        )
+        for _ in range(10):
+            stream.feed(b"a" * 200)
+
+        async def answer_endlessly(request, presence):
+            return http_answer.HttpAnswer(
+                status=200, headers=[], body=b"", rest=stream
+            )
+
+        self.server.handler = answer_endlessly
+        self.writer.write(b"GET /1 HTTP/1.0\r\nHost: h\r\n\r\n")
+        head, _ = await asyncio.wait_for(self.read_answer(), 5.0)
+        self.assertIn(b" 502 ", head)
+        await self.reader.read()
+        self.assertTrue(self.budget.reserve(1000))
+
     async def test_stop_lets_a_pipelining_caller_take_its_answer(self):
         """Guards against a reset by a request that crosses the close."""
         size = 8_000_000
