Give the store client of a test its limits on answers

tests.test_old_pages failed in a whole run on: the store's client needs the limits on answers since its connections are paced, and this test makes a client of its own.

--- a/tests/test_old_pages.py
+++ b/tests/test_old_pages.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from bench import front_fakes
 from fuchsiacourse.front import http_answer
 from fuchsiacourse.platform import object_store
 
@@ -32,7 +33,10 @@
     """
 
     async def test_list_has_the_revision_of_its_oldest_page(self):
-        store = PagedStore(address=("127.0.0.1", 1))
+        store = PagedStore(
+            address=("127.0.0.1", 1),
+            limits=front_fakes.limits_on_answers(),
+        )
         batch = await store.watch("boxes/", after_revision=0, timeout_s=1.0)
         self.assertEqual(2, len(batch.objects))
         self.assertLessEqual(batch.revision, 12)
