--- a/tests/test_fault_wire.py
+++ b/tests/test_fault_wire.py
@@ -63,6 +63,30 @@
         )
         self.assertGreater(len(pieces), 2)
 
+    async def test_body_in_pieces(self):
+        """Guards against a body with pauses that is written at once."""
+        for form in (fault_wire.Form.PAUSED, fault_wire.Form.STREAMED):
+            pieces = fault_wire.pieces_of(
+                form,
+                path=PATH,
+                host="soak.example",
+                fields={},
+                body=bytes(1000),
+                max_head_bytes=LIMIT,
+            )
+            self.assertGreater(len(pieces), fault_wire.PAUSED_PIECES, form)
+            self.assertTrue(pieces[0].endswith(b"\r\n\r\n"), form)
+
+    async def test_slow_reading(self):
+        """Guards against a slow reader that changes a body."""
+        body = bytes(range(256)) * 200
+        for form in (fault_wire.Form.PLAIN, fault_wire.Form.CHUNKED):
+            reader = asyncio.StreamReader()
+            reader.feed_data(self.written(form, body))
+            _, fields = await fault_wire.read_head(reader)
+            got = await fault_wire.read_body(reader, fields, 0.001)
+            self.assertEqual(body, got, form)
+
     async def test_body_truncated_between_chunks(self):
         """Guards against taking a truncated chunked body for a whole one."""
         reader = asyncio.StreamReader()
