--- a/bench/fault_checker.py
+++ b/bench/fault_checker.py
@@ -231,6 +231,10 @@
         if target in self._targets_by_id.get(id, ()):
             self._targets_by_id[id].remove(target)
 
+    def is_at_work(self, id: str) -> bool:
+        """Returns whether a target is at work on a request."""
+        return bool(self._targets_by_id.get(id))
+
     def record_limited_answer(
         self, id: str, limit: fault_limits.LimitCheck
     ) -> None:
@@ -418,7 +422,7 @@
         whole_s = sent.at_s if sent.whole_s is None else sent.whole_s
         return (
             stop_s is not None
-            and bool(self._targets_by_id.get(id))
+            and self.is_at_work(id)
             and whole_s <= stop_s + EXCUSED_SENT_S
             and ended_s >= stop_s + EXCUSED_END_S
         )
--- a/bench/fault_target.py
+++ b/bench/fault_target.py
@@ -367,7 +367,8 @@
         return
     step = max(1, len(data) // STREAM_PARTS)
     for at in range(0, len(data), step):
-        writer.write(data[at : at + step])
+        if not writer.is_closing():
+            writer.write(data[at : at + step])
         await asyncio.sleep(length_s / STREAM_PARTS)
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -29,6 +29,7 @@
         for kind in ("plain", "streamed", "chunks with pauses"):
             self.assertGreater(checker.checked[f"late caller {kind}"], 10)
         self.assertGreater(checker.faults.total(), 5)
+        self.assertGreater(checker.faults["stop_several"], 0)
 
     def test_unknown_fault_is_refused(self):
         """Guards against a run that injects nothing that was asked for."""
