--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -22,7 +22,7 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = "orders.example"
+HOST = "bookings.example"
 PREFIX = "x-fuchsiacourse-"
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 
@@ -500,7 +500,7 @@
         net = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
         self.ips = [f"{net}.{10 + i}" for i in range(len(zones))]
         self.upstream_ip = f"{net}.100"
-        self.regions = {zone: "tayside" for zone in zones}
+        self.regions = {zone: "tunis-nord" for zone in zones}
         self.store = Store(f"{net}.1", record)
         self.fronts = [Front(self, ip, z) for ip, z in zip(self.ips, zones)]
         self.upstreams: list[Upstream] = []
