--- a/review/9/play.py
+++ b/review/9/play.py
@@ -186,9 +186,7 @@
         item
         for item in crashes.found
         if item[0] > third_s + STABILITY_WINDOW_S
-        and (
-            item[0] < started_s or item[0] > started_s + STABILITY_WINDOW_S
-        )
+        and (item[0] < started_s or item[0] > started_s + STABILITY_WINDOW_S)
     ]
     record.write(
         f"{len(late)} retries by machines in touch, more than"
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -211,8 +211,15 @@
     """A server of one service that runs requests and records them."""
 
     def __init__(
-        self, ip: str, id: str, service: str, zone: str, record: Record,
-        *, work_s: float = 0.1, slots: int = 8,
+        self,
+        ip: str,
+        id: str,
+        service: str,
+        zone: str,
+        record: Record,
+        *,
+        work_s: float = 0.1,
+        slots: int = 8,
     ) -> None:
         self.ip = ip
         self.id = id
@@ -305,7 +312,12 @@
         return True
 
     def answer(
-        self, status: int, id: str, body: bytes, *, is_run: bool = True,
+        self,
+        status: int,
+        id: str,
+        body: bytes,
+        *,
+        is_run: bool = True,
         extra: str = "",
     ) -> bytes:
         lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
@@ -331,8 +343,14 @@
 
 
 async def request(
-    address: str, id: str, path: str, record: Record, *, method: str = "GET",
-    body: bytes = b"", deadline_ms: int = 2500,
+    address: str,
+    id: str,
+    path: str,
+    record: Record,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    deadline_ms: int = 2500,
 ) -> Answer:
     """Sends one request on a new connection and returns what came."""
     ip, _, port = address.rpartition(":")
@@ -422,9 +440,7 @@
         ]
         for name in ("front", "ready", "control", "directory"):
             lines.append(f"network.listen.{name}={self.ip}:{ports[name]}")
-        lines.append(
-            f"network.internal_ports={ports['peer']},{ports['peer']}"
-        )
+        lines.append(f"network.internal_ports={ports['peer']},{ports['peer']}")
         seeds = [f"{ip}:{ports['control']}" for ip in self.fleet.ips[:3]]
         lines.append("network.seeds=" + ",".join(seeds))
         for zone, region in self.fleet.regions.items():
@@ -443,13 +459,24 @@
             "platform.platform.min_ttl_ms=1000",
         ]
         bounds = {
-            "seed_lag_s": 3, "addr_reuse_s": 2, "stability_window_ms": 3000,
-            "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": 6,
-            "loss_slack_ms": 200, "config_apply_ms": 2000,
-            "rollback_slack_ms": 250, "max_stretch_ms": 5000,
-            "retry_budget_ratio": 0.2, "budget_window_s": 10,
-            "retry_budget_extra": 62, "recovery_s": 15, "ttl_max_s": 5,
-            "probes_per_s": 3, "floor_share": 0.7,
+            "seed_lag_s": 3,
+            "addr_reuse_s": 2,
+            "stability_window_ms": 3000,
+            "ack_ms": 4000,
+            "catch_up_s": 4,
+            "drain_ms": 2000,
+            "grace_s": 6,
+            "loss_slack_ms": 200,
+            "config_apply_ms": 2000,
+            "rollback_slack_ms": 250,
+            "max_stretch_ms": 5000,
+            "retry_budget_ratio": 0.2,
+            "budget_window_s": 10,
+            "retry_budget_extra": 62,
+            "recovery_s": 15,
+            "ttl_max_s": 5,
+            "probes_per_s": 3,
+            "floor_share": 0.7,
         }
         lines += [f"terms.bounds.{k}={v}" for k, v in bounds.items()]
         return "\n".join(lines) + "\n"
@@ -494,7 +521,9 @@
     """A store, upstreams and fronts on loopback addresses of their own."""
 
     def __init__(
-        self, record: Record, zones: list[str],
+        self,
+        record: Record,
+        zones: list[str],
         regions: dict[str, str] | None = None,
     ) -> None:
         self.record = record
@@ -538,14 +567,20 @@
             "version": f"r{self.version}",
             "services": [
                 {
-                    "name": name, "health_check_path": "/health",
-                    "max_connections": 390, "protocol": "h1", "tls": False,
+                    "name": name,
+                    "health_check_path": "/health",
+                    "max_connections": 390,
+                    "protocol": "h1",
+                    "tls": False,
                 }
                 for name in sorted({p["service"] for p in paths})
             ],
             "limits": {
-                "max_header_bytes": 16384, "max_body_bytes": 67108864,
-                "header_timeout_ms": 3000, "idle_timeout_ms": 15000, **limits,
+                "max_header_bytes": 16384,
+                "max_body_bytes": 67108864,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
+                **limits,
             },
             "hosts": [{"host": HOST, "paths": paths}],
         }
@@ -567,14 +602,23 @@
 
 
 def path_entry(
-    prefix: str, service: str, kind: str, *, timeout_ms: int = 2500,
+    prefix: str,
+    service: str,
+    kind: str,
+    *,
+    timeout_ms: int = 2500,
     max_attempts: int = 2,
 ) -> dict:
     """Returns a route as the operator writes it."""
     return {
-        "name": "r" + prefix.replace("/", "-"), "path_prefix": prefix,
-        "kind": kind, "timeout_ms": timeout_ms, "target_latency_ms": 1000,
-        "priority": 1, "service": service, "max_attempts": max_attempts,
+        "name": "r" + prefix.replace("/", "-"),
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 1000,
+        "priority": 1,
+        "service": service,
+        "max_attempts": max_attempts,
     }
 
 
@@ -594,12 +638,16 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"TROUBLE={int(has_trouble)}")
     if not (ROOT / "target" / "deps").is_dir():
-        record.write("target/deps is missing: run the build of the deploy file")
+        record.write(
+            "target/deps is missing: run the build of the deploy file"
+        )
         return COULD_NOT_RUN
     try:
         broken = asyncio.run(asyncio.wait_for(play(record, has_trouble), 115))
-    except (CouldNotRun, OSError, TimeoutError) as error:
+    except Exception as error:
+        # An error of the script itself must not look like a broken rule.
         record.write(f"could not run: {error!r}")
+        print(f"could not run: {error!r}", file=sys.stderr)
         return COULD_NOT_RUN
     for line in broken:
         record.write(f"BROKEN {line}")
